feat(workspace): lay out the packages and the shared types

Cause: the repository was empty. Change: a package for each peer, the newtypes with Display and FromStr, the derive macros, the closed error kinds with the table from kind to answer, and the configuration split into chunks and a root.

--- /dev/null
+++ b/crates/model/src/config/mod.rs
@@ -0,0 +1,17 @@
+//! The configuration: its parts, its chunks, its root, and the assembled whole.
+
+mod audit;
+mod chunk;
+mod fleet;
+mod root;
+mod route;
+mod service;
+mod workspace;
+
+pub use audit::{AuditEntry, ChangeSummary};
+pub use chunk::{Chunk, ChunkBytes, ChunkError};
+pub use fleet::FleetConfig;
+pub use root::{ConfigRoot, ROUTE_BLOCKS, WORKSPACE_BLOCKS, block_of};
+pub use route::{RepeatRule, Route};
+pub use service::{DetectionProfile, Service, Upstream, UpstreamState};
+pub use workspace::Workspace;
--- /dev/null
+++ b/crates/model/src/digest.rs
@@ -0,0 +1,91 @@
+//! Content addresses: the SHA-256 of a chunk's bytes, written in hexadecimal.
+
+use std::fmt;
+use std::str;
+use std::sync::Arc;
+
+use sha2::Digest as _;
+
+use crate::error;
+
+/// Hexadecimal characters in a content address.
+const HASH_TEXT_LENGTH: usize = 64;
+
+/// The address of a chunk of immutable bytes.
+#[derive(
+    Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+)]
+#[serde(try_from = "String", into = "String")]
+pub struct ContentHash(Arc<str>);
+
+impl ContentHash {
+    /// Hashes the bytes of a chunk.
+    pub fn of(bytes: &[u8]) -> Self {
+        Self(hex_text(&sha2::Sha256::digest(bytes)).into())
+    }
+
+    /// The address as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+/// Writes bytes as lower-case hexadecimal text.
+pub fn hex_text(bytes: &[u8]) -> String {
+    use fmt::Write as _;
+    let mut text = String::with_capacity(bytes.len() * 2);
+    for byte in bytes {
+        let _ = write!(text, "{byte:02x}");
+    }
+    text
+}
+
+/// A stable 64-bit hash of several parts, the same on every node.
+pub fn stable_hash(parts: &[&[u8]]) -> u64 {
+    let mut hasher = sha2::Sha256::new();
+    for part in parts {
+        hasher.update((part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let digest = hasher.finalize();
+    let mut head = [0; size_of::<u64>()];
+    head.copy_from_slice(&digest[..size_of::<u64>()]);
+    u64::from_le_bytes(head)
+}
+
+impl fmt::Display for ContentHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(&self.0)
+    }
+}
+
+impl str::FromStr for ContentHash {
+    type Err = error::ValueError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let hex = text
+            .bytes()
+            .all(|byte| byte.is_ascii_hexdigit() && !byte.is_ascii_uppercase());
+        if text.len() != HASH_TEXT_LENGTH || !hex {
+            return Err(error::ValueError::new(
+                text,
+                "64 lower-case hexadecimal digits",
+            ));
+        }
+        Ok(Self(text.into()))
+    }
+}
+
+impl TryFrom<String> for ContentHash {
+    type Error = error::ValueError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl From<ContentHash> for String {
+    fn from(hash: ContentHash) -> Self {
+        hash.0.as_ref().to_owned()
+    }
+}
--- /dev/null
+++ b/crates/model/src/sizes.rs
@@ -0,0 +1,110 @@
+//! Quantities: counts, sizes, shares, rates and versions.
+
+use std::fmt;
+use std::str;
+
+use crate::error;
+
+crate::quantity! {
+    /// A count of request slots.
+    SlotCount, u32, 0, 100_000, "a whole number from 0 to 100000"
+}
+crate::quantity! {
+    /// A count of requests in flight or waiting.
+    RequestCount, u32, 1, 1_000_000, "a whole number from 1 to 1000000"
+}
+crate::quantity! {
+    /// A size in bytes.
+    ByteSize, u64, 1, 1_099_511_627_776, "a whole number of bytes from 1 to 1099511627776"
+}
+crate::quantity! {
+    /// The number of a configuration; it only grows.
+    Generation, u64, 0, u64::MAX, "a whole number"
+}
+crate::quantity! {
+    /// The version of one object of the platform.
+    ObjectVersion, u64, 0, u64::MAX, "a whole number"
+}
+
+impl Generation {
+    /// The generation that follows.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+/// A share between 0 and 1, written as a percentage (`25%`).
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, serde::Serialize, serde::Deserialize)]
+#[serde(transparent)]
+pub struct Share(f64);
+
+impl Share {
+    /// Wraps a fraction, held to the range from 0 to 1.
+    pub const fn new(fraction: f64) -> Self {
+        Self(fraction.clamp(0.0, 1.0))
+    }
+
+    /// The fraction, from 0 to 1.
+    pub const fn get(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Share {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}%", self.0 * 100.0)
+    }
+}
+
+impl str::FromStr for Share {
+    type Err = error::ValueError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let number = text
+            .strip_suffix('%')
+            .and_then(|digits| digits.parse::<f64>().ok());
+        let Some(percent) = number.filter(|percent| (0.0..=100.0).contains(percent)) else {
+            return Err(error::ValueError::new(text, "a percentage from 0% to 100%"));
+        };
+        Ok(Self(percent / 100.0))
+    }
+}
+
+/// A rate in events a second, written with its unit (`70/s`).
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, serde::Serialize, serde::Deserialize)]
+#[serde(transparent)]
+pub struct Rate(f64);
+
+impl Rate {
+    /// Wraps a number of events a second.
+    pub const fn per_second(events: f64) -> Self {
+        Self(events)
+    }
+
+    /// Events a second.
+    pub const fn get(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+impl str::FromStr for Rate {
+    type Err = error::ValueError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let number = text.strip_suffix("/s").unwrap_or(text).parse::<f64>().ok();
+        let Some(rate) = number.filter(|rate| *rate > 0.0 && *rate <= 1_000_000.0) else {
+            return Err(error::ValueError::new(
+                text,
+                "a rate above 0/s, at most 1000000/s",
+            ));
+        };
+        Ok(Self(rate))
+    }
+}
--- /dev/null
+++ b/testing/standin/src/main.rs
@@ -0,0 +1,2 @@
+//! stub
+fn main() {}
