--- /dev/null
+++ b/crates/caller/src/listener.rs
@@ -0,0 +1,132 @@
+//! The listener: accepts callers' connections, one task for each.
+
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http1::server::{self, ServeLimits};
+use model::call::{BodyStream, Call, CallAnswer};
+use model::error::FleetError;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time;
+
+use crate::wire;
+
+/// How long the listener rests when the system cannot give it a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A call under way.
+pub type CallFuture = Pin<Box<dyn Future<Output = Result<CallAnswer, FleetError>> + Send>>;
+
+/// Serves calls; what lies behind the front end is no concern of its own.
+pub type Dispatch = Arc<dyn Fn(Call) -> CallFuture + Send + Sync>;
+
+/// Bounds on callers.
+#[derive(Debug, Clone, Copy)]
+pub struct CallerLimits {
+    /// Connections that are open at once; further ones are closed.
+    pub connections: usize,
+    /// Bounds on each connection.
+    pub connection: ServeLimits,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            connections: 10_000,
+            connection: ServeLimits::default(),
+        }
+    }
+}
+
+/// The front end towards callers.
+pub struct CallerFront {
+    listener: TcpListener,
+    limits: CallerLimits,
+    dispatch: Dispatch,
+}
+
+impl CallerFront {
+    /// Binds the front end to an address.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    pub async fn bind(
+        address: SocketAddr,
+        limits: CallerLimits,
+        dispatch: Dispatch,
+    ) -> io::Result<Self> {
+        Ok(Self {
+            listener: TcpListener::bind(address).await?,
+            limits,
+            dispatch,
+        })
+    }
+
+    /// The address in use.
+    ///
+    /// # Errors
+    /// When the system does not tell.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Accepts connections until `stopping` turns true, then lets work in flight end.
+    pub async fn run(self, mut stopping: watch::Receiver<bool>) {
+        let mut connections = JoinSet::new();
+        let connection_stop = stopping.clone();
+        loop {
+            let accepted = tokio::select! {
+                accepted = self.listener.accept() => accepted,
+                Some(_) = connections.join_next() => continue,
+                _ = stopping.wait_for(|stopping| *stopping) => break,
+            };
+            match accepted {
+                Ok((stream, _)) if connections.len() < self.limits.connections => {
+                    let dispatch = Arc::clone(&self.dispatch);
+                    let stop = connection_stop.clone();
+                    connections.spawn(serve(stream, self.limits.connection, dispatch, stop));
+                }
+                Ok((_, peer)) => {
+                    log::warn!(target: "caller", "Too many connections, closed {peer}.")
+                }
+                Err(error) => {
+                    log::warn!(target: "caller", "Accept failed: {error}.");
+                    time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+        drop(self.listener);
+        log::info!(target: "caller", "Closing, {} connections left.", connections.len());
+        while connections.join_next().await.is_some() {}
+    }
+}
+
+async fn serve(
+    stream: TcpStream,
+    limits: ServeLimits,
+    dispatch: Dispatch,
+    stopping: watch::Receiver<bool>,
+) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!(target: "caller", "No delay cannot be set: {error}.");
+    }
+    let handler: server::Handler<BodyStream> = Arc::new(move |request| {
+        let dispatch = Arc::clone(&dispatch);
+        Box::pin(async move {
+            let call = match wire::read_call(request) {
+                Ok(call) => call,
+                Err(error) => return wire::write_error(&error),
+            };
+            match dispatch(call).await {
+                Ok(answer) => wire::write_answer(answer),
+                Err(error) => wire::write_error(&error),
+            }
+        })
+    });
+    server::serve(stream, limits, handler, stopping).await;
+}
--- /dev/null
+++ b/crates/caller/src/wire.rs
@@ -0,0 +1,180 @@
+//! Calls and answers as HTTP/1.1 messages.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Version, header};
+use http_body_util::BodyExt as _;
+use http1::header as hop;
+use hyper::body::Incoming;
+use model::call::{self, BodyError, BodyStream, Call, CallAnswer, CallHead};
+use model::error::{ErrorKind, FleetError, Outcome};
+
+/// Names the caller's workspace.
+pub const WORKSPACE: &str = "workspace";
+/// Names the key under which a once-only request runs at most once.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Milliseconds that the caller waits.
+pub const DEADLINE_MILLIS: &str = "request-deadline-ms";
+/// On an answer of the fleet itself: what the caller may conclude.
+pub const OUTCOME: &str = "gooseberrydyke-outcome";
+/// On an answer of the fleet itself: the kind of error.
+pub const ERROR_KIND: &str = "gooseberrydyke-error";
+
+/// The longest key, in bytes.
+const KEY_BYTES_MAX: usize = 256;
+
+/// Turns a request into a call.
+///
+/// # Errors
+/// `BadRequest` when the request breaks the standard or a header of the fleet is faulty.
+pub fn read_call(request: Request<Incoming>) -> Result<Call, FleetError> {
+    let (parts, incoming) = request.into_parts();
+    check_framing(&parts)?;
+    let host = read_host(&parts)?;
+    let target = read_target(&parts)?;
+    let mut headers = parts.headers;
+    let workspace = read_header(&headers, WORKSPACE)?
+        .map(|text| text.parse().map_err(|why| faulty(WORKSPACE, &why)))
+        .transpose()?;
+    let key = read_key(&headers)?;
+    let patience = read_patience(&headers)?;
+    hop::strip_hop_by_hop(&mut headers);
+    for name in [
+        WORKSPACE,
+        DEADLINE_MILLIS,
+        header::HOST.as_str(),
+        header::EXPECT.as_str(),
+    ] {
+        headers.remove(name);
+    }
+    let body = incoming.map_err(|_| BodyError::Broken).boxed_unsync();
+    let head = CallHead {
+        method: parts.method,
+        target,
+        host,
+        headers,
+        workspace,
+        key,
+        patience,
+    };
+    Ok(Call { head, body })
+}
+
+/// Refuses framing that two readers may understand differently.
+fn check_framing(parts: &http::request::Parts) -> Result<(), FleetError> {
+    let headers = &parts.headers;
+    let chunked = headers.contains_key(header::TRANSFER_ENCODING);
+    if chunked && headers.contains_key(header::CONTENT_LENGTH) {
+        return Err(bad("both Content-Length and Transfer-Encoding are given"));
+    }
+    if parts.method == Method::CONNECT {
+        return Err(bad("CONNECT is not served"));
+    }
+    Ok(())
+}
+
+fn read_host(parts: &http::request::Parts) -> Result<Arc<str>, FleetError> {
+    let mut named = parts.headers.get_all(header::HOST).iter();
+    let first = named.next();
+    if named.next().is_some() {
+        return Err(bad("Host is given twice"));
+    }
+    if let Some(authority) = parts.uri.authority() {
+        return Ok(authority.as_str().into());
+    }
+    match first.map(HeaderValue::to_str) {
+        Some(Ok(host)) => Ok(host.into()),
+        Some(Err(_)) => Err(bad("Host cannot be read")),
+        None if parts.version == Version::HTTP_10 => Ok("".into()),
+        None => Err(bad("Host is missing")),
+    }
+}
+
+fn read_target(parts: &http::request::Parts) -> Result<Arc<str>, FleetError> {
+    let target = parts
+        .uri
+        .path_and_query()
+        .map_or("/", http::uri::PathAndQuery::as_str);
+    if target.starts_with('/') || target == "*" {
+        return Ok(target.into());
+    }
+    Err(bad("the target is not a path"))
+}
+
+fn read_key(headers: &HeaderMap) -> Result<Option<Arc<str>>, FleetError> {
+    let Some(key) = read_header(headers, IDEMPOTENCY_KEY)? else {
+        return Ok(None);
+    };
+    if key.is_empty() || key.len() > KEY_BYTES_MAX {
+        return Err(bad("Idempotency-Key must have 1 to 256 bytes"));
+    }
+    Ok(Some(key.into()))
+}
+
+fn read_patience(headers: &HeaderMap) -> Result<Option<Duration>, FleetError> {
+    let Some(text) = read_header(headers, DEADLINE_MILLIS)? else {
+        return Ok(None);
+    };
+    let millis = text.parse::<u64>().ok().filter(|millis| *millis > 0);
+    let Some(millis) = millis else {
+        return Err(bad("Request-Deadline-Ms must be a whole number above 0"));
+    };
+    Ok(Some(Duration::from_millis(millis)))
+}
+
+fn read_header<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, FleetError> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(bad(&format!("{name} is given twice")));
+    }
+    value
+        .to_str()
+        .map(Some)
+        .map_err(|_| bad(&format!("{name} cannot be read")))
+}
+
+fn bad(detail: &str) -> FleetError {
+    FleetError::new(ErrorKind::BadRequest, detail)
+}
+
+fn faulty(name: &str, why: &model::error::ValueError) -> FleetError {
+    bad(&format!("{name}: {why}"))
+}
+
+/// Turns an answer into a response.
+pub fn write_answer(answer: CallAnswer) -> Response<BodyStream> {
+    let mut response = Response::new(answer.body);
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    response
+}
+
+/// Turns an error into the response of its kind.
+pub fn write_error(error: &FleetError) -> Response<BodyStream> {
+    let kind = error.kind();
+    let answer = kind.answer();
+    let text = serde_json::json!({
+        "error": kind.as_str(),
+        "outcome": answer.outcome.as_str(),
+        "retryable": answer.retryable,
+        "detail": error.detail(),
+    });
+    let mut response = Response::new(call::full_body(format!("{text}\n")));
+    *response.status_mut() =
+        StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    headers.insert(OUTCOME, HeaderValue::from_static(answer.outcome.as_str()));
+    headers.insert(ERROR_KIND, HeaderValue::from_static(kind.as_str()));
+    if answer.retryable && answer.outcome == Outcome::NotRun {
+        headers.insert(header::RETRY_AFTER, HeaderValue::from_static("1"));
+    }
+    response
+}
--- a/crates/model/src/config/fleet.rs
+++ b/crates/model/src/config/fleet.rs
@@ -1,9 +1,9 @@
 //! The configuration assembled from its chunks.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use super::{chunk, root, route, service, workspace};
+use super::{cache, chunk, root, route, service, workspace};
 use crate::{digest, ids, sizes};
 
 /// The whole configuration of one generation.
@@ -36,7 +36,7 @@
     /// The address of the first chunk that is missing from `chunks` or damaged.
     pub fn assemble(
         root: &root::ConfigRoot,
-        chunks: &HashMap<digest::ContentHash, Arc<chunk::Chunk>>,
+        chunks: &cache::ChunkCache,
     ) -> Result<Self, digest::ContentHash> {
         let mut config = Self {
             generation: root.generation,
--- a/crates/model/src/config/mod.rs
+++ b/crates/model/src/config/mod.rs
@@ -1,6 +1,7 @@
 //! The configuration: its parts, its chunks, its root, and the assembled whole.
 
 mod audit;
+mod cache;
 mod chunk;
 mod fleet;
 mod root;
@@ -9,6 +10,7 @@
 mod workspace;
 
 pub use audit::{AuditEntry, ChangeSummary};
+pub use cache::ChunkCache;
 pub use chunk::{Chunk, ChunkBytes, ChunkError};
 pub use fleet::FleetConfig;
 pub use root::{ConfigRoot, ROUTE_BLOCKS, WORKSPACE_BLOCKS, block_of};
--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -25,6 +25,10 @@
     /// Names one entry VM for one run of its process.
     NodeId
 }
+crate::text_id! {
+    /// Names one request on its way through a node.
+    RequestId
+}
 crate::text_id! {
     /// Names a data centre.
     DataCentreId
--- /dev/null
+++ b/crates/policy/src/detection/docket.rs
@@ -0,0 +1,132 @@
+//! What is known of one upstream, by the data centre that saw it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use model::ids;
+use tokio::time::Instant;
+
+use super::sequential::{SequentialTest, TestCosts};
+use super::window::OutcomeWindow;
+
+/// Outcomes that a data centre must have seen to speak for an upstream.
+const DEFENCE_OUTCOMES: u32 = 3;
+/// The highest failure share with which a data centre speaks for an upstream.
+const DEFENCE_SHARE: f64 = 0.2;
+/// How far back outcomes speak for an upstream.
+const DEFENCE_SPAN: Duration = Duration::from_secs(5);
+/// Failures that a data centre must have seen to support an ejection.
+const SUPPORT_FAILURES: u32 = 2;
+
+/// One data centre's view of an upstream.
+#[derive(Debug)]
+pub(super) struct ObserverView {
+    pub(super) test: SequentialTest,
+    pub(super) window: OutcomeWindow,
+}
+
+impl ObserverView {
+    fn new(now: Instant, cap: f64) -> Self {
+        Self {
+            test: SequentialTest::new(cap),
+            window: OutcomeWindow::new(now),
+        }
+    }
+
+    fn defends(&self, now: Instant) -> bool {
+        let (good, bad) = self.window.since(now, earlier(now, DEFENCE_SPAN));
+        let total = good + bad;
+        total >= DEFENCE_OUTCOMES && f64::from(bad) <= f64::from(total) * DEFENCE_SHARE
+    }
+
+    fn supports(&self, now: Instant) -> bool {
+        let (good, bad) = self.window.since(now, earlier(now, OutcomeWindow::SPAN));
+        bad >= SUPPORT_FAILURES && bad >= good
+    }
+}
+
+/// Everything known of one upstream.
+#[derive(Debug)]
+pub(super) struct Docket {
+    cap: f64,
+    /// The test over all data centres.
+    pub(super) pooled: SequentialTest,
+    /// When the pooled score last left zero.
+    pub(super) onset: Instant,
+    /// Outcomes seen from anywhere.
+    pub(super) window: OutcomeWindow,
+    views: BTreeMap<ids::DataCentreId, ObserverView>,
+}
+
+impl Docket {
+    pub(super) fn new(now: Instant, costs: TestCosts) -> Self {
+        let cap = costs.eject + costs.avoid;
+        Self {
+            cap,
+            pooled: SequentialTest::new(cap),
+            onset: now,
+            window: OutcomeWindow::new(now),
+            views: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn observe(
+        &mut self,
+        now: Instant,
+        observer: &ids::DataCentreId,
+        (good, bad): (u32, u32),
+        base: f64,
+    ) {
+        if self.pooled.score() <= 0.0 {
+            self.onset = now;
+        }
+        self.pooled.observe(good, bad, base);
+        self.window.add(now, good, bad);
+        let cap = self.cap;
+        let view = self
+            .views
+            .entry(observer.clone())
+            .or_insert_with(|| ObserverView::new(now, cap));
+        view.test.observe(good, bad, base);
+        view.window.add(now, good, bad);
+    }
+
+    /// Data centres whose own evidence reaches a score.
+    pub(super) fn accusers(&self, score: f64) -> Vec<ids::DataCentreId> {
+        let over = self
+            .views
+            .iter()
+            .filter(|(_, view)| view.test.score() >= score);
+        over.map(|(observer, _)| observer.clone()).collect()
+    }
+
+    /// Whether a data centre other than those given reaches the upstream well.
+    pub(super) fn defended(&self, now: Instant, except: &[ids::DataCentreId]) -> bool {
+        let others = self
+            .views
+            .iter()
+            .filter(|(observer, _)| !except.contains(observer));
+        others.into_iter().any(|(_, view)| view.defends(now))
+    }
+
+    /// Data centres that saw the upstream fail.
+    pub(super) fn supporters(&self, now: Instant) -> usize {
+        self.views
+            .values()
+            .filter(|view| view.supports(now))
+            .count()
+    }
+
+    /// Sets every score, as when an upstream starts its probation.
+    pub(super) fn set_scores(&mut self, score: f64) {
+        self.pooled.set(score);
+        self.views
+            .values_mut()
+            .for_each(|view| view.test.set(score));
+    }
+}
+
+/// The instant that lies a span before another.
+pub(super) fn earlier(now: Instant, span: Duration) -> Instant {
+    now.checked_sub(span).unwrap_or(now)
+}
--- /dev/null
+++ b/crates/policy/src/detection/evidence.rs
@@ -0,0 +1,75 @@
+//! Counts of outcomes on their way from nodes to collectors.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use model::ids;
+use tokio::time::Instant;
+
+/// How long counts without a failure may wait for a report.
+const QUIET_REPORT_INTERVAL: Duration = Duration::from_secs(2);
+
+model::record! {
+    /// Good and bad outcomes of one upstream.
+    #[derive(Default, Copy, Eq)]
+    pub struct EvidenceCount {
+        /// Outcomes that speak for the upstream.
+        pub good: u32,
+        /// Outcomes that speak against it.
+        pub bad: u32,
+    }
+
+    /// What one data centre saw of a service since its last report.
+    pub struct EvidenceReport {
+        /// The service.
+        pub service: ids::ServiceId,
+        /// The data centre of the nodes that saw it.
+        pub observer: ids::DataCentreId,
+        /// Counts by upstream.
+        pub counts: BTreeMap<ids::UpstreamId, EvidenceCount>,
+    }
+}
+
+/// Gathers outcomes until a report is due.
+///
+/// A failure makes the report due at once; good outcomes alone wait longer.
+#[derive(Debug)]
+pub struct EvidenceLedger {
+    counts: BTreeMap<ids::UpstreamId, EvidenceCount>,
+    urgent: bool,
+    reported: Instant,
+}
+
+impl EvidenceLedger {
+    /// An empty ledger.
+    pub const fn new(now: Instant) -> Self {
+        Self {
+            counts: BTreeMap::new(),
+            urgent: false,
+            reported: now,
+        }
+    }
+
+    /// Adds outcomes of one upstream.
+    pub fn add(&mut self, upstream: &ids::UpstreamId, good: u32, bad: u32) {
+        if let Some(count) = self.counts.get_mut(upstream) {
+            count.good += good;
+            count.bad += bad;
+        } else {
+            self.counts
+                .insert(upstream.clone(), EvidenceCount { good, bad });
+        }
+        self.urgent |= bad > 0;
+    }
+
+    /// Takes the counts when a report is due.
+    pub fn take_due(&mut self, now: Instant) -> Option<BTreeMap<ids::UpstreamId, EvidenceCount>> {
+        let waited = now.saturating_duration_since(self.reported) >= QUIET_REPORT_INTERVAL;
+        if self.counts.is_empty() || !(self.urgent || waited) {
+            return None;
+        }
+        self.urgent = false;
+        self.reported = now;
+        Some(std::mem::take(&mut self.counts))
+    }
+}
--- /dev/null
+++ b/crates/policy/src/detection/judge.rs
@@ -0,0 +1,309 @@
+//! The judge of one service: which upstreams to avoid and which to eject.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use model::{config, ids};
+use tokio::time::Instant;
+
+use super::docket::{Docket, earlier};
+use super::evidence::EvidenceReport;
+use super::sequential::TestCosts;
+use super::window::OutcomeWindow;
+
+/// Failure share of the other upstreams at which a service fails as a whole.
+const SERVICE_FAILING_SHARE: f64 = 0.3;
+/// The shortest past over which upstreams are compared.
+const COMPARE_SPAN_MIN: Duration = Duration::from_millis(500);
+/// How long an upstream is avoided at least.
+const AVOID_SPAN_MIN: Duration = Duration::from_secs(2);
+/// The longest time that flapping adds to.
+const AVOID_SPAN_MAX: Duration = Duration::from_mins(5);
+/// Quiet time after which earlier flapping is forgotten.
+const FLAP_MEMORY: Duration = Duration::from_mins(10);
+/// The most doublings that flapping can cause.
+const FLAP_DOUBLINGS_MAX: u32 = 8;
+
+model::record! {
+    /// Who is to avoid an upstream.
+    #[derive(Eq)]
+    pub enum VerdictScope {
+        /// Every node.
+        Fleet,
+        /// Only nodes of these data centres: their link is at fault.
+        DataCentres(BTreeSet<ids::DataCentreId>),
+    }
+
+    /// What the evidence says of an upstream.
+    #[derive(Eq)]
+    pub enum Verdict {
+        /// It is sound.
+        Clear,
+        /// It goes last in the choice.
+        Avoid(VerdictScope),
+        /// Its ejection is proposed; until it is accepted every node avoids it.
+        Eject,
+    }
+
+    /// A verdict that differs from the one before.
+    #[derive(Eq)]
+    pub struct VerdictChange {
+        /// The service.
+        pub service: ids::ServiceId,
+        /// The upstream.
+        pub upstream: ids::UpstreamId,
+        /// The new verdict.
+        pub verdict: Verdict,
+    }
+}
+
+#[derive(Debug)]
+struct Case {
+    docket: Docket,
+    home: ids::DataCentreId,
+    verdict: Verdict,
+    since: Instant,
+    avoided: Option<Instant>,
+    flaps: u32,
+}
+
+/// Judges the upstreams of one service against each other.
+#[derive(Debug)]
+pub struct ServiceJudge {
+    service: Arc<config::Service>,
+    costs: TestCosts,
+    observers: usize,
+    cases: BTreeMap<ids::UpstreamId, Case>,
+}
+
+impl ServiceJudge {
+    /// A judge without evidence; `observers` data centres hold nodes.
+    pub fn new(now: Instant, service: Arc<config::Service>, observers: usize) -> Self {
+        let costs = TestCosts::of(service.profile);
+        let mut judge = Self {
+            service,
+            costs,
+            observers,
+            cases: BTreeMap::new(),
+        };
+        judge.sync_cases(now);
+        judge
+    }
+
+    /// Takes new settings of the service; what is known of its upstreams stays.
+    pub fn configure(&mut self, now: Instant, service: Arc<config::Service>, observers: usize) {
+        self.costs = TestCosts::of(service.profile);
+        self.service = service;
+        self.observers = observers;
+        self.sync_cases(now);
+    }
+
+    fn sync_cases(&mut self, now: Instant) {
+        let upstreams = &self.service.upstreams;
+        self.cases
+            .retain(|id, _| upstreams.iter().any(|up| up.id == *id));
+        for up in upstreams {
+            self.cases.entry(up.id.clone()).or_insert_with(|| Case {
+                docket: Docket::new(now, self.costs),
+                home: up.data_centre.clone(),
+                verdict: Verdict::Clear,
+                since: now,
+                avoided: None,
+                flaps: 0,
+            });
+        }
+    }
+
+    /// Takes the counts of one data centre.
+    pub fn observe(&mut self, now: Instant, report: &EvidenceReport) {
+        for (id, count) in &report.counts {
+            let base = self.failure_share(now, id, earlier(now, OutcomeWindow::SPAN));
+            let Some(case) = self.cases.get_mut(id) else {
+                continue;
+            };
+            case.docket.observe(
+                now,
+                &report.observer,
+                (count.good, count.bad),
+                base.unwrap_or(0.0),
+            );
+        }
+    }
+
+    /// Judges every upstream and returns the verdicts that changed.
+    pub fn decide(&mut self, now: Instant) -> Vec<VerdictChange> {
+        let ids: Vec<_> = self.cases.keys().cloned().collect();
+        let mut changes = Vec::new();
+        for id in ids {
+            let Some(verdict) = self.judge(now, &id) else {
+                continue;
+            };
+            if let Some(case) = self.cases.get_mut(&id) {
+                case.change(now, &verdict);
+            }
+            let service = self.service.id.clone();
+            changes.push(VerdictChange {
+                service,
+                upstream: id,
+                verdict,
+            });
+        }
+        changes
+    }
+
+    /// Starts the probation of an upstream that was ejected: it must prove itself in trials.
+    pub fn reinstate(&mut self, now: Instant, upstream: &ids::UpstreamId) {
+        if let Some(case) = self.cases.get_mut(upstream) {
+            case.docket.set_scores(self.costs.avoid);
+            case.verdict = Verdict::Avoid(VerdictScope::Fleet);
+            case.since = now;
+        }
+    }
+
+    /// The verdict in force.
+    pub fn verdict(&self, upstream: &ids::UpstreamId) -> Verdict {
+        self.cases
+            .get(upstream)
+            .map_or(Verdict::Clear, |case| case.verdict.clone())
+    }
+
+    /// Every verdict other than clear, to be told again to nodes that missed it.
+    pub fn standing(&self) -> Vec<VerdictChange> {
+        let accused = self
+            .cases
+            .iter()
+            .filter(|(_, case)| case.verdict != Verdict::Clear);
+        let told = accused.map(|(id, case)| VerdictChange {
+            service: self.service.id.clone(),
+            upstream: id.clone(),
+            verdict: case.verdict.clone(),
+        });
+        told.collect()
+    }
+
+    /// How bad an upstream looks, to compare ejected upstreams with each other.
+    pub fn score(&self, upstream: &ids::UpstreamId) -> f64 {
+        self.cases
+            .get(upstream)
+            .map_or(0.0, |case| case.docket.pooled.score())
+    }
+
+    fn judge(&self, now: Instant, id: &ids::UpstreamId) -> Option<Verdict> {
+        let case = self.cases.get(id)?;
+        let verdict = match case.verdict {
+            Verdict::Clear => self.accuse(now, id, case),
+            Verdict::Avoid(_) => self.review(now, id, case),
+            Verdict::Eject => return None,
+        };
+        (verdict != case.verdict).then_some(verdict)
+    }
+
+    fn accuse(&self, now: Instant, id: &ids::UpstreamId, case: &Case) -> Verdict {
+        let Some(scope) = self.scope(now, case) else {
+            return Verdict::Clear;
+        };
+        if self.service_failing(now, id, case) {
+            return Verdict::Clear;
+        }
+        Verdict::Avoid(scope)
+    }
+
+    fn review(&self, now: Instant, id: &ids::UpstreamId, case: &Case) -> Verdict {
+        let held = now.saturating_duration_since(case.since) >= case.hold();
+        let quiet =
+            case.docket.pooled.score() <= 0.0 && case.docket.accusers(f64::MIN_POSITIVE).is_empty();
+        if held && quiet {
+            return Verdict::Clear;
+        }
+        let service_failing = self.service_failing(now, id, case);
+        if service_failing {
+            return case.verdict.clone();
+        }
+        let Some(scope) = self.scope(now, case) else {
+            return case.verdict.clone();
+        };
+        if scope == VerdictScope::Fleet && self.ejectable(now, case) {
+            return Verdict::Eject;
+        }
+        Verdict::Avoid(scope)
+    }
+
+    /// Who should avoid the upstream, judged by who sees it fail and who sees it work.
+    fn scope(&self, now: Instant, case: &Case) -> Option<VerdictScope> {
+        let accusers = case.docket.accusers(self.costs.avoid);
+        let defended = case.docket.defended(now, &accusers);
+        if accusers.is_empty() {
+            let pooled = case.docket.pooled.score() >= self.costs.avoid;
+            return (pooled && !defended).then_some(VerdictScope::Fleet);
+        }
+        let near_home = accusers.contains(&case.home) || accusers.len() > 1;
+        if near_home && !defended {
+            return Some(VerdictScope::Fleet);
+        }
+        Some(VerdictScope::DataCentres(accusers.into_iter().collect()))
+    }
+
+    fn ejectable(&self, now: Instant, case: &Case) -> bool {
+        let sure = case.docket.pooled.score() >= self.costs.eject;
+        let wanted = self.observers.clamp(1, 2);
+        sure && case.docket.supporters(now) >= wanted
+    }
+
+    /// Whether the other upstreams fail as well, since this one began to.
+    fn service_failing(&self, now: Instant, id: &ids::UpstreamId, case: &Case) -> bool {
+        let from = case.docket.onset.min(earlier(now, COMPARE_SPAN_MIN));
+        let recent = self.failure_share(now, id, from);
+        let wide = earlier(now, OutcomeWindow::SPAN);
+        let share = recent.or_else(|| self.failure_share(now, id, wide));
+        share.unwrap_or(0.0) >= SERVICE_FAILING_SHARE
+    }
+
+    /// The median failure share of the other upstreams, weighted by their outcomes.
+    fn failure_share(&self, now: Instant, id: &ids::UpstreamId, from: Instant) -> Option<f64> {
+        let others = self
+            .cases
+            .iter()
+            .filter(|(other, case)| *other != id && case.in_service());
+        let mut shares: Vec<(f64, u32)> = others
+            .map(|(_, case)| case.docket.window.since(now, from))
+            .filter(|(good, bad)| good + bad > 0)
+            .map(|(good, bad)| (f64::from(bad) / f64::from(good + bad), good + bad))
+            .collect();
+        shares.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let total: u32 = shares.iter().map(|(_, weight)| weight).sum();
+        let mut sum = 0;
+        shares.into_iter().find_map(|(share, weight)| {
+            sum += weight;
+            (sum * 2 >= total).then_some(share)
+        })
+    }
+}
+
+impl Case {
+    fn in_service(&self) -> bool {
+        !matches!(self.verdict, Verdict::Eject)
+    }
+
+    fn hold(&self) -> Duration {
+        let doublings = self.flaps.min(FLAP_DOUBLINGS_MAX);
+        AVOID_SPAN_MIN
+            .saturating_mul(1 << doublings)
+            .min(AVOID_SPAN_MAX)
+    }
+
+    fn change(&mut self, now: Instant, verdict: &Verdict) {
+        let leaves_clear = self.verdict == Verdict::Clear;
+        if leaves_clear {
+            let again = self
+                .avoided
+                .is_some_and(|at| now.duration_since(at) < FLAP_MEMORY);
+            self.flaps = if again { self.flaps + 1 } else { 0 };
+            self.avoided = Some(now);
+        }
+        if leaves_clear || *verdict == Verdict::Clear {
+            self.since = now;
+        }
+        self.verdict = verdict.clone();
+    }
+}
--- /dev/null
+++ b/crates/policy/src/retry/mod.rs
@@ -0,0 +1,7 @@
+//! Retries: when a request may be sent again, and who pays for it.
+
+mod budget;
+mod decide;
+
+pub use budget::RetryBudget;
+pub use decide::{AttemptEnd, RetryCase, RetryRefusal, decide};
--- /dev/null
+++ b/crates/policy/src/routing/table.rs
@@ -0,0 +1,127 @@
+//! The routing table, built once for each configuration.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use model::{call, config};
+
+/// Where a request goes.
+#[derive(Debug, Clone)]
+pub struct RouteMatch {
+    /// The route that matched.
+    pub route: Arc<config::Route>,
+    /// The service behind it.
+    pub service: Arc<config::Service>,
+}
+
+/// Routes by host and by the first segment of their prefix, best first.
+///
+/// The order is total: a named host before any host, a longer prefix before a
+/// shorter one, listed methods before any method, then the route's name.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    by_host: HashMap<Arc<str>, HostRoutes>,
+    any_host: HostRoutes,
+}
+
+#[derive(Debug, Default)]
+struct HostRoutes {
+    by_segment: HashMap<Arc<str>, Vec<RouteMatch>>,
+    whole: Vec<RouteMatch>,
+}
+
+impl RouteTable {
+    /// Builds the table; routes to services that do not exist are left out.
+    pub fn build(fleet: &config::FleetConfig) -> Self {
+        let mut table = Self::default();
+        for route in fleet.routes.values() {
+            let Some(service) = fleet.services.get(&route.service) else {
+                continue;
+            };
+            let entry = RouteMatch {
+                route: Arc::clone(route),
+                service: Arc::clone(service),
+            };
+            let host = match &route.host {
+                Some(host) => table.by_host.entry(lower(host)).or_default(),
+                None => &mut table.any_host,
+            };
+            host.add(entry);
+        }
+        table.by_host.values_mut().for_each(HostRoutes::sort);
+        table.any_host.sort();
+        table
+    }
+
+    /// Finds the route of a request.
+    pub fn find(&self, head: &call::CallHead) -> Option<&RouteMatch> {
+        let bare = head.host.rsplit_once(':').filter(|(_, port)| is_port(port));
+        let host = lower(bare.map_or(head.host.as_ref(), |(name, _)| name));
+        let named = self.by_host.get(&host).and_then(|routes| routes.find(head));
+        named.or_else(|| self.any_host.find(head))
+    }
+}
+
+impl HostRoutes {
+    fn add(&mut self, entry: RouteMatch) {
+        match first_segment(&entry.route.prefix) {
+            "" => self.whole.push(entry),
+            segment => self
+                .by_segment
+                .entry(segment.into())
+                .or_default()
+                .push(entry),
+        }
+    }
+
+    fn sort(&mut self) {
+        let lists = self.by_segment.values_mut().chain([&mut self.whole]);
+        for list in lists {
+            list.sort_by(|a, b| order(&a.route).cmp(&order(&b.route)));
+        }
+    }
+
+    fn find(&self, head: &call::CallHead) -> Option<&RouteMatch> {
+        let path = head.path();
+        let narrow = self
+            .by_segment
+            .get(first_segment(path))
+            .into_iter()
+            .flatten();
+        narrow
+            .chain(&self.whole)
+            .find(|entry| matches(&entry.route, path, &head.method))
+    }
+}
+
+fn order(route: &config::Route) -> (std::cmp::Reverse<usize>, bool, &str) {
+    let prefix = route.prefix.trim_end_matches('/');
+    (
+        std::cmp::Reverse(prefix.len()),
+        route.methods.is_empty(),
+        route.id.as_str(),
+    )
+}
+
+fn matches(route: &config::Route, path: &str, method: &http::Method) -> bool {
+    let prefix = route.prefix.trim_end_matches('/');
+    let rest = path.strip_prefix(prefix);
+    let on_boundary = rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('/'));
+    let methods = &route.methods;
+    on_boundary && (methods.is_empty() || methods.iter().any(|name| **name == *method.as_str()))
+}
+
+fn first_segment(path: &str) -> &str {
+    path.trim_start_matches('/')
+        .split('/')
+        .next()
+        .unwrap_or_default()
+}
+
+fn is_port(text: &str) -> bool {
+    !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit())
+}
+
+fn lower(host: &str) -> Arc<str> {
+    host.to_ascii_lowercase().into()
+}
--- /dev/null
+++ b/crates/policy/src/service/board.rs
@@ -0,0 +1,494 @@
+//! The board: admits requests, takes their ends, and gathers evidence.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use model::{config, error, ids, sizes};
+use rand::SeedableRng as _;
+use rand::rngs::SmallRng;
+use slotmap::SlotMap;
+use tokio::time::Instant;
+
+use super::choose;
+use super::member::{Member, MemberView, Standing};
+use crate::detection::{self, TestCosts};
+use crate::ejection;
+use crate::invariant;
+use crate::limit;
+use crate::retry::{self, AttemptEnd};
+
+/// How long a node avoids an upstream on its own evidence alone.
+const OWN_AVOID_SPAN: Duration = Duration::from_secs(3);
+/// How long a collector's verdict holds when it is not repeated.
+const TOLD_AVOID_SPAN: Duration = Duration::from_secs(10);
+/// How long a drain signal in an answer holds when no configuration confirms it.
+const DRAIN_SPAN: Duration = Duration::from_mins(1);
+/// Trials of one avoided upstream in a second, over the whole fleet.
+const FLEET_TRIALS_PER_SECOND: f64 = 4.0;
+/// The shortest time between two trials by one node.
+const TRIAL_INTERVAL_MIN: Duration = Duration::from_millis(250);
+/// Share of the deadline that counts as overdue before the usual latency is known.
+const OVERDUE_DEADLINE_SHARE: f64 = 0.5;
+/// How much longer than the usual slow request a hedge waits.
+const HEDGE_FACTOR: f64 = 1.5;
+/// The quantile that counts as a usual slow request.
+const HEDGE_QUANTILE: f64 = 0.95;
+
+slotmap::new_key_type! {
+    struct MemberKey;
+    /// Names one request in flight.
+    pub struct TicketKey;
+}
+
+model::choice! {
+    /// Why an upstream is asked for.
+    pub enum Purpose {
+        /// The first attempt of a request.
+        First = "first",
+        /// A repeated attempt.
+        Retry = "retry",
+        /// A second attempt beside one that is slow.
+        Hedge = "hedge",
+    }
+}
+
+/// A request for an upstream.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// Whether the request may run more than once.
+    pub repeatable: bool,
+    /// Upstreams that were tried.
+    pub exclude: Vec<ids::UpstreamId>,
+    /// Why it is asked for.
+    pub purpose: Purpose,
+}
+
+/// Leave to send one attempt.
+#[derive(Debug, Clone)]
+pub struct Grant {
+    /// The attempt's name at the board.
+    pub ticket: TicketKey,
+    /// Where it goes.
+    pub upstream: Arc<config::Upstream>,
+}
+
+/// What the board says to a request.
+#[derive(Debug)]
+pub enum Admission {
+    /// Send it there.
+    Go(Grant),
+    /// Every upstream is full.
+    Wait,
+    /// It cannot be sent.
+    Refuse(error::ErrorKind),
+}
+
+#[derive(Debug)]
+struct Ticket {
+    member: MemberKey,
+    started: Instant,
+    /// Time until the head of the answer, once it is there.
+    latency: Option<Duration>,
+    blamed: bool,
+    /// Whether silence may be the connection's fault.
+    suspect: bool,
+    in_flight_before: u32,
+}
+
+impl Ticket {
+    fn is_overdue(&self, now: Instant, bound: Duration) -> bool {
+        let waits = self.latency.is_none() && !self.blamed && !self.suspect;
+        waits && now.saturating_duration_since(self.started) > bound
+    }
+}
+
+/// The state of one service at one node.
+#[derive(Debug)]
+pub struct ServiceBoard {
+    service: Arc<config::Service>,
+    home: ids::DataCentreId,
+    costs: TestCosts,
+    members: SlotMap<MemberKey, Member>,
+    by_id: HashMap<ids::UpstreamId, MemberKey>,
+    tickets: SlotMap<TicketKey, Ticket>,
+    budget: retry::RetryBudget,
+    tempo: detection::LatencyTempo,
+    ledger: detection::EvidenceLedger,
+    gauge: limit::WorkspaceGauge,
+    trial_interval: Duration,
+    rng: SmallRng,
+}
+
+impl ServiceBoard {
+    /// A board without requests.
+    pub fn new(
+        now: Instant,
+        service: Arc<config::Service>,
+        home: ids::DataCentreId,
+        seed: u64,
+    ) -> Self {
+        let mut board = Self {
+            costs: TestCosts::of(service.profile),
+            service: Arc::clone(&service),
+            home,
+            members: SlotMap::with_key(),
+            by_id: HashMap::new(),
+            tickets: SlotMap::with_key(),
+            budget: retry::RetryBudget::default(),
+            tempo: detection::LatencyTempo::default(),
+            ledger: detection::EvidenceLedger::new(now),
+            gauge: limit::WorkspaceGauge::default(),
+            trial_interval: TRIAL_INTERVAL_MIN,
+            rng: SmallRng::seed_from_u64(seed),
+        };
+        board.configure(now, service);
+        board
+    }
+
+    /// Takes new settings; members that stay keep their state.
+    pub fn configure(&mut self, now: Instant, service: Arc<config::Service>) {
+        self.costs = TestCosts::of(service.profile);
+        let known: BTreeSet<_> = service.upstreams.iter().map(|up| up.id.clone()).collect();
+        for up in &service.upstreams {
+            self.put_member(now, Arc::new(up.clone()));
+        }
+        for (id, key) in &self.by_id {
+            if !known.contains(id) {
+                self.members[*key].drain_seen.get_or_insert(now);
+            }
+        }
+        self.service = service;
+        self.forget_idle_strangers(&known);
+    }
+
+    fn put_member(&mut self, now: Instant, upstream: Arc<config::Upstream>) {
+        let id = upstream.id.clone();
+        if let Some(key) = self.by_id.get(&id) {
+            let member = &mut self.members[*key];
+            if member.upstream.state != upstream.state {
+                member.drain_seen = None;
+            }
+            member.upstream = upstream;
+            return;
+        }
+        let member = Member::new(now, upstream, self.costs.eject);
+        let key = self.members.insert(member);
+        self.by_id.insert(id, key);
+    }
+
+    fn forget_idle_strangers(&mut self, known: &BTreeSet<ids::UpstreamId>) {
+        let members = &mut self.members;
+        self.by_id.retain(|id, key| {
+            let keep = known.contains(id) || members[*key].in_flight > 0;
+            if !keep {
+                members.remove(*key);
+            }
+            keep
+        });
+    }
+
+    /// Sets how many nodes share the trials of an upstream.
+    pub fn set_fleet_size(&mut self, nodes: u32) {
+        let seconds = f64::from(nodes) / FLEET_TRIALS_PER_SECOND;
+        self.trial_interval = Duration::from_secs_f64(seconds).max(TRIAL_INTERVAL_MIN);
+    }
+
+    /// Sets the upstreams that this node uses first.
+    pub fn set_subset(&mut self, subset: &BTreeSet<ids::UpstreamId>) {
+        for member in self.members.values_mut() {
+            member.in_subset = subset.contains(&member.upstream.id);
+        }
+    }
+
+    /// The service as configured.
+    pub const fn service(&self) -> &Arc<config::Service> {
+        &self.service
+    }
+
+    /// Counts a request of a workspace, unless it is at its limit.
+    pub fn enter_workspace(
+        &mut self,
+        workspace: &ids::WorkspaceId,
+        own_limit: Option<sizes::RequestCount>,
+    ) -> bool {
+        let limit = own_limit.unwrap_or(self.service.workspace_limit);
+        self.gauge.enter(workspace, limit)
+    }
+
+    /// Counts a request of a workspace as done.
+    pub fn leave_workspace(&mut self, workspace: &ids::WorkspaceId) {
+        self.gauge.leave(workspace);
+    }
+
+    /// Finds an upstream for an attempt.
+    pub fn admit(&mut self, now: Instant, ask: &Ask) -> Admission {
+        if ask.purpose == Purpose::Hedge && !self.budget.pay() {
+            return Admission::Refuse(error::ErrorKind::Overload);
+        }
+        let Some(key) = self.choose(now, ask) else {
+            return self.turn_away(ask);
+        };
+        Admission::Go(self.grant(now, key))
+    }
+
+    fn choose(&mut self, now: Instant, ask: &Ask) -> Option<MemberKey> {
+        let members = self.members.iter();
+        let untried = members.filter(|(_, member)| !ask.exclude.contains(&member.upstream.id));
+        let first_of_many = ask.repeatable && ask.purpose == Purpose::First;
+        let trial = first_of_many
+            .then(|| choose::pick_trial(untried.clone(), now))
+            .flatten();
+        if let Some(key) = trial {
+            self.members[key].next_trial = now + self.trial_interval;
+            return Some(key);
+        }
+        choose::pick(&untried, &self.home, ask.repeatable, now, &mut self.rng)
+    }
+
+    fn turn_away(&self, ask: &Ask) -> Admission {
+        let could_serve = self.members.values().any(|member| {
+            let standing = member.standing();
+            let serves = matches!(standing, Standing::Healthy | Standing::Avoided);
+            serves && !ask.exclude.contains(&member.upstream.id)
+        });
+        if could_serve && ask.purpose != Purpose::Hedge {
+            return Admission::Wait;
+        }
+        Admission::Refuse(error::ErrorKind::NoUpstream)
+    }
+
+    fn grant(&mut self, now: Instant, key: MemberKey) -> Grant {
+        let member = &mut self.members[key];
+        let standing = member.standing();
+        invariant::check(
+            invariant::Invariant::DrainRespected,
+            standing != Standing::Draining,
+            || format!("{} drains and was chosen", member.upstream.id),
+        );
+        let in_flight_before = member.in_flight;
+        member.in_flight += 1;
+        let upstream = Arc::clone(&member.upstream);
+        let ticket = Ticket {
+            member: key,
+            started: now,
+            latency: None,
+            blamed: false,
+            suspect: false,
+            in_flight_before,
+        };
+        Grant {
+            ticket: self.tickets.insert(ticket),
+            upstream,
+        }
+    }
+
+    /// Notes that an attempt goes over a connection that may have fallen silent.
+    pub fn suspect(&mut self, key: TicketKey) {
+        if let Some(ticket) = self.tickets.get_mut(key) {
+            ticket.suspect = true;
+        }
+    }
+
+    /// Takes the head of an answer.
+    pub fn head(&mut self, now: Instant, key: TicketKey) {
+        if let Some(ticket) = self.tickets.get_mut(key) {
+            ticket.latency = Some(now.saturating_duration_since(ticket.started));
+        }
+    }
+
+    /// Takes the end of an attempt.
+    pub fn finish(&mut self, now: Instant, key: TicketKey, end: AttemptEnd) {
+        let Some(ticket) = self.tickets.remove(key) else {
+            return;
+        };
+        let whole = now.saturating_duration_since(ticket.started);
+        let latency = ticket.latency.unwrap_or(whole);
+        let overdue = latency > self.overdue_bound();
+        let Some(member) = self.members.get_mut(ticket.member) else {
+            return;
+        };
+        member.in_flight = member.in_flight.saturating_sub(1);
+        match end {
+            AttemptEnd::Answered => {
+                member.limit.on_success(ticket.in_flight_before);
+                self.budget.deposit();
+                self.tempo.observe(latency);
+            }
+            AttemptEnd::Shed => member.limit.on_shed(now),
+            _ => {}
+        }
+        let good = end
+            .speaks_for()
+            .map(|good| good && (!overdue || ticket.suspect));
+        if let Some(good) = good.filter(|_| !ticket.blamed) {
+            self.witness(now, ticket.member, good);
+        }
+    }
+
+    fn witness(&mut self, now: Instant, key: MemberKey, good: bool) {
+        let member = &mut self.members[key];
+        let (goods, bads) = if good { (1, 0) } else { (0, 1) };
+        self.ledger.add(&member.upstream.id, goods, bads);
+        member.own.observe(goods, bads, 0.0);
+        if member.own.score() >= self.costs.avoid {
+            let jitter = self
+                .trial_interval
+                .mul_f64(rand::Rng::random::<f64>(&mut self.rng));
+            member.next_trial = member.next_trial.max(now + jitter);
+            member.own_avoid = Some(now);
+        } else if member.own.score() <= 0.0 {
+            member.own_avoid = None;
+        }
+    }
+
+    /// Looks at requests in flight and takes a report when one is due.
+    pub fn tick(&mut self, now: Instant) -> Option<detection::EvidenceReport> {
+        self.blame_overdue(now);
+        self.lapse(now);
+        let counts = self.ledger.take_due(now)?;
+        Some(detection::EvidenceReport {
+            service: self.service.id.clone(),
+            observer: self.home.clone(),
+            counts,
+        })
+    }
+
+    fn blame_overdue(&mut self, now: Instant) {
+        let bound = self.overdue_bound();
+        let overdue: Vec<_> = self
+            .tickets
+            .iter_mut()
+            .filter(|(_, ticket)| ticket.is_overdue(now, bound))
+            .map(|(_, ticket)| {
+                ticket.blamed = true;
+                ticket.member
+            })
+            .collect();
+        for key in overdue {
+            if self.members.contains_key(key) {
+                self.witness(now, key, false);
+            }
+        }
+    }
+
+    fn lapse(&mut self, now: Instant) {
+        let configured: BTreeSet<_> = self.service.upstreams.iter().map(|up| &up.id).collect();
+        for member in self.members.values_mut() {
+            let own_over = |at: Instant| now.duration_since(at) >= OWN_AVOID_SPAN;
+            if member.own_avoid.is_some_and(own_over) {
+                member.own_avoid = None;
+                member.own.set(0.0);
+            }
+            let told_over = |at: Instant| now.duration_since(at) >= TOLD_AVOID_SPAN;
+            if member.told_avoid.is_some_and(told_over) {
+                member.told_avoid = None;
+            }
+            let drain_over = |at: Instant| now.duration_since(at) >= DRAIN_SPAN;
+            let known = configured.contains(&member.upstream.id);
+            if known && member.drain_seen.is_some_and(drain_over) {
+                member.drain_seen = None;
+            }
+        }
+    }
+
+    fn overdue_bound(&self) -> Duration {
+        let fallback = self.service.deadline.get().mul_f64(OVERDUE_DEADLINE_SHARE);
+        self.tempo.overdue(fallback)
+    }
+
+    /// How long a repeatable request waits before a hedge, once that is known.
+    pub fn hedge_delay(&self) -> Option<Duration> {
+        self.tempo
+            .quantile(HEDGE_QUANTILE)
+            .map(|slow| slow.mul_f64(HEDGE_FACTOR))
+    }
+
+    /// Decides on a repeated attempt and pays for it.
+    ///
+    /// # Errors
+    /// Why no further attempt is made.
+    pub fn decide_retry(&mut self, case: &retry::RetryCase) -> Result<(), retry::RetryRefusal> {
+        retry::decide(case, &mut self.budget)
+    }
+
+    /// Takes a collector's verdict.
+    pub fn take_verdict(
+        &mut self,
+        now: Instant,
+        upstream: &ids::UpstreamId,
+        verdict: &detection::Verdict,
+    ) {
+        let Some(key) = self.by_id.get(upstream) else {
+            return;
+        };
+        let avoid = match verdict {
+            detection::Verdict::Clear => false,
+            detection::Verdict::Eject
+            | detection::Verdict::Avoid(detection::VerdictScope::Fleet) => true,
+            detection::Verdict::Avoid(detection::VerdictScope::DataCentres(centres)) => {
+                centres.contains(&self.home)
+            }
+        };
+        let member = &mut self.members[*key];
+        if avoid && member.told_avoid.is_none() {
+            let jitter = self
+                .trial_interval
+                .mul_f64(rand::Rng::random::<f64>(&mut self.rng));
+            member.next_trial = now + jitter;
+        }
+        if !avoid && member.told_avoid.is_some() {
+            member.start_ramp(now);
+            member.own.set(0.0);
+            member.own_avoid = None;
+        }
+        member.told_avoid = avoid.then_some(now);
+    }
+
+    /// Takes the record of what is ejected.
+    pub fn take_record(&mut self, now: Instant, record: &ejection::EjectionRecord) {
+        for member in self.members.values_mut() {
+            let ejected = record.ejected.contains_key(&member.upstream.id);
+            if member.ejected && !ejected {
+                member.start_ramp(now);
+            }
+            member.ejected = ejected;
+        }
+    }
+
+    /// Takes a sign that an upstream drains; returns whether it is news.
+    pub fn take_drain(&mut self, now: Instant, upstream: &ids::UpstreamId) -> bool {
+        let Some(key) = self.by_id.get(upstream) else {
+            return false;
+        };
+        let member = &mut self.members[*key];
+        let news = member.standing() != Standing::Draining;
+        member.drain_seen = Some(now);
+        news
+    }
+
+    /// Takes the load that an upstream reports, from 0 to 1.
+    pub fn take_load(&mut self, upstream: &ids::UpstreamId, load: f64) {
+        if let Some(key) = self.by_id.get(upstream) {
+            self.members[*key].reported_load = load.clamp(0.0, 1.0);
+        }
+    }
+
+    /// Adds the outcome of a probe or of a body that broke off late.
+    pub fn take_witness(&mut self, now: Instant, upstream: &ids::UpstreamId, good: bool) {
+        if let Some(key) = self.by_id.get(upstream).copied() {
+            self.witness(now, key, good);
+        }
+    }
+
+    /// The lines of the status page.
+    pub fn views(&self) -> BTreeMap<ids::UpstreamId, MemberView> {
+        let views = self.members.values().map(Member::view);
+        views.map(|view| (view.upstream.clone(), view)).collect()
+    }
+
+    /// Requests in flight at every upstream.
+    pub fn in_flight(&self) -> usize {
+        self.tickets.len()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/service/member.rs
@@ -0,0 +1,127 @@
+//! One upstream as a node sees it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use model::{config, ids};
+use tokio::time::Instant;
+
+use crate::detection;
+use crate::limit;
+
+/// The share of its load with which a returning upstream starts.
+const RAMP_START: f64 = 0.1;
+/// How long a returning upstream's load takes to grow to its full share.
+const RAMP_SPAN: Duration = Duration::from_secs(30);
+
+model::choice! {
+    /// How a node treats an upstream.
+    pub enum Standing {
+        /// It takes its share.
+        Healthy = "healthy",
+        /// It goes last and gets trials.
+        Avoided = "avoided",
+        /// It gets nothing.
+        Ejected = "ejected",
+        /// It finishes its work and gets no more.
+        Draining = "draining",
+    }
+}
+
+/// A line of the status page.
+#[derive(Debug, Clone, PartialEq)]
+pub struct MemberView {
+    /// The upstream.
+    pub upstream: ids::UpstreamId,
+    /// How the node treats it.
+    pub standing: Standing,
+    /// Requests in flight from this node.
+    pub in_flight: u32,
+    /// The most that this node keeps in flight.
+    pub limit: f64,
+}
+
+/// An upstream with this node's own view of it.
+#[derive(Debug)]
+pub(super) struct Member {
+    pub(super) upstream: Arc<config::Upstream>,
+    pub(super) in_flight: u32,
+    pub(super) limit: limit::AdaptiveLimit,
+    pub(super) in_subset: bool,
+    /// Load that the upstream reported, from 0 to 1.
+    pub(super) reported_load: f64,
+    /// The node's own test, for failures that it sees itself.
+    pub(super) own: detection::SequentialTest,
+    pub(super) own_avoid: Option<Instant>,
+    /// When a collector last said to avoid it.
+    pub(super) told_avoid: Option<Instant>,
+    pub(super) ejected: bool,
+    pub(super) drain_seen: Option<Instant>,
+    pub(super) next_trial: Instant,
+    ramp: Option<Instant>,
+}
+
+impl Member {
+    pub(super) fn new(now: Instant, upstream: Arc<config::Upstream>, cap: f64) -> Self {
+        Self {
+            limit: limit::AdaptiveLimit::new(upstream.slots),
+            upstream,
+            in_flight: 0,
+            in_subset: true,
+            reported_load: 0.0,
+            own: detection::SequentialTest::new(cap),
+            own_avoid: None,
+            told_avoid: None,
+            ejected: false,
+            drain_seen: None,
+            next_trial: now,
+            ramp: None,
+        }
+    }
+
+    pub(super) fn standing(&self) -> Standing {
+        let drains = self.upstream.state == config::UpstreamState::Draining;
+        if drains || self.drain_seen.is_some() {
+            Standing::Draining
+        } else if self.ejected {
+            Standing::Ejected
+        } else if self.told_avoid.is_some() || self.own_avoid.is_some() {
+            Standing::Avoided
+        } else {
+            Standing::Healthy
+        }
+    }
+
+    pub(super) fn has_room(&self) -> bool {
+        self.limit.has_room(self.in_flight)
+    }
+
+    /// Starts the ramp of an upstream that comes back.
+    pub(super) const fn start_ramp(&mut self, now: Instant) {
+        self.ramp = Some(now);
+    }
+
+    /// Load for each slot; the lower one takes the next request.
+    pub(super) fn pressure(&self, now: Instant) -> f64 {
+        let slots = f64::from(self.upstream.slots.get()).max(1.0);
+        let own = (f64::from(self.in_flight) + 1.0) / slots;
+        (own + self.reported_load / slots) / self.weight(now)
+    }
+
+    fn weight(&self, now: Instant) -> f64 {
+        let Some(start) = self.ramp else {
+            return 1.0;
+        };
+        let grown = now.saturating_duration_since(start).as_secs_f64() / RAMP_SPAN.as_secs_f64();
+        (RAMP_START + grown).min(1.0)
+    }
+
+    pub(super) fn view(&self) -> MemberView {
+        MemberView {
+            upstream: self.upstream.id.clone(),
+            standing: self.standing(),
+            in_flight: self.in_flight,
+            limit: self.limit.get(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/upstream/src/attempt.rs
@@ -0,0 +1,329 @@
+//! One attempt at one upstream.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http::header;
+use http_body_util::BodyExt as _;
+use http1::client::{AnswerBody, ExchangeError};
+use hyper::body::{Body, Frame, SizeHint};
+use model::call::{BodyError, BodyStream, CallAnswer, CallHead};
+use model::{error, ids};
+use policy::invariant::{self, Invariant};
+use policy::retry::AttemptEnd;
+use tokio::time::{self, Instant, Sleep};
+
+use crate::pool::{Freshness, PooledConnection};
+use crate::service::{AttemptLease, ServiceHandle};
+use crate::wire::{self, UpstreamSignals};
+
+/// Share of the time left for which a body may stand still.
+const STALL_DIVISOR: u32 = 4;
+
+/// What one attempt needs besides its lease and body.
+#[derive(Debug, Clone)]
+pub struct AttemptCase {
+    /// The head as the caller sent it.
+    pub head: CallHead,
+    /// Names the request.
+    pub request: ids::RequestId,
+    /// Whether the request may run again.
+    pub repeatable: bool,
+    /// When this attempt must have its head.
+    pub head_deadline: Instant,
+    /// When the whole request ends.
+    pub deadline: Instant,
+    /// Whether the caller's body broke off.
+    pub caller_broke: CallerBroke,
+}
+
+/// Set when the caller's body breaks off, which no upstream is to blame for.
+pub type CallerBroke = Arc<AtomicBool>;
+
+/// An attempt without a usable answer.
+#[derive(Debug)]
+pub struct AttemptFailure {
+    /// How it ended.
+    pub end: AttemptEnd,
+    /// The upstream's own answer, when it gave a whole head.
+    pub answer: Option<CallAnswer>,
+    /// Whether the body was taken.
+    pub body_taken: bool,
+}
+
+impl AttemptFailure {
+    const fn new(end: AttemptEnd, body_taken: bool) -> Self {
+        Self {
+            end,
+            answer: None,
+            body_taken,
+        }
+    }
+}
+
+/// Makes one attempt and returns the answer's head with its streaming body.
+///
+/// The body is taken from `body` only once there is a connection.
+///
+/// # Errors
+/// [`AttemptFailure`] says how the attempt ended.
+pub async fn run(
+    handle: &ServiceHandle,
+    lease: AttemptLease,
+    case: &AttemptCase,
+    body: &mut Option<BodyStream>,
+) -> Result<CallAnswer, AttemptFailure> {
+    let freshness = if case.repeatable {
+        Freshness::Any
+    } else {
+        Freshness::Proven
+    };
+    let taking = time::timeout_at(case.head_deadline, lease.pool().take(freshness));
+    let Ok(Ok(pooled)) = taking.await else {
+        lease.end(AttemptEnd::ConnectFailed);
+        return Err(AttemptFailure::new(AttemptEnd::ConnectFailed, false));
+    };
+    let PooledConnection {
+        connection,
+        suspect,
+    } = pooled;
+    if suspect {
+        lease.suspect();
+    }
+    let request = build_request(
+        case,
+        &lease,
+        body.take().unwrap_or_else(model::call::empty_body),
+    );
+    let exchanging = time::timeout_at(case.head_deadline, connection.exchange(request));
+    let Ok(exchanged) = exchanging.await else {
+        let end = if suspect {
+            AttemptEnd::Silent
+        } else {
+            AttemptEnd::TimedOut
+        };
+        if suspect {
+            lease.pool().flush().await;
+        }
+        lease.end(end);
+        return Err(AttemptFailure::new(end, true));
+    };
+    let (response, given_back) = match exchanged {
+        Ok(exchange) => exchange,
+        Err(error) => {
+            let end = match error {
+                ExchangeError::NotSent => AttemptEnd::NotSent,
+                _ if case.caller_broke.load(Ordering::Relaxed) => AttemptEnd::Withdrawn,
+                ExchangeError::Broken if suspect => AttemptEnd::Silent,
+                ExchangeError::Broken => AttemptEnd::Broken,
+            };
+            lease.end(end);
+            return Err(AttemptFailure::new(end, true));
+        }
+    };
+    let pool = lease.pool().clone();
+    tokio::spawn(async move {
+        if let Some(returned) = given_back.await {
+            pool.give_back(returned.connection).await;
+        }
+    });
+    lease.head();
+    take_answer(handle, lease, case, response).await
+}
+
+fn build_request(
+    case: &AttemptCase,
+    lease: &AttemptLease,
+    body: BodyStream,
+) -> http::Request<BodyStream> {
+    let mut request = http::Request::new(body);
+    *request.method_mut() = case.head.method.clone();
+    *request.uri_mut() = case.head.target.parse().unwrap_or_default();
+    let headers = request.headers_mut();
+    headers.clone_from(&case.head.headers);
+    let host = case
+        .head
+        .host
+        .parse()
+        .or_else(|_| lease.upstream().address.to_string().parse());
+    if let Ok(host) = host {
+        headers.insert(header::HOST, host);
+    }
+    if let Ok(id) = case.request.as_str().parse() {
+        headers.insert(wire::REQUEST_ID, id);
+    }
+    wire::put_deadline(
+        headers,
+        case.deadline.saturating_duration_since(Instant::now()),
+    );
+    request
+}
+
+async fn take_answer(
+    handle: &ServiceHandle,
+    lease: AttemptLease,
+    case: &AttemptCase,
+    response: http::Response<AnswerBody>,
+) -> Result<CallAnswer, AttemptFailure> {
+    let (parts, body) = response.into_parts();
+    let signals = wire::read_signals(parts.status, &parts.headers);
+    pass_signals_on(handle, &lease, signals).await;
+    let foreign = is_foreign(case, &parts.headers);
+    invariant::check(Invariant::OwnAnswer, !foreign, || {
+        format!("request {} got the answer to another one", case.request)
+    });
+    if foreign || !is_framed(case, &parts, &body) {
+        lease.end(AttemptEnd::Broken);
+        return Err(AttemptFailure::new(AttemptEnd::Broken, true));
+    }
+    let mut headers = parts.headers;
+    http1::header::strip_hop_by_hop(&mut headers);
+    wire::strip_signals(&mut headers);
+    let end = if signals.shed {
+        AttemptEnd::Shed
+    } else if parts.status.is_server_error() {
+        AttemptEnd::ServerError
+    } else {
+        AttemptEnd::Answered
+    };
+    let body = LeasedBody::new(body, lease, end, case.deadline).boxed_unsync();
+    let answer = CallAnswer {
+        status: parts.status,
+        headers,
+        body,
+    };
+    if end == AttemptEnd::Answered {
+        return Ok(answer);
+    }
+    Err(AttemptFailure {
+        end,
+        answer: Some(answer),
+        body_taken: true,
+    })
+}
+
+async fn pass_signals_on(handle: &ServiceHandle, lease: &AttemptLease, signals: UpstreamSignals) {
+    let id = || lease.upstream().id.clone();
+    if signals.draining {
+        handle.drain(id()).await;
+    }
+    if let Some(load) = signals.load {
+        handle.load(id(), load).await;
+    }
+}
+
+/// Whether the upstream sent back the name of another request.
+fn is_foreign(case: &AttemptCase, headers: &http::HeaderMap) -> bool {
+    let echoed = http1::header::text(headers, wire::REQUEST_ID);
+    echoed.is_some_and(|id| id != case.request.as_str())
+}
+
+/// Whether the end of the body can be told from a broken connection.
+fn is_framed(case: &AttemptCase, parts: &http::response::Parts, body: &AnswerBody) -> bool {
+    case.head.method == http::Method::HEAD
+        || body.is_end_stream()
+        || body.size_hint().exact().is_some()
+        || parts.headers.contains_key(header::TRANSFER_ENCODING)
+}
+
+/// An answer's body that ends its lease.
+struct LeasedBody {
+    inner: AnswerBody,
+    lease: Option<AttemptLease>,
+    end: AttemptEnd,
+    deadline: Instant,
+    stall: Option<Pin<Box<Sleep>>>,
+}
+
+impl LeasedBody {
+    fn new(inner: AnswerBody, lease: AttemptLease, end: AttemptEnd, deadline: Instant) -> Self {
+        let mut body = Self {
+            inner,
+            lease: Some(lease),
+            end,
+            deadline,
+            stall: None,
+        };
+        if body.inner.is_end_stream() {
+            body.finish(end);
+        }
+        body
+    }
+
+    fn finish(&mut self, end: AttemptEnd) {
+        if let Some(lease) = self.lease.take() {
+            lease.end(end);
+        }
+    }
+
+    /// Waits for the deadline or for a standstill, whichever is first.
+    fn poll_stall(&mut self, context: &mut Context<'_>) -> Poll<BodyError> {
+        let deadline = self.deadline;
+        let stall = self.stall.get_or_insert_with(|| {
+            let left = deadline.saturating_duration_since(Instant::now());
+            Box::pin(time::sleep(left / STALL_DIVISOR))
+        });
+        stall.as_mut().poll(context).map(|()| {
+            if Instant::now() >= deadline {
+                BodyError::Deadline
+            } else {
+                BodyError::Broken
+            }
+        })
+    }
+}
+
+impl Body for LeasedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let frame = match Pin::new(&mut self.inner).poll_frame(context) {
+            Poll::Ready(frame) => frame,
+            Poll::Pending => {
+                let Poll::Ready(error) = self.poll_stall(context) else {
+                    return Poll::Pending;
+                };
+                Some(Err(error))
+            }
+        };
+        self.stall = None;
+        match &frame {
+            Some(Err(_)) => self.finish(AttemptEnd::Truncated),
+            None => {
+                let end = self.end;
+                self.finish(end);
+            }
+            Some(Ok(_)) if self.inner.is_end_stream() => {
+                let end = self.end;
+                self.finish(end);
+            }
+            Some(Ok(_)) => {}
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+/// The error that a failed attempt gives the caller.
+pub fn error_of(
+    end: AttemptEnd,
+    shed_is_not_run: bool,
+    service: &ids::ServiceId,
+) -> error::FleetError {
+    let kind = end.error(shed_is_not_run);
+    error::FleetError::new(kind, format!("the last attempt at {service} ended: {end}"))
+}
--- /dev/null
+++ b/crates/upstream/src/dispatch/dispatcher.rs
@@ -0,0 +1,364 @@
+//! The dispatcher: takes a call, returns its answer.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use http::Method;
+use model::call::{Call, CallAnswer, CallHead};
+use model::error::{ErrorKind, FleetError, Outcome};
+use model::{clock, config, digest, ids};
+use policy::claim::{ClaimKey, ClaimOrder, ClaimState, ClaimToken};
+use policy::invariant::{self, Invariant};
+use policy::retry::{AttemptEnd, RetryCase};
+use policy::routing::RouteMatch;
+use policy::service::{Ask, Purpose};
+use telemetry::metrics::NodeMetrics;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use super::body::PlanBody;
+use super::claim_gate::{self, ClaimGate, ClaimGuard};
+use super::{race, resume};
+use crate::attempt::{self, AttemptCase, AttemptFailure, CallerBroke};
+use crate::service::{ServiceDirectory, ServiceHandle};
+
+/// Time after a deadline at which a claimed request is settled for certain.
+const SETTLE_SLACK: Duration = Duration::from_secs(2);
+
+/// Serves calls by the directory in force.
+#[derive(Clone)]
+pub struct Dispatcher {
+    directory: watch::Receiver<Arc<ServiceDirectory>>,
+    gate: ClaimGate,
+    metrics: Arc<NodeMetrics>,
+    node: ids::NodeId,
+    clock: clock::WallClock,
+    count: Arc<AtomicU64>,
+}
+
+/// One request on its way through the attempts.
+pub(super) struct CallPlan {
+    pub(super) handle: ServiceHandle,
+    pub(super) service: Arc<config::Service>,
+    pub(super) case: AttemptCase,
+    pub(super) tried: Vec<ids::UpstreamId>,
+    pub(super) attempts: usize,
+    /// Whether some attempt may have run the request.
+    pub(super) may_have_run: bool,
+    pub(super) metrics: Arc<NodeMetrics>,
+}
+
+impl Dispatcher {
+    /// A dispatcher that follows a directory.
+    pub fn new(
+        node: ids::NodeId,
+        directory: watch::Receiver<Arc<ServiceDirectory>>,
+        gate: ClaimGate,
+        metrics: Arc<NodeMetrics>,
+    ) -> Self {
+        let clock = clock::WallClock::start();
+        Self {
+            directory,
+            gate,
+            metrics,
+            node,
+            clock,
+            count: Arc::new(AtomicU64::new(0)),
+        }
+    }
+
+    /// Serves a call.
+    ///
+    /// # Errors
+    /// The kind says what the caller may conclude.
+    pub async fn serve(&self, call: Call) -> Result<CallAnswer, FleetError> {
+        let started = Instant::now();
+        let result = self.route_and_serve(started, call).await;
+        if let Err(error) = &result {
+            self.metrics.refusal(error.kind());
+        }
+        result
+    }
+
+    async fn route_and_serve(
+        &self,
+        started: Instant,
+        call: Call,
+    ) -> Result<CallAnswer, FleetError> {
+        let directory = Arc::clone(&self.directory.borrow());
+        if directory.config.generation.get() == 0 {
+            return Err(FleetError::new(
+                ErrorKind::NotReady,
+                "no configuration is in force yet",
+            ));
+        }
+        let Some(found) = directory.routes.find(&call.head) else {
+            let detail = format!("no route for {} {}", call.head.method, call.head.path());
+            return Err(FleetError::new(ErrorKind::NoRoute, detail));
+        };
+        let Some(handle) = directory.handles.get(&found.service.id) else {
+            let detail = format!("service {} has no task", found.service.id);
+            return Err(FleetError::new(ErrorKind::NoUpstream, detail));
+        };
+        let workspace = find_workspace(&directory.config, &call.head)?;
+        let _pass = match workspace {
+            Some(workspace) => Some(handle.enter(workspace).await?),
+            None => None,
+        };
+        let service = found.service.id.clone();
+        let result = self.serve_at(started, handle.clone(), found, call).await;
+        let status = result.as_ref().map_or_else(
+            |error| error.kind().answer().status,
+            |answer| answer.status.as_u16(),
+        );
+        self.metrics.request(&service, status, started.elapsed());
+        result
+    }
+
+    async fn serve_at(
+        &self,
+        started: Instant,
+        handle: ServiceHandle,
+        found: &RouteMatch,
+        call: Call,
+    ) -> Result<CallAnswer, FleetError> {
+        let service = Arc::clone(&found.service);
+        let patience = call
+            .head
+            .patience
+            .unwrap_or(Duration::MAX)
+            .min(service.deadline.get());
+        let deadline = started + patience;
+        let caller_broke = CallerBroke::default();
+        let mut body = PlanBody::prepare(call.body, deadline, &caller_broke).await?;
+        let guard = self.claim(&call.head, found, &body, deadline).await?;
+        let case = AttemptCase {
+            repeatable: found.route.repeat.allows(&call.head.method),
+            head: call.head,
+            request: self.next_request(),
+            head_deadline: deadline,
+            deadline,
+            caller_broke,
+        };
+        let mut plan = CallPlan {
+            handle,
+            service,
+            case,
+            tried: Vec::new(),
+            attempts: 0,
+            may_have_run: false,
+            metrics: Arc::clone(&self.metrics),
+        };
+        let result = plan.run(&mut body).await;
+        if let Some(guard) = guard {
+            guard.settle(outcome_of(&result));
+        }
+        let answer = result?;
+        Ok(resume::wrap(plan, answer))
+    }
+
+    fn next_request(&self) -> ids::RequestId {
+        let number = self.count.fetch_add(1, Ordering::Relaxed);
+        let text = format!("{}-{number}", self.node);
+        text.parse()
+            .unwrap_or_else(|_| unreachable!("a node's name and a number are an identifier"))
+    }
+
+    async fn claim(
+        &self,
+        head: &CallHead,
+        found: &RouteMatch,
+        body: &PlanBody,
+        deadline: Instant,
+    ) -> Result<Option<ClaimGuard>, FleetError> {
+        let once_only = found.route.repeat == config::RepeatRule::OnceOnly;
+        let Some(key) = head.key.as_deref().filter(|_| once_only) else {
+            return Ok(None);
+        };
+        let key = ClaimKey::of(&found.service.id, head.workspace.as_ref(), key);
+        let token: ClaimToken = self
+            .next_request()
+            .as_str()
+            .parse()
+            .map_err(|why| invalid(&why))?;
+        let left = deadline.saturating_duration_since(Instant::now());
+        let order = ClaimOrder {
+            key: key.clone(),
+            token: token.clone(),
+            request: request_hash(head, body),
+            expires: self.clock.now().after(found.service.key_retention.get()),
+            settled_by: self.clock.now().after(left + SETTLE_SLACK),
+        };
+        let claiming = tokio::time::timeout_at(deadline, (self.gate.claim)(order));
+        let verdict = claiming.await.unwrap_or_else(|_| {
+            Err(FleetError::new(
+                ErrorKind::ClaimUnavailable,
+                "the key was not claimed in time",
+            ))
+        });
+        match verdict {
+            Ok(verdict) => {
+                if let Some(error) = claim_gate::refusal(verdict) {
+                    return Err(error);
+                }
+                Ok(Some(ClaimGuard::new(self.gate.clone(), key, token)))
+            }
+            Err(error) => {
+                ClaimGuard::new(self.gate.clone(), key, token).settle(ClaimState::NotRun);
+                Err(FleetError::new(ErrorKind::ClaimUnavailable, error.detail()))
+            }
+        }
+    }
+}
+
+impl CallPlan {
+    /// Makes attempts until one brings an answer or no further one is allowed.
+    async fn run(&mut self, body: &mut PlanBody) -> Result<CallAnswer, FleetError> {
+        let mut last: Option<AttemptFailure> = None;
+        loop {
+            let purpose = if self.attempts == 0 {
+                Purpose::First
+            } else {
+                Purpose::Retry
+            };
+            let lease = match self
+                .handle
+                .admit(self.ask(purpose), self.case.deadline)
+                .await
+            {
+                Ok(lease) => lease,
+                Err(kind) => return self.give_up(last, kind),
+            };
+            self.attempts += 1;
+            self.tried.push(lease.upstream().id.clone());
+            let result = race::run(self, lease, body).await;
+            let failure = match result {
+                Ok(answer) => {
+                    self.count(AttemptEnd::Answered);
+                    return Ok(answer);
+                }
+                Err(failure) => failure,
+            };
+            self.count(failure.end);
+            let not_run = failure.end.is_not_run(self.service.shed_is_not_run);
+            self.may_have_run |= !not_run;
+            let decision = self
+                .handle
+                .decide_retry(self.retry_case(failure.end, body))
+                .await;
+            if let Err(reason) = decision {
+                log::debug!(target: "dispatch", "No further attempt: {reason}.");
+                let kind = failure.end.error(self.service.shed_is_not_run);
+                return self.give_up(Some(failure), kind);
+            }
+            last = Some(failure);
+        }
+    }
+
+    pub(super) fn ask(&self, purpose: Purpose) -> Ask {
+        Ask {
+            repeatable: self.case.repeatable,
+            exclude: self.tried.clone(),
+            purpose,
+        }
+    }
+
+    pub(super) fn count(&self, end: AttemptEnd) {
+        self.metrics.attempt(&self.service.id, end.as_str());
+    }
+
+    pub(super) fn retry_case(&self, end: AttemptEnd, body: &PlanBody) -> RetryCase {
+        RetryCase {
+            end,
+            repeatable: self.case.repeatable,
+            shed_is_not_run: self.service.shed_is_not_run,
+            body_kept: body.is_at_hand(),
+            attempts: self.attempts,
+            left: self.case.deadline.saturating_duration_since(Instant::now()),
+        }
+    }
+
+    /// Ends the request with the upstream's own answer where there is one, or an error.
+    fn give_up(
+        &self,
+        last: Option<AttemptFailure>,
+        kind: ErrorKind,
+    ) -> Result<CallAnswer, FleetError> {
+        let own = last.filter(|failure| failure.end == AttemptEnd::ServerError);
+        if let Some(answer) = own.and_then(|failure| failure.answer) {
+            return Ok(answer);
+        }
+        let kind = self.honest(kind);
+        let not_run = kind.answer().outcome == Outcome::NotRun;
+        invariant::check(
+            Invariant::NotRunTruth,
+            !(not_run && self.may_have_run),
+            || format!("request {} may have run", self.case.request),
+        );
+        let detail = format!(
+            "{} attempts at {} brought no answer",
+            self.attempts, self.service.id
+        );
+        Err(FleetError::new(kind, detail))
+    }
+
+    /// Replaces a kind that says "not run" when an earlier attempt may have run.
+    fn honest(&self, kind: ErrorKind) -> ErrorKind {
+        let claims_not_run = kind.answer().outcome == Outcome::NotRun;
+        if !(claims_not_run && self.may_have_run) {
+            return kind;
+        }
+        if self.case.deadline <= Instant::now() {
+            ErrorKind::DeadlineSent
+        } else {
+            ErrorKind::AnswerLost
+        }
+    }
+}
+
+fn find_workspace(
+    fleet: &config::FleetConfig,
+    head: &CallHead,
+) -> Result<Option<config::Workspace>, FleetError> {
+    let Some(id) = &head.workspace else {
+        return Ok(None);
+    };
+    if let Some(workspace) = fleet.workspaces.get(id) {
+        return Ok(Some(workspace.clone()));
+    }
+    if fleet.workspaces.is_empty() {
+        return Ok(Some(config::Workspace {
+            id: id.clone(),
+            limit: None,
+        }));
+    }
+    Err(FleetError::new(
+        ErrorKind::UnknownWorkspace,
+        format!("workspace {id} does not exist"),
+    ))
+}
+
+/// A hash that tells a repeated request from another one under the same key.
+fn request_hash(head: &CallHead, body: &PlanBody) -> u64 {
+    let bytes: &[u8] = match body {
+        PlanBody::Kept(bytes) => bytes,
+        PlanBody::Passing(_) => b"streamed",
+    };
+    let method: &Method = &head.method;
+    digest::stable_hash(&[method.as_str().as_bytes(), head.target.as_bytes(), bytes])
+}
+
+fn outcome_of(result: &Result<CallAnswer, FleetError>) -> ClaimState {
+    match result {
+        Ok(answer) => ClaimState::Ran(answer.status.as_u16()),
+        Err(error) if error.kind().answer().outcome == Outcome::NotRun => ClaimState::NotRun,
+        Err(_) => ClaimState::Unknown,
+    }
+}
+
+fn invalid(why: &model::error::ValueError) -> FleetError {
+    FleetError::new(ErrorKind::Invalid, why.to_string())
+}
+
+pub(super) use attempt::run as run_attempt;
--- /dev/null
+++ b/crates/upstream/src/pool/mod.rs
@@ -0,0 +1,5 @@
+//! Idle connections, kept by one task for each upstream.
+
+mod task;
+
+pub use task::{ConnectionPool, Freshness, PooledConnection};
--- /dev/null
+++ b/crates/upstream/src/service/handle.rs
@@ -0,0 +1,253 @@
+//! Messages to a service's task.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use model::error::{ErrorKind, FleetError};
+use model::{config, ids, sizes};
+use policy::detection::Verdict;
+use policy::ejection::EjectionRecord;
+use policy::retry::{AttemptEnd, RetryCase, RetryRefusal};
+use policy::service::{Ask, Grant, MemberView};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+use crate::pool::ConnectionPool;
+
+/// A message to the task that waits for room in the queue.
+#[derive(Debug)]
+pub(super) enum ServiceOrder {
+    Admit {
+        ask: Ask,
+        deadline: Instant,
+        reply: oneshot::Sender<Result<AttemptLease, ErrorKind>>,
+    },
+    Enter {
+        workspace: config::Workspace,
+        reply: oneshot::Sender<bool>,
+    },
+    Retry {
+        case: RetryCase,
+        reply: oneshot::Sender<Result<(), RetryRefusal>>,
+    },
+    Verdict {
+        upstream: ids::UpstreamId,
+        verdict: Verdict,
+    },
+    Record(Arc<EjectionRecord>),
+    Drain(ids::UpstreamId),
+    Load {
+        upstream: ids::UpstreamId,
+        load: f64,
+    },
+    Witness {
+        upstream: ids::UpstreamId,
+        good: bool,
+    },
+    Configure(Arc<config::Service>),
+    Fleet {
+        nodes: usize,
+    },
+    Views(oneshot::Sender<BTreeMap<ids::UpstreamId, MemberView>>),
+}
+
+/// A message about a request in flight. Each request sends a fixed number of
+/// these, so the requests in flight bound the queue.
+#[derive(Debug)]
+pub(super) enum FlightNote {
+    Suspect(policy::service::TicketKey),
+    Head(policy::service::TicketKey),
+    End(policy::service::TicketKey, AttemptEnd),
+    LeaveWorkspace(ids::WorkspaceId),
+}
+
+/// A handle to a service's task.
+#[derive(Debug, Clone)]
+pub struct ServiceHandle {
+    pub(super) orders: mpsc::Sender<ServiceOrder>,
+    pub(super) notes: mpsc::UnboundedSender<FlightNote>,
+}
+
+impl ServiceHandle {
+    /// Asks for an upstream; waits in the service's line when all are full.
+    ///
+    /// # Errors
+    /// The kind of refusal; the request was not sent.
+    pub async fn admit(&self, ask: Ask, deadline: Instant) -> Result<AttemptLease, ErrorKind> {
+        let (reply, answer) = oneshot::channel();
+        let order = ServiceOrder::Admit {
+            ask,
+            deadline,
+            reply,
+        };
+        self.orders
+            .send(order)
+            .await
+            .map_err(|_| ErrorKind::NoUpstream)?;
+        tokio::time::timeout_at(deadline, answer)
+            .await
+            .map_err(|_| ErrorKind::DeadlineUnsent)?
+            .unwrap_or(Err(ErrorKind::NoUpstream))
+    }
+
+    /// Counts a request of a workspace until the pass is dropped.
+    ///
+    /// # Errors
+    /// `WorkspaceLimit` when the workspace has too many requests in flight.
+    pub async fn enter(&self, workspace: config::Workspace) -> Result<WorkspacePass, FleetError> {
+        let id = workspace.id.clone();
+        let (reply, answer) = oneshot::channel();
+        let order = ServiceOrder::Enter { workspace, reply };
+        let sent = self.orders.send(order).await.is_ok();
+        let entered = sent && answer.await.unwrap_or(false);
+        if !entered {
+            let detail = format!("workspace {id} is at its limit");
+            return Err(FleetError::new(ErrorKind::WorkspaceLimit, detail));
+        }
+        Ok(WorkspacePass {
+            workspace: id,
+            notes: self.notes.clone(),
+        })
+    }
+
+    /// Decides on a repeated attempt.
+    ///
+    /// # Errors
+    /// Why none is made.
+    pub async fn decide_retry(&self, case: RetryCase) -> Result<(), RetryRefusal> {
+        let (reply, answer) = oneshot::channel();
+        let sent = self.orders.send(ServiceOrder::Retry { case, reply }).await;
+        if sent.is_err() {
+            return Err(RetryRefusal::Budget);
+        }
+        answer.await.unwrap_or(Err(RetryRefusal::Budget))
+    }
+
+    /// Passes a collector's verdict on.
+    pub async fn verdict(&self, upstream: ids::UpstreamId, verdict: Verdict) {
+        self.tell(ServiceOrder::Verdict { upstream, verdict }).await;
+    }
+
+    /// Passes the record of what is ejected on.
+    pub async fn record(&self, record: Arc<EjectionRecord>) {
+        self.tell(ServiceOrder::Record(record)).await;
+    }
+
+    /// Passes a sign of a drain on.
+    pub async fn drain(&self, upstream: ids::UpstreamId) {
+        self.tell(ServiceOrder::Drain(upstream)).await;
+    }
+
+    /// Passes a reported load on.
+    pub async fn load(&self, upstream: ids::UpstreamId, load: f64) {
+        self.tell(ServiceOrder::Load { upstream, load }).await;
+    }
+
+    /// Passes the outcome of a probe on.
+    pub async fn witness(&self, upstream: ids::UpstreamId, good: bool) {
+        self.tell(ServiceOrder::Witness { upstream, good }).await;
+    }
+
+    /// Passes new settings on.
+    pub async fn configure(&self, service: Arc<config::Service>) {
+        self.tell(ServiceOrder::Configure(service)).await;
+    }
+
+    /// Passes the number of nodes on.
+    pub async fn fleet(&self, nodes: usize) {
+        self.tell(ServiceOrder::Fleet { nodes }).await;
+    }
+
+    /// Reads how this node sees each upstream.
+    pub async fn views(&self) -> BTreeMap<ids::UpstreamId, MemberView> {
+        let (reply, answer) = oneshot::channel();
+        self.tell(ServiceOrder::Views(reply)).await;
+        answer.await.unwrap_or_default()
+    }
+
+    async fn tell(&self, order: ServiceOrder) {
+        let _ = self.orders.send(order).await;
+    }
+}
+
+/// A request's place in its workspace; dropping it leaves.
+#[derive(Debug)]
+pub struct WorkspacePass {
+    workspace: ids::WorkspaceId,
+    notes: mpsc::UnboundedSender<FlightNote>,
+}
+
+impl Drop for WorkspacePass {
+    fn drop(&mut self) {
+        let _ = self
+            .notes
+            .send(FlightNote::LeaveWorkspace(self.workspace.clone()));
+    }
+}
+
+/// Leave to make one attempt. Dropping it withdraws the attempt.
+#[derive(Debug)]
+pub struct AttemptLease {
+    pub(super) grant: Grant,
+    pub(super) service: Arc<config::Service>,
+    pub(super) pool: ConnectionPool,
+    pub(super) hedge_delay: Option<Duration>,
+    pub(super) notes: mpsc::UnboundedSender<FlightNote>,
+    pub(super) ended: bool,
+}
+
+impl AttemptLease {
+    /// The upstream to send to.
+    pub fn upstream(&self) -> &config::Upstream {
+        &self.grant.upstream
+    }
+
+    /// The service as configured when the leave was given.
+    pub fn service(&self) -> &config::Service {
+        &self.service
+    }
+
+    /// Healthy slots that must remain, for the status page.
+    pub fn floor(&self) -> sizes::SlotCount {
+        self.service.floor
+    }
+
+    /// The upstream's connections.
+    pub const fn pool(&self) -> &ConnectionPool {
+        &self.pool
+    }
+
+    /// How long to wait before a hedge.
+    pub const fn hedge_delay(&self) -> Option<Duration> {
+        self.hedge_delay
+    }
+
+    /// Notes that the connection may have fallen silent.
+    pub fn suspect(&self) {
+        let _ = self.notes.send(FlightNote::Suspect(self.grant.ticket));
+    }
+
+    /// Notes that the head of the answer arrived.
+    pub fn head(&self) {
+        let _ = self.notes.send(FlightNote::Head(self.grant.ticket));
+    }
+
+    /// Ends the attempt.
+    pub fn end(mut self, end: AttemptEnd) {
+        self.send_end(end);
+    }
+
+    fn send_end(&mut self, end: AttemptEnd) {
+        self.ended = true;
+        let _ = self.notes.send(FlightNote::End(self.grant.ticket, end));
+    }
+}
+
+impl Drop for AttemptLease {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.send_end(AttemptEnd::Withdrawn);
+        }
+    }
+}
--- /dev/null
+++ b/testing/standin/src/platform/server.rs
@@ -0,0 +1,314 @@
+//! The HTTP side of the platform's stand-in.
+
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Response, StatusCode, header};
+use http_body_util::BodyExt as _;
+use http1::server::{self, ServeLimits};
+use hyper::body::Incoming;
+use model::call::{self, BodyError, BodyStream};
+use platform::vm::Vm;
+use platform::wire;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{self, Instant};
+
+use super::store::{self, PlatformFaults, StoreOrder, WriteAnswer, WriteWhen};
+
+/// Orders that wait for the store.
+const ORDERS_MAX: usize = 1024;
+
+/// A running stand-in; it stops when this is dropped.
+#[derive(Debug)]
+pub struct PlatformStandin {
+    address: SocketAddr,
+    orders: mpsc::Sender<StoreOrder>,
+    _stop: watch::Sender<bool>,
+}
+
+impl PlatformStandin {
+    /// Starts the stand-in on an address whose port may be zero.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    pub async fn start(address: SocketAddr, delay: Duration) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let (orders, inbox) = mpsc::channel(ORDERS_MAX);
+        let (stop, stopping) = watch::channel(false);
+        tokio::spawn(store::run(inbox));
+        tokio::spawn(accept(listener, orders.clone(), delay, stopping));
+        Ok(Self {
+            address,
+            orders,
+            _stop: stop,
+        })
+    }
+
+    /// Where it listens.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets the faults that it shows.
+    pub async fn set_faults(&self, faults: PlatformFaults) {
+        let _ = self.orders.send(StoreOrder::SetFaults(faults)).await;
+    }
+
+    /// Sets the VM list.
+    pub async fn set_vms(&self, vms: Vec<Vm>) {
+        let _ = self.orders.send(StoreOrder::SetVms(vms)).await;
+    }
+
+    /// Calls so far by operation.
+    pub async fn calls(&self) -> BTreeMap<&'static str, u64> {
+        ask(&self.orders, StoreOrder::Calls)
+            .await
+            .unwrap_or_default()
+    }
+}
+
+async fn ask<T>(
+    orders: &mpsc::Sender<StoreOrder>,
+    order: impl FnOnce(oneshot::Sender<T>) -> StoreOrder,
+) -> Option<T> {
+    let (reply, answer) = oneshot::channel();
+    orders.send(order(reply)).await.ok()?;
+    answer.await.ok()
+}
+
+async fn accept(
+    listener: TcpListener,
+    orders: mpsc::Sender<StoreOrder>,
+    delay: Duration,
+    mut stopping: watch::Receiver<bool>,
+) {
+    let connection_stop = stopping.clone();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopping.changed() => return,
+        };
+        let Ok((stream, _)) = accepted else { continue };
+        let _ = stream.set_nodelay(true);
+        let orders = orders.clone();
+        let handler: server::Handler<BodyStream> = Arc::new(move |request| {
+            let orders = orders.clone();
+            Box::pin(async move {
+                time::sleep(delay).await;
+                answer(&orders, request)
+                    .await
+                    .unwrap_or_else(|| plain(StatusCode::BAD_REQUEST))
+            })
+        });
+        let stop = connection_stop.clone();
+        tokio::spawn(server::serve(stream, ServeLimits::default(), handler, stop));
+    }
+}
+
+async fn answer(
+    orders: &mpsc::Sender<StoreOrder>,
+    request: http::Request<Incoming>,
+) -> Option<Response<BodyStream>> {
+    let path = request.uri().path().to_owned();
+    let query = read_query(request.uri().query().unwrap_or_default());
+    if let Some(control) = path.strip_prefix("/control/") {
+        return self::control(orders, control, request).await;
+    }
+    if ask(orders, StoreOrder::IsOut).await? {
+        return Some(plain(StatusCode::SERVICE_UNAVAILABLE));
+    }
+    let operation = operation_of(request.method(), &path);
+    orders.send(StoreOrder::Count(operation)).await.ok()?;
+    match operation {
+        "vms" => Some(json(&ask(orders, StoreOrder::Vms).await?)),
+        "watch" => watch_changes(orders, &query).await,
+        "list" => {
+            let prefix = query.get("prefix").cloned().unwrap_or_default();
+            let after = query.get("after").cloned().unwrap_or_default();
+            let page = ask(orders, |reply| StoreOrder::List {
+                prefix,
+                after,
+                reply,
+            })
+            .await?;
+            Some(json(&page))
+        }
+        _ => object(orders, &path, request).await,
+    }
+}
+
+fn operation_of(method: &Method, path: &str) -> &'static str {
+    match path {
+        wire::VMS_PATH => "vms",
+        wire::WATCH_PATH => "watch",
+        wire::OBJECTS_PATH => "list",
+        _ if *method == Method::GET => "get",
+        _ => "write",
+    }
+}
+
+async fn watch_changes(
+    orders: &mpsc::Sender<StoreOrder>,
+    query: &HashMap<String, String>,
+) -> Option<Response<BodyStream>> {
+    let prefix = query.get("prefix")?.clone();
+    let since = query.get("since")?.parse().ok()?;
+    let wait = query.get("wait_ms")?.parse().ok()?;
+    let until = Instant::now() + Duration::from_millis(wait);
+    let order = |reply| StoreOrder::Watch {
+        prefix,
+        since,
+        until,
+        reply,
+    };
+    Some(json(&ask(orders, order).await?))
+}
+
+async fn object(
+    orders: &mpsc::Sender<StoreOrder>,
+    path: &str,
+    request: http::Request<Incoming>,
+) -> Option<Response<BodyStream>> {
+    let name = path
+        .strip_prefix(wire::OBJECTS_PATH)?
+        .strip_prefix('/')?
+        .to_owned();
+    if request.method() == Method::GET {
+        let found = ask(orders, |reply| StoreOrder::Get(name, reply)).await?;
+        let Some((version, body)) = found else {
+            return Some(plain(StatusCode::NOT_FOUND));
+        };
+        let mut response = Response::new(call::full_body(body));
+        response
+            .headers_mut()
+            .insert(header::ETAG, wire::tag_of(version).parse().ok()?);
+        return Some(response);
+    }
+    let when = read_condition(request.headers());
+    let body = match *request.method() {
+        Method::PUT => Some(request.into_body().collect().await.ok()?.to_bytes()),
+        Method::DELETE => None,
+        _ => return Some(plain(StatusCode::METHOD_NOT_ALLOWED)),
+    };
+    let too_large = body
+        .as_ref()
+        .is_some_and(|body| body.len() > platform::object::OBJECT_BYTES_MAX);
+    if too_large {
+        return Some(plain(StatusCode::PAYLOAD_TOO_LARGE));
+    }
+    let written = ask(orders, |reply| StoreOrder::Write {
+        name,
+        body,
+        when,
+        reply,
+    })
+    .await?;
+    Some(write_response(&written))
+}
+
+fn write_response(written: &WriteAnswer) -> Response<BodyStream> {
+    match written {
+        WriteAnswer::Done { version, created } => {
+            let status = if *created {
+                StatusCode::CREATED
+            } else {
+                StatusCode::OK
+            };
+            let mut response = plain(status);
+            if let Ok(tag) = wire::tag_of(*version).parse() {
+                response.headers_mut().insert(header::ETAG, tag);
+            }
+            response
+        }
+        WriteAnswer::Gone => plain(StatusCode::NO_CONTENT),
+        WriteAnswer::Refused => plain(StatusCode::PRECONDITION_FAILED),
+        WriteAnswer::Lost => Response::new(broken_body()),
+    }
+}
+
+/// A body that breaks the connection, so that the answer never arrives whole.
+fn broken_body() -> BodyStream {
+    let frames = http_body_util::StreamBody::new(BrokenStream);
+    BodyStream::new(frames)
+}
+
+struct BrokenStream;
+
+impl futures_core::Stream for BrokenStream {
+    type Item = Result<hyper::body::Frame<Bytes>, BodyError>;
+
+    fn poll_next(
+        self: std::pin::Pin<&mut Self>,
+        _: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Self::Item>> {
+        std::task::Poll::Ready(Some(Err(BodyError::Broken)))
+    }
+}
+
+async fn control(
+    orders: &mpsc::Sender<StoreOrder>,
+    control: &str,
+    request: http::Request<Incoming>,
+) -> Option<Response<BodyStream>> {
+    let body = request.into_body().collect().await.ok()?.to_bytes();
+    match control {
+        "vms" => orders
+            .send(StoreOrder::SetVms(serde_json::from_slice(&body).ok()?))
+            .await
+            .ok()?,
+        "outage" => {
+            let faults = PlatformFaults {
+                outage: &body[..] == b"on",
+                lose_answers: 0,
+            };
+            orders.send(StoreOrder::SetFaults(faults)).await.ok()?;
+        }
+        "lose-answers" => {
+            let lose_answers = std::str::from_utf8(&body).ok()?.trim().parse().ok()?;
+            let faults = PlatformFaults {
+                outage: false,
+                lose_answers,
+            };
+            orders.send(StoreOrder::SetFaults(faults)).await.ok()?;
+        }
+        "calls" => return Some(json(&ask(orders, StoreOrder::Calls).await?)),
+        _ => return Some(plain(StatusCode::NOT_FOUND)),
+    }
+    Some(plain(StatusCode::NO_CONTENT))
+}
+
+fn read_condition(headers: &http::HeaderMap) -> WriteWhen {
+    if headers.contains_key(header::IF_NONE_MATCH) {
+        return WriteWhen::Absent;
+    }
+    let tag = http1::header::text(headers, header::IF_MATCH.as_str());
+    match tag {
+        Some(tag) => WriteWhen::Version(wire::version_of(tag).unwrap_or_default()),
+        None => WriteWhen::Always,
+    }
+}
+
+fn read_query(query: &str) -> HashMap<String, String> {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs
+        .map(|(name, value)| (name.to_owned(), value.to_owned()))
+        .collect()
+}
+
+fn plain(status: StatusCode) -> Response<BodyStream> {
+    let mut response = Response::new(call::empty_body());
+    *response.status_mut() = status;
+    response
+}
+
+fn json<T: serde::Serialize>(value: &T) -> Response<BodyStream> {
+    Response::new(call::full_body(
+        serde_json::to_vec(value).unwrap_or_default(),
+    ))
+}
--- /dev/null
+++ b/testing/standin/src/upstream/ledger.rs
@@ -0,0 +1,55 @@
+//! A ledger of the actions that ran, shared by every upstream of a test.
+
+use std::collections::HashMap;
+
+use tokio::sync::{mpsc, oneshot};
+
+enum LedgerOrder {
+    Ran(String),
+    Counts(oneshot::Sender<HashMap<String, u32>>),
+}
+
+/// Counts how often each action ran; one task owns the counts.
+#[derive(Debug, Clone)]
+pub struct RunLedger {
+    orders: mpsc::UnboundedSender<LedgerOrder>,
+}
+
+impl std::fmt::Debug for LedgerOrder {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("LedgerOrder")
+    }
+}
+
+impl RunLedger {
+    /// Starts the ledger's task; it ends with the last handle.
+    pub fn start() -> Self {
+        let (orders, inbox) = mpsc::unbounded_channel();
+        tokio::spawn(run(inbox));
+        Self { orders }
+    }
+
+    /// Counts one run of an action.
+    pub fn ran(&self, action: &str) {
+        let _ = self.orders.send(LedgerOrder::Ran(action.to_owned()));
+    }
+
+    /// Runs of each action so far.
+    pub async fn counts(&self) -> HashMap<String, u32> {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.orders.send(LedgerOrder::Counts(reply));
+        answer.await.unwrap_or_default()
+    }
+}
+
+async fn run(mut inbox: mpsc::UnboundedReceiver<LedgerOrder>) {
+    let mut counts: HashMap<String, u32> = HashMap::new();
+    while let Some(order) = inbox.recv().await {
+        match order {
+            LedgerOrder::Ran(action) => *counts.entry(action).or_default() += 1,
+            LedgerOrder::Counts(reply) => {
+                let _ = reply.send(counts.clone());
+            }
+        }
+    }
+}
