--- a/bins/demo/src/main.rs
+++ b/bins/demo/src/main.rs
@@ -1,2 +1,30 @@
-//! stub
-fn main() {}
+//! The whole path in one process on loopback: a fleet routes round an upstream that fails gray.
+
+mod load;
+mod report;
+mod story;
+
+use std::process::ExitCode;
+
+use telemetry::logs::{self, LogFormat, LogLevel};
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    if let Err(error) = logs::start(LogFormat::Text, LogLevel::Error) {
+        eprintln!("gooseberrydyke-demo: {error}");
+    }
+    match story::run().await {
+        Ok(report) => {
+            println!("{report}");
+            if report.holds() {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            }
+        }
+        Err(error) => {
+            eprintln!("gooseberrydyke-demo: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/bins/entry/src/ops.rs
@@ -0,0 +1,125 @@
+//! The operations endpoint: readiness, status and metrics.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use http::{Response, StatusCode, header};
+use http1::server::{self, ServeLimits};
+use model::call::{self, BodyStream};
+use node::FleetHandle;
+use policy::invariant::{self, Invariant};
+use telemetry::metrics::NodeMetrics;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use upstream::service::ServiceDirectory;
+
+/// What the endpoint shows.
+#[derive(Clone)]
+pub(crate) struct OpsDesk {
+    pub(crate) directory: watch::Receiver<Arc<ServiceDirectory>>,
+    pub(crate) fleet: FleetHandle,
+    pub(crate) metrics: Arc<NodeMetrics>,
+    pub(crate) leaving: watch::Receiver<bool>,
+}
+
+impl OpsDesk {
+    /// Binds the endpoint and serves it until the node stops.
+    pub(crate) async fn start(
+        self,
+        address: SocketAddr,
+        stopping: watch::Receiver<bool>,
+    ) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        tokio::spawn(self.accept(listener, stopping));
+        Ok(address)
+    }
+
+    async fn accept(self, listener: TcpListener, mut stopping: watch::Receiver<bool>) {
+        let connection_stop = stopping.clone();
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = stopping.wait_for(|stopping| *stopping) => return,
+            };
+            let Ok((stream, _)) = accepted else { continue };
+            let desk = self.clone();
+            let handler: server::Handler<BodyStream> = Arc::new(move |request| {
+                let desk = desk.clone();
+                Box::pin(async move { desk.answer(request.uri().path()).await })
+            });
+            let stop = connection_stop.clone();
+            tokio::spawn(server::serve(stream, ServeLimits::default(), handler, stop));
+        }
+    }
+
+    async fn answer(&self, path: &str) -> Response<BodyStream> {
+        match path {
+            "/ready" => self.readiness(),
+            "/status" => self.status().await,
+            "/metrics" => self.metrics_page(),
+            _ => text(
+                StatusCode::NOT_FOUND,
+                "text/plain",
+                "paths: /ready /status /metrics\n",
+            ),
+        }
+    }
+
+    fn readiness(&self) -> Response<BodyStream> {
+        let configured = self.directory.borrow().config.generation.get() > 0;
+        let (status, word) = match (configured, *self.leaving.borrow()) {
+            (true, false) => (StatusCode::OK, "ready\n"),
+            (true, true) => (StatusCode::SERVICE_UNAVAILABLE, "stopping\n"),
+            (false, _) => (StatusCode::SERVICE_UNAVAILABLE, "no configuration\n"),
+        };
+        text(status, "text/plain", word)
+    }
+
+    async fn status(&self) -> Response<BodyStream> {
+        let directory = Arc::clone(&self.directory.borrow());
+        let table = self.fleet.members.table();
+        let mut services = serde_json::Map::new();
+        for (id, handle) in directory.handles.iter() {
+            let views = handle.views().await;
+            let lines = views.into_values().map(|view| {
+                serde_json::json!({
+                    "upstream": view.upstream.as_str(),
+                    "standing": view.standing.as_str(),
+                    "in_flight": view.in_flight,
+                    "limit": view.limit,
+                })
+            });
+            services.insert(id.to_string(), lines.collect());
+        }
+        let page = serde_json::json!({
+            "node": table.own().node.as_str(),
+            "data_centre": table.own().data_centre.as_str(),
+            "generation": directory.config.generation.get(),
+            "nodes": table.len(),
+            "services": services,
+        });
+        text(StatusCode::OK, "application/json", &format!("{page}\n"))
+    }
+
+    fn metrics_page(&self) -> Response<BodyStream> {
+        for invariant in Invariant::ALL {
+            self.metrics
+                .breaches(invariant.as_str(), invariant::breaches(*invariant));
+        }
+        text(
+            StatusCode::OK,
+            "text/plain; version=0.0.4",
+            &self.metrics.render(),
+        )
+    }
+}
+
+fn text(status: StatusCode, kind: &'static str, body: &str) -> Response<BodyStream> {
+    let mut response = Response::new(call::full_body(body.to_owned()));
+    *response.status_mut() = status;
+    let kind = header::HeaderValue::from_static(kind);
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
--- /dev/null
+++ b/bins/entry/src/server.rs
@@ -0,0 +1,272 @@
+//! Starts every part of a node and stops them in order.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use caller::{CallerFront, listener::Dispatch};
+use model::ids;
+use node::claims::BatchPace;
+use node::keys::NodeKeys;
+use node::{FleetHandle, FleetSettings};
+use platform::PlatformClient;
+use policy::detection::{Verdict, VerdictChange};
+use policy::membership::Member;
+use telemetry::metrics::NodeMetrics;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+use tokio::time;
+use upstream::dispatch::{ClaimGate, Dispatcher};
+use upstream::service::{ServiceDirectory, ServiceSettings, ServiceSink};
+
+use crate::directory::DirectoryParts;
+use crate::ops::OpsDesk;
+use crate::probes;
+use crate::settings::EntrySettings;
+
+/// News for the services that wait; when it is full the newest are dropped,
+/// since verdicts and drains are told again.
+const NEWS_MAX: usize = 4096;
+
+/// A running entry node.
+pub struct EntryServer {
+    /// Where callers reach it.
+    pub caller_address: SocketAddr,
+    /// Where other nodes reach it.
+    pub node_address: SocketAddr,
+    /// Where operators reach it.
+    pub ops_address: SocketAddr,
+    settings: EntrySettings,
+    fleet: FleetHandle,
+    directory: watch::Receiver<Arc<ServiceDirectory>>,
+    leaving: watch::Sender<bool>,
+    stopping: watch::Sender<bool>,
+    closed: watch::Sender<bool>,
+    front: JoinHandle<()>,
+    metrics: Arc<NodeMetrics>,
+}
+
+/// News from other nodes for the services of this one.
+#[derive(Debug)]
+enum ServiceNews {
+    Verdict(VerdictChange),
+    Drained(ids::ServiceId, ids::UpstreamId),
+}
+
+impl EntryServer {
+    /// Starts a node.
+    ///
+    /// # Errors
+    /// When an address cannot be bound or the keys cannot be used.
+    pub async fn start(settings: EntrySettings) -> io::Result<Self> {
+        let metrics = Arc::new(NodeMetrics::new().map_err(io::Error::other)?);
+        let keys = NodeKeys::mint(&settings.ca).map_err(io::Error::other)?;
+        let (news, news_inbox) = mpsc::channel(NEWS_MAX);
+        let fleet = start_fleet(&settings, keys, &metrics, &news)?;
+        let (publish, directory) = watch::channel(Arc::new(ServiceDirectory::default()));
+        let parts = DirectoryParts {
+            snapshots: fleet.follower.watch(),
+            members: fleet.members.clone(),
+            sink: service_sink(&settings, &fleet),
+            publish,
+            metrics: Arc::clone(&metrics),
+        };
+        tokio::spawn(parts.run());
+        tokio::spawn(pass_news(
+            news_inbox,
+            directory.clone(),
+            Arc::clone(&metrics),
+        ));
+        tokio::spawn(probes::run(directory.clone(), fleet.members.clone()));
+        let (leaving, leaving_watch) = watch::channel(false);
+        let (stopping, stopping_watch) = watch::channel(false);
+        let (closed, closed_watch) = watch::channel(false);
+        let gate = claim_gate(&fleet, &metrics);
+        let dispatcher = Dispatcher::new(
+            &settings.node,
+            directory.clone(),
+            gate,
+            Arc::clone(&metrics),
+        );
+        let dispatch: Dispatch = Arc::new(move |call| {
+            let dispatcher = dispatcher.clone();
+            Box::pin(async move { dispatcher.serve(call).await })
+        });
+        let front = CallerFront::bind(settings.caller_address, settings.limits, dispatch).await?;
+        let caller_address = front.address()?;
+        let desk = OpsDesk {
+            directory: directory.clone(),
+            fleet: fleet.clone(),
+            metrics: Arc::clone(&metrics),
+            leaving: leaving_watch,
+        };
+        let ops_address = desk.start(settings.ops_address, closed_watch).await?;
+        let front = tokio::spawn(front.run(stopping_watch));
+        log::info!(target: "entry", "Node {} serves callers at {caller_address}.", settings.node);
+        Ok(Self {
+            caller_address,
+            node_address: fleet.address,
+            ops_address,
+            settings,
+            fleet,
+            directory,
+            leaving,
+            stopping,
+            closed,
+            front,
+            metrics,
+        })
+    }
+
+    /// Follows the services of this node.
+    pub fn directory(&self) -> watch::Receiver<Arc<ServiceDirectory>> {
+        self.directory.clone()
+    }
+
+    /// Its part in the fleet.
+    pub const fn fleet(&self) -> &FleetHandle {
+        &self.fleet
+    }
+
+    /// Its metrics in the text format that scrapers read.
+    pub fn metrics(&self) -> String {
+        self.metrics.render()
+    }
+
+    /// Stops the node as planned: no request in flight is cut.
+    pub async fn stop(self) {
+        log::info!(target: "entry", "Node {} stops.", self.settings.node);
+        self.leaving.send_replace(true);
+        self.fleet.members.leave().await;
+        time::sleep(self.settings.stop_notice.get()).await;
+        self.stopping.send_replace(true);
+        let closing = time::timeout(self.settings.stop_patience.get(), self.front).await;
+        if closing.is_err() {
+            log::warn!(target: "entry", "Work in flight outlasted the stop's patience.");
+        }
+        time::sleep(SETTLE_PAUSE).await;
+        self.closed.send_replace(true);
+        self.fleet.close();
+        self.metrics.stop();
+    }
+
+    /// Ends the node at once, as a failing VM would.
+    pub fn kill(self) {
+        self.front.abort();
+        self.closed.send_replace(true);
+        self.fleet.close();
+    }
+}
+
+/// Time for the last outcomes to reach the batchers.
+const SETTLE_PAUSE: time::Duration = time::Duration::from_millis(500);
+
+fn start_fleet(
+    settings: &EntrySettings,
+    keys: NodeKeys,
+    metrics: &Arc<NodeMetrics>,
+    news: &mpsc::Sender<ServiceNews>,
+) -> io::Result<FleetHandle> {
+    let calls = Arc::clone(metrics);
+    let observer = Arc::new(move |operation| calls.platform_call(operation));
+    let platform = PlatformClient::start(settings.platform, observer);
+    let verdict_news = news.clone();
+    let drain_news = news.clone();
+    let sent = Arc::clone(metrics);
+    FleetHandle::start(FleetSettings {
+        own: Member {
+            node: settings.node.clone(),
+            address: settings.node_address,
+            data_centre: settings.data_centre.clone(),
+            leaving: false,
+        },
+        seeds: settings.seeds.clone(),
+        keys,
+        platform,
+        pace: BatchPace {
+            interval: settings.claim_pace.get(),
+        },
+        verdicts: Arc::new(move |change| {
+            let _ = verdict_news.try_send(ServiceNews::Verdict(change));
+        }),
+        drained: Arc::new(move |service, upstream| {
+            let _ = drain_news.try_send(ServiceNews::Drained(service, upstream));
+        }),
+        sent: Arc::new(move |bytes| sent.node_sent(bytes as u64)),
+    })
+}
+
+fn service_sink(settings: &EntrySettings, fleet: &FleetHandle) -> ServiceSink {
+    let node = settings.node.clone();
+    let home = settings.data_centre.clone();
+    let fleet = fleet.clone();
+    Arc::new(move |_| {
+        let evidence = fleet.clone();
+        let drains = fleet.clone();
+        ServiceSettings {
+            node: node.clone(),
+            home: home.clone(),
+            seed: rand::random(),
+            evidence: Arc::new(move |report| evidence.report(report)),
+            drains: Arc::new(move |service, upstream| drains.tell_drain(service, upstream)),
+        }
+    })
+}
+
+fn claim_gate(fleet: &FleetHandle, metrics: &Arc<NodeMetrics>) -> ClaimGate {
+    let claims = fleet.claims.clone();
+    let settles = fleet.claims.clone();
+    let metrics = Arc::clone(metrics);
+    ClaimGate {
+        claim: Arc::new(move |order| {
+            let claims = claims.clone();
+            let metrics = Arc::clone(&metrics);
+            Box::pin(async move {
+                let result = claims.claim(order).await;
+                metrics.claim(match &result {
+                    Ok(policy::claim::ClaimVerdict::Granted) => "granted",
+                    Ok(_) => "refused",
+                    Err(_) => "unavailable",
+                });
+                result
+            })
+        }),
+        settle: Arc::new(move |key, settlement| settles.settle(key, settlement)),
+    }
+}
+
+/// Hands verdicts and drains to the services' tasks.
+async fn pass_news(
+    mut inbox: mpsc::Receiver<ServiceNews>,
+    directory: watch::Receiver<Arc<ServiceDirectory>>,
+    metrics: Arc<NodeMetrics>,
+) {
+    while let Some(news) = inbox.recv().await {
+        let current = Arc::clone(&directory.borrow());
+        match news {
+            ServiceNews::Verdict(VerdictChange {
+                service,
+                upstream,
+                verdict,
+            }) => {
+                metrics.verdict(&service, verdict_word(&verdict));
+                if let Some(handle) = current.handles.get(&service) {
+                    handle.verdict(upstream, verdict).await;
+                }
+            }
+            ServiceNews::Drained(service, upstream) => {
+                if let Some(handle) = current.handles.get(&service) {
+                    handle.drain(upstream).await;
+                }
+            }
+        }
+    }
+}
+
+const fn verdict_word(verdict: &Verdict) -> &'static str {
+    match verdict {
+        Verdict::Clear => "clear",
+        Verdict::Avoid(_) => "avoid",
+        Verdict::Eject => "eject",
+    }
+}
--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -92,7 +92,7 @@
                     connections.spawn(serve(stream, self.limits.connection, dispatch, stop));
                 }
                 Ok((_, peer)) => {
-                    log::warn!(target: "caller", "Too many connections, closed {peer}.")
+                    log::warn!(target: "caller", "Too many connections, closed {peer}.");
                 }
                 Err(error) => {
                     log::warn!(target: "caller", "Accept failed: {error}.");
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`call`]: a request and its answer, free of any wire encoding.
 //! - [`config`]: services, upstreams, routes, workspaces, chunks and the root.
 //! - [`digest`]: content addresses.
+//! - [`settings`]: settings by flag and environment.
 //! - [`clock`]: wall-clock time derived from the runtime's clock.
 
 mod derive;
@@ -15,6 +16,7 @@
 pub mod digest;
 pub mod error;
 pub mod ids;
+pub mod settings;
 pub mod sizes;
 pub mod span;
 
--- /dev/null
+++ b/crates/node/src/claims/mod.rs
@@ -0,0 +1,7 @@
+//! Keyed requests: a claim goes to the node that batches its shard.
+
+mod client;
+mod task;
+
+pub use client::ClaimClient;
+pub use task::{BatchPace, ClaimShards};
--- /dev/null
+++ b/crates/node/src/collector/eject.rs
@@ -0,0 +1,74 @@
+//! Proposes ejections: one conditional update of a service's record.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use model::error::ErrorKind;
+use model::{clock, config, ids, sizes};
+use platform::{PlatformClient, records};
+use policy::ejection::{EjectionPlan, PlanInput};
+
+use crate::wire::VersionedRecord;
+
+/// Everything that a proposal rests on, taken out of the judge.
+pub(super) struct Proposal {
+    pub(super) service: Arc<config::Service>,
+    pub(super) generation: sizes::Generation,
+    pub(super) now: clock::UnixMillis,
+    pub(super) accused: Vec<ids::UpstreamId>,
+    pub(super) proven: BTreeMap<ids::UpstreamId, bool>,
+    pub(super) scores: BTreeMap<ids::UpstreamId, f64>,
+}
+
+impl Proposal {
+    /// Reads the record, works out the next one and writes it under its version.
+    ///
+    /// Returns the record in force when it is known.
+    pub(super) async fn make(self, platform: PlatformClient) -> Option<VersionedRecord> {
+        let stored = records::read_ejections(&platform, &self.service.id)
+            .await
+            .ok()?;
+        let plan = self.draw(&stored.record);
+        for id in &plan.refused {
+            log::warn!(target: "eject", "{id} of {} stays: the floor.", self.service.id);
+        }
+        if !plan.is_needed() {
+            return None;
+        }
+        let written = records::write_ejections(&platform, &plan.record, stored.condition).await;
+        match written {
+            Ok(version) => {
+                for id in &plan.ejects {
+                    log::warn!(target: "eject", "Ejected {id} of {}.", self.service.id);
+                }
+                for id in &plan.reinstates {
+                    log::info!(target: "eject", "Brought {id} of {} back.", self.service.id);
+                }
+                Some(VersionedRecord {
+                    version,
+                    record: plan.record,
+                })
+            }
+            Err(error) => {
+                if error.kind() != ErrorKind::Conflict {
+                    log::warn!(target: "eject", "No change at {}: {error}.", self.service.id);
+                }
+                None
+            }
+        }
+    }
+
+    fn draw(&self, current: &policy::ejection::EjectionRecord) -> EjectionPlan {
+        let proven = |id: &ids::UpstreamId| self.proven.get(id).copied().unwrap_or(false);
+        let score = |id: &ids::UpstreamId| self.scores.get(id).copied().unwrap_or(0.0);
+        let input = PlanInput {
+            service: &self.service,
+            generation: self.generation,
+            now: self.now,
+            accused: &self.accused,
+            proven: &proven,
+            score: &score,
+        };
+        EjectionPlan::draw(current, &input)
+    }
+}
--- /dev/null
+++ b/crates/node/src/collector/mod.rs
@@ -0,0 +1,12 @@
+//! Evidence on its way to verdicts.
+//!
+//! A node sends its counts to the collector of the service in its own data
+//! centre. That collector sums them and exchanges the sums with the collectors
+//! of the other data centres, so every collector judges the same evidence.
+
+mod eject;
+mod seats;
+mod task;
+
+pub(crate) use task::CollectorParts;
+pub use task::{Collector, VerdictSink};
--- /dev/null
+++ b/crates/node/src/collector/seats.rs
@@ -0,0 +1,106 @@
+//! Who collects for which service, worked out once for each view of the members.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use model::{config, ids};
+use policy::membership::{Member, MemberTable};
+use policy::rendezvous;
+use tokio::time::Instant;
+
+/// How long the seats hold when the members do not change.
+const SEATS_SPAN: Duration = Duration::from_secs(5);
+
+/// The collectors of every service.
+#[derive(Debug)]
+pub(super) struct Seats {
+    table: Arc<MemberTable>,
+    drawn: Instant,
+    generation: u64,
+    by_service: BTreeMap<ids::ServiceId, ServiceSeats>,
+}
+
+/// The collectors of one service.
+#[derive(Debug, Default, Clone)]
+pub(super) struct ServiceSeats {
+    /// The collector of this node's data centre.
+    pub(super) near: Option<Arc<Member>>,
+    /// The collectors of the other data centres.
+    pub(super) far: Vec<Arc<Member>>,
+    /// The place of this data centre in the order in which ejections are proposed.
+    pub(super) rank: u32,
+}
+
+impl Seats {
+    pub(super) fn draw(now: Instant, table: Arc<MemberTable>, fleet: &config::FleetConfig) -> Self {
+        let centres = table.centres();
+        let by_service = fleet.services.keys().map(|service| {
+            (
+                service.clone(),
+                ServiceSeats::draw(now, &table, &centres, service),
+            )
+        });
+        let by_service = by_service.collect();
+        Self {
+            table,
+            drawn: now,
+            generation: fleet.generation.get(),
+            by_service,
+        }
+    }
+
+    /// Whether the seats must be drawn again.
+    pub(super) fn is_stale(
+        &self,
+        now: Instant,
+        table: &Arc<MemberTable>,
+        fleet: &config::FleetConfig,
+    ) -> bool {
+        !Arc::ptr_eq(&self.table, table)
+            || self.generation != fleet.generation.get()
+            || now.duration_since(self.drawn) >= SEATS_SPAN
+    }
+
+    pub(super) fn of(&self, service: &ids::ServiceId) -> ServiceSeats {
+        self.by_service.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Services for which this node collects.
+    pub(super) fn own(&self) -> impl Iterator<Item = &ids::ServiceId> {
+        let node = &self.table.own().node;
+        let own = self.by_service.iter().filter(move |(_, seats)| {
+            seats
+                .near
+                .as_ref()
+                .is_some_and(|member| member.node == *node)
+        });
+        own.map(|(service, _)| service)
+    }
+}
+
+impl ServiceSeats {
+    fn draw(
+        now: Instant,
+        table: &MemberTable,
+        centres: &[ids::DataCentreId],
+        service: &ids::ServiceId,
+    ) -> Self {
+        let home = &table.own().data_centre;
+        let ranked = rendezvous::rank(&format!("eject/{service}"), centres, |centre| {
+            centre.as_str()
+        });
+        let rank = ranked
+            .iter()
+            .position(|centre| *centre == home)
+            .unwrap_or(0);
+        let far = centres.iter().filter(|centre| *centre != home);
+        Self {
+            near: table.collector(now, service, home),
+            far: far
+                .filter_map(|centre| table.collector(now, service, centre))
+                .collect(),
+            rank: u32::try_from(rank).unwrap_or(u32::MAX),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet.rs
@@ -0,0 +1,197 @@
+//! A node's part in the fleet, started together.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use model::{clock, ids};
+use platform::PlatformClient;
+use policy::detection::{EvidenceReport, VerdictChange};
+use policy::membership::Member;
+use quinn::Endpoint;
+
+use crate::claims::{BatchPace, ClaimClient, ClaimShards};
+use crate::collector::{Collector, VerdictSink};
+use crate::follow::Follower;
+use crate::keys::NodeKeys;
+use crate::link::{self, PeerSet, RequestHandler, SentObserver};
+use crate::members::MemberSet;
+use crate::wire::{NodeReply, NodeRequest};
+
+/// How long a message to another node may take.
+const SEND_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Takes news of a drain that another node saw.
+pub type DrainedSink = Arc<dyn Fn(ids::ServiceId, ids::UpstreamId) + Send + Sync>;
+
+/// What a node's part in the fleet is started from.
+pub struct FleetSettings {
+    /// This node; its port may be zero.
+    pub own: Member,
+    /// Nodes known from the settings.
+    pub seeds: Vec<Member>,
+    /// Keys for connections between nodes.
+    pub keys: NodeKeys,
+    /// The platform.
+    pub platform: PlatformClient,
+    /// How fast claims are written.
+    pub pace: BatchPace,
+    /// Takes verdicts.
+    pub verdicts: VerdictSink,
+    /// Takes news of drains.
+    pub drained: DrainedSink,
+    /// Is told of bytes sent to other nodes.
+    pub sent: SentObserver,
+}
+
+/// A node's part in the fleet.
+#[derive(Clone)]
+pub struct FleetHandle {
+    /// The members.
+    pub members: MemberSet,
+    /// The configuration in force.
+    pub follower: Follower,
+    /// Evidence.
+    pub collector: Collector,
+    /// Claims.
+    pub claims: ClaimClient,
+    /// Where other nodes reach this one.
+    pub address: SocketAddr,
+    peers: PeerSet,
+    endpoint: Endpoint,
+}
+
+impl FleetHandle {
+    /// Starts every task.
+    ///
+    /// # Errors
+    /// When the node's address cannot be bound.
+    pub fn start(settings: FleetSettings) -> io::Result<Self> {
+        let FleetSettings {
+            mut own,
+            seeds,
+            keys,
+            platform,
+            pace,
+            verdicts,
+            drained,
+            sent,
+        } = settings;
+        let endpoint = link::open_endpoint(own.address, &keys)?;
+        let address = endpoint.local_addr()?;
+        own.address = address;
+        let clock = clock::WallClock::start();
+        let members = MemberSet::start(own, seeds, platform.clone());
+        let peers = PeerSet::start(endpoint.clone(), members.clone(), sent);
+        let follower = Follower::start(platform.clone(), peers.clone(), members.clone());
+        let collector = Collector::start(crate::collector::CollectorParts {
+            platform: platform.clone(),
+            peers: peers.clone(),
+            members: members.clone(),
+            follower: follower.clone(),
+            verdicts: Arc::clone(&verdicts),
+            clock,
+        });
+        let shards = ClaimShards::start(platform, clock, pace);
+        let claims = ClaimClient::start(shards.clone(), peers.clone(), members.clone());
+        let desk = Desk {
+            members: members.clone(),
+            follower: follower.clone(),
+            collector: collector.clone(),
+            shards,
+            verdicts,
+            drained,
+        };
+        let handler: RequestHandler = Arc::new(move |request| {
+            let desk = desk.clone();
+            Box::pin(async move { desk.answer(request).await })
+        });
+        tokio::spawn(link::accept(endpoint.clone(), handler));
+        Ok(Self {
+            members,
+            follower,
+            collector,
+            claims,
+            address,
+            peers,
+            endpoint,
+        })
+    }
+
+    /// Takes evidence of this node.
+    pub fn report(&self, report: EvidenceReport) {
+        self.collector.report(report);
+    }
+
+    /// Tells every node that an upstream drains.
+    pub fn tell_drain(&self, service: &ids::ServiceId, upstream: &ids::UpstreamId) {
+        let table = self.members.table();
+        let request = NodeRequest::Drained {
+            service: service.clone(),
+            upstream: upstream.clone(),
+        };
+        for member in table.all().filter(|member| member.node != table.own().node) {
+            let peers = self.peers.clone();
+            let request = request.clone();
+            let member = Arc::clone(member);
+            tokio::spawn(async move { peers.ask(&member, &request, SEND_PATIENCE).await });
+        }
+    }
+
+    /// Closes every connection to other nodes.
+    pub fn close(&self) {
+        self.endpoint.close(0_u32.into(), b"stopping");
+    }
+}
+
+/// Answers other nodes.
+#[derive(Clone)]
+struct Desk {
+    members: MemberSet,
+    follower: Follower,
+    collector: Collector,
+    shards: ClaimShards,
+    verdicts: VerdictSink,
+    drained: DrainedSink,
+}
+
+impl Desk {
+    async fn answer(&self, request: NodeRequest) -> NodeReply {
+        match request {
+            NodeRequest::Evidence(reports) => self.collector.take(reports),
+            NodeRequest::Verdicts(changes) => self.take_verdicts(changes),
+            NodeRequest::Drained { service, upstream } => (self.drained)(service, upstream),
+            NodeRequest::Compare { from, mark } => {
+                let own = self.follower.mark().await;
+                if let Some(member) = self.members.table().find(&from) {
+                    self.follower.heard(mark, Arc::clone(member)).await;
+                }
+                return NodeReply::Mark(own);
+            }
+            NodeRequest::Root => return NodeReply::Root(self.follower.root().await.to_vec()),
+            NodeRequest::Chunks(hashes) => {
+                return NodeReply::Chunks(self.follower.chunks(hashes).await);
+            }
+            NodeRequest::Records => {
+                let records = self.follower.snapshot().records;
+                return NodeReply::Records(records.values().cloned().collect());
+            }
+            NodeRequest::PutRecords(records) => self.follower.put_records(records).await,
+            NodeRequest::Claim(order) => {
+                return match self.shards.claim(order).await {
+                    Ok(verdict) => NodeReply::Claim(verdict),
+                    Err(error) => NodeReply::Unable(error.detail().to_owned()),
+                };
+            }
+            NodeRequest::Settle(settlements) => self.shards.settle(settlements).await,
+        }
+        NodeReply::Done
+    }
+
+    fn take_verdicts(&self, changes: Vec<VerdictChange>) {
+        for change in changes {
+            (self.verdicts)(change);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/follow/task.rs
@@ -0,0 +1,372 @@
+//! The task that owns the configuration in force.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use model::config::{Chunk, ChunkCache, ConfigRoot, FleetConfig};
+use model::{digest, ids, sizes};
+use platform::{PlatformClient, config_store};
+use policy::invariant::{self, Invariant};
+use policy::membership::Member;
+use rand::seq::IndexedRandom as _;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time;
+
+use super::fetch::{self, FetchFrom, Fetched};
+use super::watcher;
+use crate::link::PeerSet;
+use crate::members::MemberSet;
+use crate::wire::{NodeReply, NodeRequest, StateMark, VersionedRecord};
+
+/// How often a node compares what it knows with others.
+const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
+/// How long a comparison may take.
+const COMPARE_PATIENCE: Duration = Duration::from_secs(2);
+/// Orders that wait for the task; senders wait when it is full.
+const ORDERS_MAX: usize = 256;
+/// Fetches that run at once.
+const FETCHES_MAX: usize = 2;
+
+/// What is in force.
+#[derive(Debug, Clone)]
+pub struct FleetSnapshot {
+    /// The configuration.
+    pub config: Arc<FleetConfig>,
+    /// Ejection records by service.
+    pub records: Arc<BTreeMap<ids::ServiceId, VersionedRecord>>,
+}
+
+#[derive(Debug)]
+pub(super) enum FollowOrder {
+    Heard {
+        mark: StateMark,
+        from: Arc<Member>,
+    },
+    Fetched(Box<Fetched>),
+    FetchEnded,
+    PlatformRoot,
+    Records(Vec<VersionedRecord>),
+    Mark(oneshot::Sender<StateMark>),
+    Root(oneshot::Sender<Bytes>),
+    Chunks(
+        Vec<digest::ContentHash>,
+        oneshot::Sender<BTreeMap<digest::ContentHash, Vec<u8>>>,
+    ),
+}
+
+/// A handle to the follower's task.
+#[derive(Debug, Clone)]
+pub struct Follower {
+    pub(super) orders: mpsc::Sender<FollowOrder>,
+    snapshot: watch::Receiver<FleetSnapshot>,
+}
+
+impl Follower {
+    /// Starts the task and those that feed it.
+    pub fn start(platform: PlatformClient, peers: PeerSet, members: MemberSet) -> Self {
+        let empty = FleetSnapshot {
+            config: Arc::new(FleetConfig::empty()),
+            records: Arc::new(BTreeMap::new()),
+        };
+        let (publish, snapshot) = watch::channel(empty);
+        let (orders, inbox) = mpsc::channel(ORDERS_MAX);
+        let follower = Self {
+            orders: orders.clone(),
+            snapshot,
+        };
+        let task = FollowTask {
+            platform: platform.clone(),
+            peers: peers.clone(),
+            members: members.clone(),
+            orders,
+            publish,
+            root: ConfigRoot::empty(),
+            root_bytes: Bytes::new(),
+            cache: ChunkCache::default(),
+            bytes: HashMap::new(),
+            records: BTreeMap::new(),
+            fetches: 0,
+            postponed: None,
+        };
+        tokio::spawn(task.run(inbox));
+        tokio::spawn(watcher::run(platform, members.clone(), follower.clone()));
+        tokio::spawn(compare(peers, members, follower.clone()));
+        follower
+    }
+
+    /// Follows what is in force.
+    pub fn watch(&self) -> watch::Receiver<FleetSnapshot> {
+        self.snapshot.clone()
+    }
+
+    /// What is in force now.
+    pub fn snapshot(&self) -> FleetSnapshot {
+        self.snapshot.borrow().clone()
+    }
+
+    /// What this node knows, in brief.
+    pub async fn mark(&self) -> StateMark {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.orders.send(FollowOrder::Mark(reply)).await;
+        let nothing = StateMark {
+            generation: sizes::Generation::new(0),
+            records: 0,
+        };
+        answer.await.unwrap_or(nothing)
+    }
+
+    /// The bytes of the root in force.
+    pub async fn root(&self) -> Bytes {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.orders.send(FollowOrder::Root(reply)).await;
+        answer.await.unwrap_or_default()
+    }
+
+    /// The bytes of chunks that this node has.
+    pub async fn chunks(
+        &self,
+        hashes: Vec<digest::ContentHash>,
+    ) -> BTreeMap<digest::ContentHash, Vec<u8>> {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.orders.send(FollowOrder::Chunks(hashes, reply)).await;
+        answer.await.unwrap_or_default()
+    }
+
+    /// Takes ejection records.
+    pub async fn put_records(&self, records: Vec<VersionedRecord>) {
+        let _ = self.orders.send(FollowOrder::Records(records)).await;
+    }
+
+    /// Takes what another node knows.
+    pub async fn heard(&self, mark: StateMark, from: Arc<Member>) {
+        let _ = self.orders.send(FollowOrder::Heard { mark, from }).await;
+    }
+}
+
+struct FollowTask {
+    platform: PlatformClient,
+    peers: PeerSet,
+    members: MemberSet,
+    orders: mpsc::Sender<FollowOrder>,
+    publish: watch::Sender<FleetSnapshot>,
+    root: ConfigRoot,
+    root_bytes: Bytes,
+    cache: ChunkCache,
+    bytes: HashMap<digest::ContentHash, Bytes>,
+    records: BTreeMap<ids::ServiceId, VersionedRecord>,
+    fetches: usize,
+    /// The newest fetch that found no room.
+    postponed: Option<FetchFrom>,
+}
+
+impl FollowTask {
+    async fn run(mut self, mut inbox: mpsc::Receiver<FollowOrder>) {
+        while let Some(order) = inbox.recv().await {
+            self.take(order);
+        }
+    }
+
+    fn take(&mut self, order: FollowOrder) {
+        match order {
+            FollowOrder::Heard { mark, from } => self.hear(mark, from),
+            FollowOrder::PlatformRoot => self.fetch(FetchFrom::Platform),
+            FollowOrder::Fetched(fetched) => self.apply(*fetched),
+            FollowOrder::FetchEnded => self.end_fetch(),
+            FollowOrder::Records(records) => self.take_records(records),
+            FollowOrder::Mark(reply) => {
+                let _ = reply.send(self.mark());
+            }
+            FollowOrder::Root(reply) => {
+                let _ = reply.send(self.root_bytes.clone());
+            }
+            FollowOrder::Chunks(hashes, reply) => {
+                let have = hashes.into_iter().filter_map(|hash| {
+                    let bytes = self.bytes.get(&hash)?.to_vec();
+                    Some((hash, bytes))
+                });
+                let _ = reply.send(have.collect());
+            }
+        }
+    }
+
+    fn hear(&mut self, mark: StateMark, from: Arc<Member>) {
+        let own = self.mark();
+        if mark.generation > own.generation {
+            self.fetch(FetchFrom::Node(Arc::clone(&from)));
+        }
+        if mark.records != own.records {
+            let peers = self.peers.clone();
+            let orders = self.orders.clone();
+            tokio::spawn(async move {
+                if let Some(records) = fetch::records(&peers, &from).await {
+                    let _ = orders.send(FollowOrder::Records(records)).await;
+                }
+            });
+        }
+    }
+
+    fn fetch(&mut self, from: FetchFrom) {
+        if self.fetches >= FETCHES_MAX {
+            self.postponed = Some(from);
+            return;
+        }
+        self.fetches += 1;
+        let job = fetch::FetchJob {
+            from,
+            platform: self.platform.clone(),
+            peers: self.peers.clone(),
+            cache: self.cache.clone(),
+            generation: self.root.generation,
+        };
+        let orders = self.orders.clone();
+        tokio::spawn(async move {
+            if let Some(fetched) = job.run().await {
+                let _ = orders.send(FollowOrder::Fetched(Box::new(fetched))).await;
+            }
+            let _ = orders.send(FollowOrder::FetchEnded).await;
+        });
+    }
+
+    fn end_fetch(&mut self) {
+        self.fetches = self.fetches.saturating_sub(1);
+        if let Some(from) = self.postponed.take() {
+            self.fetch(from);
+        }
+    }
+
+    fn apply(&mut self, fetched: Fetched) {
+        if fetched.root.generation <= self.root.generation {
+            return;
+        }
+        for (hash, bytes) in fetched.chunks {
+            if let Ok(chunk) = Chunk::open(&hash, &bytes) {
+                self.cache.insert(hash.clone(), chunk);
+                self.bytes.insert(hash, bytes);
+            }
+        }
+        let Ok(config) = FleetConfig::assemble(&fetched.root, &self.cache) else {
+            log::warn!(target: "config", "Generation {} lacks a chunk.", fetched.root.generation);
+            return;
+        };
+        let before = self.root.generation;
+        invariant::check(
+            Invariant::GenerationGrows,
+            config.generation > before,
+            || format!("{} follows {before}", config.generation),
+        );
+        self.root = fetched.root;
+        self.root_bytes = fetched.root_bytes;
+        self.cache.keep_only(&self.root);
+        let cache = &self.cache;
+        self.bytes.retain(|hash, _| cache.get(hash).is_some());
+        log::info!(target: "config", "Generation {} is in force.", config.generation);
+        self.publish
+            .send_modify(|snapshot| snapshot.config = Arc::new(config));
+        self.announce();
+    }
+
+    /// Tells the neighbours at once when this node relays for its data centre.
+    fn announce(&self) {
+        let table = self.members.table();
+        if !table.relays(time::Instant::now()) {
+            return;
+        }
+        let request = NodeRequest::Compare {
+            from: table.own().node.clone(),
+            mark: self.mark(),
+        };
+        for member in table.neighbours() {
+            let peers = self.peers.clone();
+            let request = request.clone();
+            tokio::spawn(async move { peers.ask(&member, &request, COMPARE_PATIENCE).await });
+        }
+    }
+
+    fn take_records(&mut self, records: Vec<VersionedRecord>) {
+        let mut changed = false;
+        for record in records {
+            let service = record.record.service.clone();
+            let known = self.records.get(&service).map(|known| known.version);
+            if known < Some(record.version) {
+                self.records.insert(service, record);
+                changed = true;
+            }
+        }
+        if changed {
+            let records = Arc::new(self.records.clone());
+            self.publish
+                .send_modify(|snapshot| snapshot.records = records);
+            self.announce();
+        }
+    }
+
+    fn mark(&self) -> StateMark {
+        let versions: Vec<u8> = self
+            .records
+            .iter()
+            .flat_map(|(service, record)| {
+                let version = record.version.get().to_le_bytes();
+                service.as_str().bytes().chain(version)
+            })
+            .collect();
+        let records = if versions.is_empty() {
+            0
+        } else {
+            digest::stable_hash(&[&versions])
+        };
+        StateMark {
+            generation: self.root.generation,
+            records,
+        }
+    }
+}
+
+/// Compares with two others each second: a neighbour and a node from anywhere.
+async fn compare(peers: PeerSet, members: MemberSet, follower: Follower) {
+    let mut ticks = time::interval(COMPARE_INTERVAL);
+    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Skip);
+    loop {
+        ticks.tick().await;
+        if follower.orders.is_closed() {
+            return;
+        }
+        let table = members.table();
+        let mark = follower.mark().await;
+        let request = NodeRequest::Compare {
+            from: table.own().node.clone(),
+            mark,
+        };
+        for member in pick_two(&table) {
+            let peers = peers.clone();
+            let request = request.clone();
+            let follower = follower.clone();
+            tokio::spawn(async move {
+                let reply = peers.ask(&member, &request, COMPARE_PATIENCE).await;
+                if let Ok(NodeReply::Mark(mark)) = reply {
+                    follower.heard(mark, member).await;
+                }
+            });
+        }
+    }
+}
+
+fn pick_two(table: &policy::membership::MemberTable) -> Vec<Arc<Member>> {
+    let mut rng = rand::rng();
+    let neighbours = table.neighbours();
+    let others: Vec<_> = table
+        .all()
+        .filter(|member| member.node != table.own().node)
+        .cloned()
+        .collect();
+    let near = neighbours.choose(&mut rng).cloned();
+    let any = others.choose(&mut rng).cloned();
+    let mut picked: Vec<_> = near.into_iter().chain(any).collect();
+    picked.dedup_by(|a, b| a.node == b.node);
+    picked
+}
+
+pub(super) fn decode_root(bytes: &[u8]) -> Option<ConfigRoot> {
+    config_store::decode_root(bytes).ok()
+}
--- /dev/null
+++ b/crates/node/src/keys.rs
@@ -0,0 +1,142 @@
+//! The fleet's certificate authority and the certificate that each node mints under it.
+
+use std::sync::Arc;
+
+use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
+use rcgen::{BasicConstraints, CertificateParams, DnType, IsCa, Issuer, KeyPair, KeyUsagePurpose};
+use rustls::RootCertStore;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer, PrivatePkcs8KeyDer};
+use rustls::server::WebPkiClientVerifier;
+
+/// The name that every node's certificate carries.
+pub const SERVER_NAME: &str = "node.gooseberrydyke.internal";
+
+/// A failure to make or read keys.
+#[derive(Debug)]
+pub struct KeyError(String);
+
+impl std::fmt::Display for KeyError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "the fleet's keys cannot be used: {}", self.0)
+    }
+}
+
+impl std::error::Error for KeyError {}
+
+fn fail(why: impl std::fmt::Display) -> KeyError {
+    KeyError(why.to_string())
+}
+
+/// The fleet's certificate authority as its settings hold it.
+#[derive(Clone)]
+pub struct FleetCa {
+    /// The certificate in PEM.
+    pub certificate: Arc<str>,
+    /// The private key in PEM.
+    pub key: Arc<str>,
+}
+
+impl std::fmt::Debug for FleetCa {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("FleetCa")
+    }
+}
+
+impl FleetCa {
+    /// Makes a new authority.
+    ///
+    /// # Errors
+    /// [`KeyError`] when the system gives no randomness.
+    pub fn mint() -> Result<Self, KeyError> {
+        let key = KeyPair::generate().map_err(fail)?;
+        let mut params = CertificateParams::default();
+        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        params.key_usages = vec![
+            KeyUsagePurpose::KeyCertSign,
+            KeyUsagePurpose::DigitalSignature,
+        ];
+        params
+            .distinguished_name
+            .push(DnType::CommonName, "gooseberrydyke fleet");
+        let certificate = params.self_signed(&key).map_err(fail)?;
+        Ok(Self {
+            certificate: certificate.pem().into(),
+            key: key.serialize_pem().into(),
+        })
+    }
+}
+
+/// A node's certificate and the configurations that use it.
+#[derive(Clone)]
+pub struct NodeKeys {
+    /// For connections from other nodes.
+    pub server: Arc<QuicServerConfig>,
+    /// For connections to other nodes.
+    pub client: Arc<QuicClientConfig>,
+}
+
+impl NodeKeys {
+    /// Mints a certificate for this run of the process.
+    ///
+    /// # Errors
+    /// [`KeyError`] when the authority's certificate and key do not fit together.
+    pub fn mint(ca: &FleetCa) -> Result<Self, KeyError> {
+        let ca_key = KeyPair::from_pem(&ca.key).map_err(fail)?;
+        let issuer = Issuer::from_ca_cert_pem(&ca.certificate, ca_key).map_err(fail)?;
+        let key = KeyPair::generate().map_err(fail)?;
+        let params = CertificateParams::new(vec![SERVER_NAME.to_owned()]).map_err(fail)?;
+        let certificate = params.signed_by(&key, &issuer).map_err(fail)?;
+        let chain = vec![certificate.der().clone()];
+        let roots = Arc::new(read_roots(&ca.certificate)?);
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let private = || PrivateKeyDer::from(PrivatePkcs8KeyDer::from(key.serialize_der()));
+        Ok(Self {
+            server: server_config(&provider, &roots, chain.clone(), private())?,
+            client: client_config(&provider, &roots, chain, private())?,
+        })
+    }
+}
+
+fn read_roots(pem: &str) -> Result<RootCertStore, KeyError> {
+    use rustls::pki_types::pem::PemObject as _;
+    let mut roots = RootCertStore::empty();
+    let certificate = CertificateDer::from_pem_slice(pem.as_bytes()).map_err(fail)?;
+    roots.add(certificate).map_err(fail)?;
+    Ok(roots)
+}
+
+type Provider = Arc<rustls::crypto::CryptoProvider>;
+
+fn server_config(
+    provider: &Provider,
+    roots: &Arc<RootCertStore>,
+    chain: Vec<CertificateDer<'static>>,
+    key: PrivateKeyDer<'static>,
+) -> Result<Arc<QuicServerConfig>, KeyError> {
+    let verifier =
+        WebPkiClientVerifier::builder_with_provider(Arc::clone(roots), Arc::clone(provider))
+            .build()
+            .map_err(fail)?;
+    let config = rustls::ServerConfig::builder_with_provider(Arc::clone(provider))
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .map_err(fail)?
+        .with_client_cert_verifier(verifier)
+        .with_single_cert(chain, key)
+        .map_err(fail)?;
+    Ok(Arc::new(QuicServerConfig::try_from(config).map_err(fail)?))
+}
+
+fn client_config(
+    provider: &Provider,
+    roots: &Arc<RootCertStore>,
+    chain: Vec<CertificateDer<'static>>,
+    key: PrivateKeyDer<'static>,
+) -> Result<Arc<QuicClientConfig>, KeyError> {
+    let config = rustls::ClientConfig::builder_with_provider(Arc::clone(provider))
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .map_err(fail)?
+        .with_root_certificates(Arc::clone(roots))
+        .with_client_auth_cert(chain, key)
+        .map_err(fail)?;
+    Ok(Arc::new(QuicClientConfig::try_from(config).map_err(fail)?))
+}
--- /dev/null
+++ b/crates/node/src/link/acceptor.rs
@@ -0,0 +1,58 @@
+//! Takes connections and messages from other nodes.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use quinn::{Connection, Endpoint, Incoming, RecvStream, SendStream};
+use tokio::time;
+
+use crate::wire::{self, MESSAGE_BYTES_MAX, NodeReply, NodeRequest};
+
+/// How long a message may take to arrive.
+const READ_PATIENCE: Duration = Duration::from_secs(5);
+
+/// A reply under way.
+pub type ReplyFuture = Pin<Box<dyn Future<Output = NodeReply> + Send>>;
+
+/// Serves the requests of other nodes.
+pub type RequestHandler = Arc<dyn Fn(NodeRequest) -> ReplyFuture + Send + Sync>;
+
+/// Accepts connections until the endpoint closes.
+pub async fn accept(endpoint: Endpoint, handler: RequestHandler) {
+    while let Some(incoming) = endpoint.accept().await {
+        tokio::spawn(serve_connection(incoming, Arc::clone(&handler)));
+    }
+}
+
+async fn serve_connection(incoming: Incoming, handler: RequestHandler) {
+    let peer = incoming.remote_address();
+    let connection: Connection = match incoming.await {
+        Ok(connection) => connection,
+        Err(error) => {
+            log::warn!(target: "node", "Refused a connection from {peer}: {error}.");
+            return;
+        }
+    };
+    while let Ok((sender, receiver)) = connection.accept_bi().await {
+        tokio::spawn(serve_stream(sender, receiver, Arc::clone(&handler)));
+    }
+}
+
+async fn serve_stream(mut sender: SendStream, mut receiver: RecvStream, handler: RequestHandler) {
+    let reading = time::timeout(READ_PATIENCE, receiver.read_to_end(MESSAGE_BYTES_MAX));
+    let Ok(Ok(bytes)) = reading.await else { return };
+    let reply = match wire::decode::<NodeRequest>(&bytes) {
+        Ok(request) => handler(request).await,
+        Err(error) => {
+            log::warn!(target: "node", "Dropped a message: {error}.");
+            NodeReply::Unable("the message cannot be read".to_owned())
+        }
+    };
+    let Ok(bytes) = wire::encode(&reply) else {
+        return;
+    };
+    if sender.write_all(&bytes).await.is_ok() {
+        let _ = sender.finish();
+    }
+}
--- /dev/null
+++ b/crates/node/src/link/peers.rs
@@ -0,0 +1,211 @@
+//! Asks other nodes; one task for each keeps the connection.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use model::error::{ErrorKind, FleetError};
+use model::ids;
+use policy::membership::Member;
+use quinn::{Connection, Endpoint};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time;
+
+use crate::keys::SERVER_NAME;
+use crate::members::MemberSet;
+use crate::wire::{self, MESSAGE_BYTES_MAX, NodeReply, NodeRequest};
+
+/// How long a connection may take to open.
+const CONNECT_PATIENCE: Duration = Duration::from_millis(1500);
+/// Messages that wait for a peer; further ones fail at once.
+const PEER_ORDERS_MAX: usize = 256;
+/// Messages that wait for the set; senders wait when it is full.
+const SET_ORDERS_MAX: usize = 1024;
+/// How long a peer's task is kept without messages.
+const PEER_IDLE: Duration = Duration::from_mins(2);
+
+/// Is told how many bytes go to other nodes.
+pub type SentObserver = Arc<dyn Fn(usize) + Send + Sync>;
+
+#[derive(Debug)]
+struct PeerOrder {
+    bytes: Vec<u8>,
+    patience: Duration,
+    reply: oneshot::Sender<Result<NodeReply, FleetError>>,
+}
+
+#[derive(Debug)]
+struct SetOrder {
+    member: Arc<Member>,
+    order: PeerOrder,
+}
+
+/// A handle to the tasks that keep connections to other nodes.
+#[derive(Debug, Clone)]
+pub struct PeerSet {
+    orders: mpsc::Sender<SetOrder>,
+}
+
+impl PeerSet {
+    /// Starts the set.
+    pub fn start(endpoint: Endpoint, members: MemberSet, sent: SentObserver) -> Self {
+        let (orders, inbox) = mpsc::channel(SET_ORDERS_MAX);
+        tokio::spawn(run_set(endpoint, members, sent, inbox));
+        Self { orders }
+    }
+
+    /// Asks a node and waits for its reply.
+    ///
+    /// # Errors
+    /// `PeerAway` when there is no reply in time; the node may have acted all the same.
+    pub async fn ask(
+        &self,
+        member: &Arc<Member>,
+        request: &NodeRequest,
+        patience: Duration,
+    ) -> Result<NodeReply, FleetError> {
+        let bytes = wire::encode(request)
+            .map_err(|why| FleetError::new(ErrorKind::Invalid, why.to_string()))?;
+        let (reply, answer) = oneshot::channel();
+        let order = PeerOrder {
+            bytes,
+            patience,
+            reply,
+        };
+        let order = SetOrder {
+            member: Arc::clone(member),
+            order,
+        };
+        self.orders
+            .send(order)
+            .await
+            .map_err(|_| away(&member.node, "the node stops"))?;
+        answer
+            .await
+            .unwrap_or_else(|_| Err(away(&member.node, "its task ended")))
+    }
+}
+
+fn away(node: &ids::NodeId, why: &str) -> FleetError {
+    FleetError::new(
+        ErrorKind::PeerAway,
+        format!("node {node} did not answer: {why}"),
+    )
+}
+
+async fn run_set(
+    endpoint: Endpoint,
+    members: MemberSet,
+    sent: SentObserver,
+    mut inbox: mpsc::Receiver<SetOrder>,
+) {
+    let mut peers: HashMap<(ids::NodeId, SocketAddr), mpsc::Sender<PeerOrder>> = HashMap::new();
+    while let Some(SetOrder { member, order }) = inbox.recv().await {
+        sent(order.bytes.len());
+        peers.retain(|_, peer| !peer.is_closed());
+        let key = (member.node.clone(), member.address);
+        let peer = peers.entry(key).or_insert_with(|| {
+            let (orders, inbox) = mpsc::channel(PEER_ORDERS_MAX);
+            let peer = Peer {
+                member: Arc::clone(&member),
+                endpoint: endpoint.clone(),
+                members: members.clone(),
+            };
+            tokio::spawn(peer.run(inbox));
+            orders
+        });
+        if let Err(refused) = peer.try_send(order) {
+            let order = refused.into_inner();
+            let _ = order
+                .reply
+                .send(Err(away(&member.node, "too many messages wait")));
+        }
+    }
+}
+
+/// Keeps the connection to one node.
+struct Peer {
+    member: Arc<Member>,
+    endpoint: Endpoint,
+    members: MemberSet,
+}
+
+impl Peer {
+    async fn run(self, mut inbox: mpsc::Receiver<PeerOrder>) {
+        let mut connection: Option<Connection> = None;
+        while let Ok(Some(order)) = time::timeout(PEER_IDLE, inbox.recv()).await {
+            let open = connection
+                .take()
+                .filter(|open| open.close_reason().is_none());
+            let open = match open {
+                Some(open) => Ok(open),
+                None => self.connect().await,
+            };
+            match open {
+                Ok(open) => {
+                    connection = Some(open.clone());
+                    let members = self.members.clone();
+                    tokio::spawn(exchange(open, order, Arc::clone(&self.member), members));
+                }
+                Err(error) => {
+                    self.members.suspect(&self.member.node).await;
+                    let _ = order.reply.send(Err(error.clone()));
+                    while let Ok(order) = inbox.try_recv() {
+                        let _ = order.reply.send(Err(error.clone()));
+                    }
+                }
+            }
+        }
+    }
+
+    async fn connect(&self) -> Result<Connection, FleetError> {
+        let node = &self.member.node;
+        let connecting = self
+            .endpoint
+            .connect(self.member.address, SERVER_NAME)
+            .map_err(|error| away(node, &error.to_string()))?;
+        let connected = time::timeout(CONNECT_PATIENCE, connecting).await;
+        connected
+            .map_err(|_| away(node, "connect timed out"))?
+            .map_err(|error| away(node, &error.to_string()))
+    }
+}
+
+async fn exchange(
+    connection: Connection,
+    order: PeerOrder,
+    member: Arc<Member>,
+    members: MemberSet,
+) {
+    let PeerOrder {
+        bytes,
+        patience,
+        reply,
+    } = order;
+    let exchanged = time::timeout(patience, send_and_read(&connection, &bytes)).await;
+    let result = match exchanged {
+        Ok(Ok(reply)) => Ok(reply),
+        Ok(Err(why)) => Err(away(&member.node, &why)),
+        Err(_) => Err(away(&member.node, "timed out")),
+    };
+    if result.is_err() {
+        members.suspect(&member.node).await;
+    }
+    let _ = reply.send(result);
+}
+
+async fn send_and_read(connection: &Connection, bytes: &[u8]) -> Result<NodeReply, String> {
+    let (mut sender, mut receiver) = connection
+        .open_bi()
+        .await
+        .map_err(|error| error.to_string())?;
+    sender
+        .write_all(bytes)
+        .await
+        .map_err(|error| error.to_string())?;
+    sender.finish().map_err(|error| error.to_string())?;
+    let read = receiver.read_to_end(MESSAGE_BYTES_MAX).await;
+    let bytes = read.map_err(|error| error.to_string())?;
+    wire::decode(&bytes).map_err(|error| error.to_string())
+}
--- /dev/null
+++ b/crates/node/src/members/mod.rs
@@ -0,0 +1,5 @@
+//! The members of the fleet, kept by one task and published as snapshots.
+
+mod task;
+
+pub use task::MemberSet;
--- /dev/null
+++ b/crates/node/src/wire.rs
@@ -0,0 +1,112 @@
+//! Messages between nodes, encoded by a compact binary codec.
+
+use std::collections::BTreeMap;
+
+use model::{digest, ids, sizes};
+use policy::claim::{ClaimKey, ClaimOrder, ClaimVerdict, Settlement};
+use policy::detection::{EvidenceReport, VerdictChange};
+use policy::ejection::EjectionRecord;
+use quick_error::quick_error;
+
+/// The largest message, in bytes.
+pub const MESSAGE_BYTES_MAX: usize = 4 * 1024 * 1024;
+
+model::record! {
+    /// What a node knows of configuration and ejections, in brief.
+    #[derive(Eq, Copy)]
+    pub struct StateMark {
+        /// The generation in force.
+        pub generation: sizes::Generation,
+        /// A hash over the versions of all ejection records.
+        pub records: u64,
+    }
+
+    /// An ejection record with the version of its object.
+    #[derive(Eq)]
+    pub struct VersionedRecord {
+        /// The version.
+        pub version: sizes::ObjectVersion,
+        /// The record.
+        pub record: EjectionRecord,
+    }
+
+    /// What one node asks of another.
+    pub enum NodeRequest {
+        /// Take evidence.
+        Evidence(Vec<EvidenceReport>),
+        /// Take verdicts.
+        Verdicts(Vec<VerdictChange>),
+        /// Take the news that an upstream drains.
+        Drained {
+            /// The service.
+            service: ids::ServiceId,
+            /// The upstream.
+            upstream: ids::UpstreamId,
+        },
+        /// Compare what we know; `from` may be asked for more.
+        Compare {
+            /// The asking node.
+            from: ids::NodeId,
+            /// What it knows.
+            mark: StateMark,
+        },
+        /// Send the root in force, as it is stored.
+        Root,
+        /// Send chunks as they are stored.
+        Chunks(Vec<digest::ContentHash>),
+        /// Send every ejection record.
+        Records,
+        /// Take ejection records.
+        PutRecords(Vec<VersionedRecord>),
+        /// Claim a key.
+        Claim(ClaimOrder),
+        /// Store what became of claimed requests.
+        Settle(Vec<(ClaimKey, Settlement)>),
+    }
+
+    /// What a node replies.
+    pub enum NodeReply {
+        /// Done.
+        Done,
+        /// What it knows, in brief.
+        Mark(StateMark),
+        /// The bytes of the root.
+        Root(Vec<u8>),
+        /// The bytes of the chunks that it has.
+        Chunks(BTreeMap<digest::ContentHash, Vec<u8>>),
+        /// Every ejection record.
+        Records(Vec<VersionedRecord>),
+        /// What a claim came to.
+        Claim(ClaimVerdict),
+        /// It cannot do what was asked.
+        Unable(String),
+    }
+}
+
+quick_error! {
+    /// A message that cannot be read or written.
+    #[derive(Debug)]
+    pub enum WireError {
+        /// The codec refused it.
+        Codec(why: postcard::Error) {
+            from()
+            display("the message cannot be read or written: {}", why)
+        }
+    }
+}
+
+/// Encodes a message.
+///
+/// # Errors
+/// [`WireError`] when the codec refuses it.
+pub fn encode<T: serde::Serialize>(message: &T) -> Result<Vec<u8>, WireError> {
+    Ok(postcard::to_stdvec(message)?)
+}
+
+/// Decodes a message.
+///
+/// # Errors
+/// [`WireError`] when the bytes are no message.
+pub fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T, WireError> {
+    Ok(postcard::from_bytes(bytes)?)
+}
--- /dev/null
+++ b/crates/operator/src/api/mod.rs
@@ -0,0 +1,1 @@
+//! The administration API.
--- /dev/null
+++ b/crates/operator/src/sheet/mod.rs
@@ -0,0 +1,1 @@
+//! The sheet.
--- a/crates/platform/src/names.rs
+++ b/crates/platform/src/names.rs
@@ -5,12 +5,14 @@
 
 use crate::object::ObjectName;
 
+/// The prefix of everything that nodes watch.
+pub const FLEET: &str = "fleet/";
 /// The prefix of every ejection record.
-pub const EJECTIONS: &str = "ejections/";
+pub const EJECTIONS: &str = "fleet/ejections/";
 
 /// The root of the configuration.
 pub fn config_root() -> ObjectName {
-    name("config/root")
+    name("fleet/root")
 }
 
 /// A chunk of the configuration.
--- a/crates/policy/src/detection/judge.rs
+++ b/crates/policy/src/detection/judge.rs
@@ -182,6 +182,16 @@
         told.collect()
     }
 
+    /// Whether an upstream answered well of late.
+    pub fn is_proven(&self, now: Instant, upstream: &ids::UpstreamId) -> bool {
+        let from = earlier(now, OutcomeWindow::SPAN);
+        let case = self.cases.get(upstream);
+        case.is_some_and(|case| {
+            let (good, bad) = case.docket.window.since(now, from);
+            good > bad
+        })
+    }
+
     /// How bad an upstream looks, to compare ejected upstreams with each other.
     pub fn score(&self, upstream: &ids::UpstreamId) -> f64 {
         self.cases
@@ -193,8 +203,7 @@
         let case = self.cases.get(id)?;
         let verdict = match case.verdict {
             Verdict::Clear => self.accuse(now, id, case),
-            Verdict::Avoid(_) => self.review(now, id, case),
-            Verdict::Eject => return None,
+            Verdict::Avoid(_) | Verdict::Eject => self.review(now, id, case),
         };
         (verdict != case.verdict).then_some(verdict)
     }
@@ -216,8 +225,8 @@
         if held && quiet {
             return Verdict::Clear;
         }
-        let service_failing = self.service_failing(now, id, case);
-        if service_failing {
+        let stands = case.verdict == Verdict::Eject || self.service_failing(now, id, case);
+        if stands {
             return case.verdict.clone();
         }
         let Some(scope) = self.scope(now, case) else {
--- a/crates/policy/src/ejection/plan.rs
+++ b/crates/policy/src/ejection/plan.rs
@@ -42,6 +42,9 @@
             reinstates: Vec::new(),
             refused: Vec::new(),
         };
+        if input.generation < current.seen {
+            return plan;
+        }
         plan.record.tidy(input.service, input.generation, input.now);
         plan.end_ejections(input);
         plan.restore_floor(input);
--- a/crates/policy/src/ejection/record.rs
+++ b/crates/policy/src/ejection/record.rs
@@ -42,6 +42,9 @@
     pub struct EjectionRecord {
         /// The service.
         pub service: ids::ServiceId,
+        /// The newest generation by which the record was written; writers that
+        /// know an older one must not touch it.
+        pub seen: sizes::Generation,
         /// Upstreams out of service.
         pub ejected: BTreeMap<ids::UpstreamId, Ejection>,
         /// Upstreams that came back, with the end of their ramp.
@@ -58,6 +61,7 @@
     pub const fn empty(service: ids::ServiceId) -> Self {
         Self {
             service,
+            seen: sizes::Generation::new(0),
             ejected: BTreeMap::new(),
             ramping: BTreeMap::new(),
             leaving: BTreeMap::new(),
@@ -179,6 +183,7 @@
             let mut active = service.upstreams.iter();
             active.any(|up| up.id == *id && up.state == config::UpstreamState::Active)
         };
+        self.seen = self.seen.max(generation);
         self.ejected.retain(|id, _| active(id));
         self.ramping.retain(|id, until| active(id) && *until > now);
         self.leaving.retain(|_, reserved| *reserved > generation);
--- a/crates/upstream/src/dispatch/dispatcher.rs
+++ b/crates/upstream/src/dispatch/dispatcher.rs
@@ -32,7 +32,8 @@
     directory: watch::Receiver<Arc<ServiceDirectory>>,
     gate: ClaimGate,
     metrics: Arc<NodeMetrics>,
-    node: ids::NodeId,
+    /// Drawn for this run, so that no two runs name two requests alike.
+    run: Arc<str>,
     clock: clock::WallClock,
     count: Arc<AtomicU64>,
 }
@@ -52,17 +53,18 @@
 impl Dispatcher {
     /// A dispatcher that follows a directory.
     pub fn new(
-        node: ids::NodeId,
+        node: &ids::NodeId,
         directory: watch::Receiver<Arc<ServiceDirectory>>,
         gate: ClaimGate,
         metrics: Arc<NodeMetrics>,
     ) -> Self {
         let clock = clock::WallClock::start();
+        let run = format!("{node}-{:016x}", rand::random::<u64>()).into();
         Self {
             directory,
             gate,
             metrics,
-            node,
+            run,
             clock,
             count: Arc::new(AtomicU64::new(0)),
         }
@@ -132,7 +134,8 @@
         let deadline = started + patience;
         let caller_broke = CallerBroke::default();
         let mut body = PlanBody::prepare(call.body, deadline, &caller_broke).await?;
-        let guard = self.claim(&call.head, found, &body, deadline).await?;
+        let request = request_hash(&call.head, &body);
+        let guard = self.claim(&call.head, found, request, deadline).await?;
         let case = AttemptCase {
             repeatable: found.route.repeat.allows(&call.head.method),
             head: call.head,
@@ -160,7 +163,7 @@
 
     fn next_request(&self) -> ids::RequestId {
         let number = self.count.fetch_add(1, Ordering::Relaxed);
-        let text = format!("{}-{number}", self.node);
+        let text = format!("{}-{number}", self.run);
         text.parse()
             .unwrap_or_else(|_| unreachable!("a node's name and a number are an identifier"))
     }
@@ -169,7 +172,7 @@
         &self,
         head: &CallHead,
         found: &RouteMatch,
-        body: &PlanBody,
+        request: u64,
         deadline: Instant,
     ) -> Result<Option<ClaimGuard>, FleetError> {
         let once_only = found.route.repeat == config::RepeatRule::OnceOnly;
@@ -186,7 +189,7 @@
         let order = ClaimOrder {
             key: key.clone(),
             token: token.clone(),
-            request: request_hash(head, body),
+            request,
             expires: self.clock.now().after(found.service.key_retention.get()),
             settled_by: self.clock.now().after(left + SETTLE_SLACK),
         };
--- a/testing/standin/src/platform/store.rs
+++ b/testing/standin/src/platform/store.rs
@@ -242,7 +242,19 @@
         }
     }
 
+    /// Changes after a revision; after revision zero, every object.
     fn changes_since(&self, prefix: &str, since: u64) -> Vec<ObjectChange> {
+        if since == 0 {
+            let matching = self
+                .objects
+                .iter()
+                .filter(|(name, _)| name.starts_with(prefix));
+            let present = matching.map(|(name, (version, _))| ObjectChange {
+                name: name.as_str().into(),
+                version: Some(*version),
+            });
+            return present.collect();
+        }
         let newer = self
             .changes
             .iter()
