--- a/bins/entry/src/server.rs
+++ b/bins/entry/src/server.rs
@@ -7,6 +7,7 @@
 use caller::{CallerFront, listener::Dispatch};
 use model::ids;
 use node::claims::BatchPace;
+use node::collector::CollectorNews;
 use node::keys::NodeKeys;
 use node::{FleetHandle, FleetSettings};
 use platform::PlatformClient;
@@ -49,7 +50,7 @@
 /// News from other nodes for the services of this one.
 #[derive(Debug)]
 enum ServiceNews {
-    Verdict(VerdictChange),
+    Collector(CollectorNews),
     Drained(ids::ServiceId, ids::UpstreamId),
 }
 
@@ -170,7 +171,7 @@
     let calls = Arc::clone(metrics);
     let observer = Arc::new(move |operation| calls.platform_call(operation));
     let platform = PlatformClient::start(settings.platform, observer);
-    let verdict_news = news.clone();
+    let collector_news = news.clone();
     let drain_news = news.clone();
     let sent = Arc::clone(metrics);
     FleetHandle::start(FleetSettings {
@@ -186,8 +187,8 @@
         pace: BatchPace {
             interval: settings.claim_pace.get(),
         },
-        verdicts: Arc::new(move |change| {
-            let _ = verdict_news.try_send(ServiceNews::Verdict(change));
+        news: Arc::new(move |news| {
+            let _ = collector_news.try_send(ServiceNews::Collector(news));
         }),
         drained: Arc::new(move |service, upstream| {
             let _ = drain_news.try_send(ServiceNews::Drained(service, upstream));
@@ -244,16 +245,22 @@
     while let Some(news) = inbox.recv().await {
         let current = Arc::clone(&directory.borrow());
         match news {
-            ServiceNews::Verdict(VerdictChange {
-                service,
-                upstream,
-                verdict,
-            }) => {
+            ServiceNews::Collector(CollectorNews::Verdict(change)) => {
+                let VerdictChange {
+                    service,
+                    upstream,
+                    verdict,
+                } = change;
                 metrics.verdict(&service, verdict_word(&verdict));
                 if let Some(handle) = current.handles.get(&service) {
                     handle.verdict(upstream, verdict).await;
                 }
             }
+            ServiceNews::Collector(CollectorNews::Tempo(tempo)) => {
+                if let Some(handle) = current.handles.get(&tempo.service) {
+                    handle.tempo(tempo).await;
+                }
+            }
             ServiceNews::Drained(service, upstream) => {
                 if let Some(handle) = current.handles.get(&service) {
                     handle.drain(upstream).await;
--- a/crates/model/src/derive.rs
+++ b/crates/model/src/derive.rs
@@ -14,20 +14,20 @@
 /// Derives the common set of a small closed enumeration and its text form.
 #[macro_export]
 macro_rules! choice {
-    ($(#[$meta:meta])* pub enum $name:ident { $($(#[$case_meta:meta])* $case:ident = $text:literal,)+ }) => {
+    ($(#[$meta:meta])* $vis:vis enum $name:ident { $($(#[$case_meta:meta])* $case:ident = $text:literal,)+ }) => {
         $(#[$meta])*
         #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
         #[derive(serde::Serialize, serde::Deserialize)]
-        pub enum $name {
+        $vis enum $name {
             $($(#[$case_meta])* #[serde(rename = $text)] $case,)+
         }
 
         impl $name {
             /// Every value, in the order of declaration.
-            pub const ALL: &'static [Self] = &[$(Self::$case),+];
+            $vis const ALL: &'static [Self] = &[$(Self::$case),+];
 
             /// The text form of the value.
-            pub const fn as_str(self) -> &'static str {
+            $vis const fn as_str(self) -> &'static str {
                 match self { $(Self::$case => $text),+ }
             }
         }
--- a/crates/node/src/collector/mod.rs
+++ b/crates/node/src/collector/mod.rs
@@ -9,4 +9,4 @@
 mod task;
 
 pub(crate) use task::CollectorParts;
-pub use task::{Collector, VerdictSink};
+pub use task::{Collector, CollectorNews, NewsSink};
--- a/crates/node/src/collector/task.rs
+++ b/crates/node/src/collector/task.rs
@@ -6,7 +6,9 @@
 
 use model::{clock, ids};
 use platform::PlatformClient;
-use policy::detection::{EvidenceCount, EvidenceReport, ServiceJudge, Verdict, VerdictChange};
+use policy::detection::{
+    EvidenceCount, EvidenceReport, ServiceJudge, ServiceTempo, Verdict, VerdictChange,
+};
 use policy::membership::{Member, MemberTable};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{self, Instant};
@@ -33,8 +35,17 @@
 /// Reports that wait for the task; further ones are dropped, since evidence is soft.
 const ORDERS_MAX: usize = 4096;
 
-/// Takes verdicts for this node's own services.
-pub type VerdictSink = Arc<dyn Fn(VerdictChange) + Send + Sync>;
+/// What a collector tells the services of its data centre.
+#[derive(Debug, Clone)]
+pub enum CollectorNews {
+    /// A verdict on an upstream.
+    Verdict(VerdictChange),
+    /// The usual latency of a service.
+    Tempo(ServiceTempo),
+}
+
+/// Takes news for this node's own services.
+pub type NewsSink = Arc<dyn Fn(CollectorNews) + Send + Sync>;
 
 /// A handle to the collector's task.
 #[derive(Debug, Clone)]
@@ -54,7 +65,7 @@
     pub(crate) peers: PeerSet,
     pub(crate) members: MemberSet,
     pub(crate) follower: Follower,
-    pub(crate) verdicts: VerdictSink,
+    pub(crate) news: NewsSink,
     pub(crate) clock: clock::WallClock,
 }
 
@@ -98,14 +109,19 @@
     }
 }
 
-type Counts = BTreeMap<ids::UpstreamId, EvidenceCount>;
+/// Counts of one service that wait for the exchange.
+#[derive(Default)]
+struct ServiceSum {
+    counts: BTreeMap<ids::UpstreamId, EvidenceCount>,
+    latency_micros: Option<u32>,
+}
 
 struct CollectTask {
     parts: CollectorParts,
     seats: Seats,
     judges: BTreeMap<ids::ServiceId, ServiceJudge>,
     outbox: BTreeMap<ids::NodeId, Vec<EvidenceReport>>,
-    sums: BTreeMap<ids::ServiceId, Counts>,
+    sums: BTreeMap<ids::ServiceId, ServiceSum>,
     urgent: BTreeSet<ids::ServiceId>,
     exchanged: Instant,
     refreshed: Instant,
@@ -180,11 +196,10 @@
     }
 
     fn add_to_sums(&mut self, report: &EvidenceReport) {
-        let sums = self.sums.entry(report.service.clone()).or_default();
+        let sum = self.sums.entry(report.service.clone()).or_default();
+        sum.latency_micros = report.latency_micros.or(sum.latency_micros);
         for (id, count) in &report.counts {
-            let sum = sums.entry(id.clone()).or_default();
-            sum.good += count.good;
-            sum.bad += count.bad;
+            sum.counts.entry(id.clone()).or_default().add(*count);
             if count.bad > 0 {
                 self.urgent.insert(report.service.clone());
             }
@@ -205,6 +220,19 @@
                 .flat_map(ServiceJudge::standing)
                 .collect();
             self.tell(standing);
+            let tempos = self
+                .judges
+                .values()
+                .filter_map(ServiceJudge::tempo)
+                .collect();
+            self.tell_tempos(tempos);
+        } else {
+            let changed = self
+                .judges
+                .values_mut()
+                .filter_map(ServiceJudge::take_tempo)
+                .collect();
+            self.tell_tempos(changed);
         }
         if now.duration_since(self.reviewed) >= REVIEW_INTERVAL {
             self.reviewed = now;
@@ -246,14 +274,15 @@
         let mut messages: BTreeMap<ids::NodeId, (Arc<Member>, Vec<EvidenceReport>)> =
             BTreeMap::new();
         for service in due {
-            let Some(counts) = self.sums.remove(&service) else {
+            let Some(sum) = self.sums.remove(&service) else {
                 continue;
             };
             for member in self.seats.of(&service).far {
                 let report = EvidenceReport {
                     service: service.clone(),
                     observer: observer.clone(),
-                    counts: counts.clone(),
+                    counts: sum.counts.clone(),
+                    latency_micros: sum.latency_micros,
                 };
                 let node = member.node.clone();
                 messages
@@ -263,6 +292,11 @@
                     .push(report);
             }
         }
+        let waiting = self
+            .sums
+            .values_mut()
+            .flat_map(|sum| sum.counts.values_mut());
+        waiting.for_each(EvidenceCount::age);
         for (member, reports) in messages.into_values() {
             self.send(member, NodeRequest::Evidence(reports));
         }
@@ -302,7 +336,7 @@
             return;
         }
         for change in &changes {
-            (self.parts.verdicts)(change.clone());
+            (self.parts.news)(CollectorNews::Verdict(change.clone()));
         }
         let request = NodeRequest::Verdicts(changes);
         for member in self.parts.members.table().neighbours() {
@@ -310,6 +344,20 @@
         }
     }
 
+    /// Tells the usual latency of services to this node and to its neighbours.
+    fn tell_tempos(&self, tempos: Vec<ServiceTempo>) {
+        if tempos.is_empty() {
+            return;
+        }
+        for tempo in &tempos {
+            (self.parts.news)(CollectorNews::Tempo(tempo.clone()));
+        }
+        let request = NodeRequest::Tempo(tempos);
+        for member in self.parts.members.table().neighbours() {
+            self.send(member, request.clone());
+        }
+    }
+
     /// Proposes changes to the records of services that need one.
     fn propose(&self, now: Instant) {
         let snapshot = self.parts.follower.snapshot();
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -12,7 +12,7 @@
 use quinn::Endpoint;
 
 use crate::claims::{BatchPace, ClaimClient, ClaimShards};
-use crate::collector::{Collector, VerdictSink};
+use crate::collector::{Collector, CollectorNews, NewsSink};
 use crate::follow::Follower;
 use crate::keys::NodeKeys;
 use crate::link::{self, PeerSet, RequestHandler, SentObserver};
@@ -37,8 +37,8 @@
     pub platform: PlatformClient,
     /// How fast claims are written.
     pub pace: BatchPace,
-    /// Takes verdicts.
-    pub verdicts: VerdictSink,
+    /// Takes news from collectors.
+    pub news: NewsSink,
     /// Takes news of drains.
     pub drained: DrainedSink,
     /// Is told of bytes sent to other nodes.
@@ -74,7 +74,7 @@
             keys,
             platform,
             pace,
-            verdicts,
+            news,
             drained,
             sent,
         } = settings;
@@ -90,7 +90,7 @@
             peers: peers.clone(),
             members: members.clone(),
             follower: follower.clone(),
-            verdicts: Arc::clone(&verdicts),
+            news: Arc::clone(&news),
             clock,
         });
         let shards = ClaimShards::start(platform, clock, pace);
@@ -100,7 +100,7 @@
             follower: follower.clone(),
             collector: collector.clone(),
             shards,
-            verdicts,
+            news,
             drained,
         };
         let handler: RequestHandler = Arc::new(move |request| {
@@ -152,7 +152,7 @@
     follower: Follower,
     collector: Collector,
     shards: ClaimShards,
-    verdicts: VerdictSink,
+    news: NewsSink,
     drained: DrainedSink,
 }
 
@@ -161,6 +161,11 @@
         match request {
             NodeRequest::Evidence(reports) => self.collector.take(reports),
             NodeRequest::Verdicts(changes) => self.take_verdicts(changes),
+            NodeRequest::Tempo(tempos) => {
+                for tempo in tempos {
+                    (self.news)(CollectorNews::Tempo(tempo));
+                }
+            }
             NodeRequest::Drained { service, upstream } => (self.drained)(service, upstream),
             NodeRequest::Compare { from, mark } => {
                 let own = self.follower.mark().await;
@@ -191,7 +196,7 @@
 
     fn take_verdicts(&self, changes: Vec<VerdictChange>) {
         for change in changes {
-            (self.verdicts)(change);
+            (self.news)(CollectorNews::Verdict(change));
         }
     }
 }
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -4,7 +4,7 @@
 
 use model::{digest, ids, sizes};
 use policy::claim::{ClaimKey, ClaimOrder, ClaimVerdict, Settlement};
-use policy::detection::{EvidenceReport, VerdictChange};
+use policy::detection::{EvidenceReport, ServiceTempo, VerdictChange};
 use policy::ejection::EjectionRecord;
 use quick_error::quick_error;
 
@@ -36,6 +36,8 @@
         Evidence(Vec<EvidenceReport>),
         /// Take verdicts.
         Verdicts(Vec<VerdictChange>),
+        /// Take the usual latency of services.
+        Tempo(Vec<ServiceTempo>),
         /// Take the news that an upstream drains.
         Drained {
             /// The service.
--- a/crates/policy/src/detection/docket.rs
+++ b/crates/policy/src/detection/docket.rs
@@ -6,15 +6,16 @@
 use model::ids;
 use tokio::time::Instant;
 
+use super::evidence::EvidenceCount;
 use super::sequential::{SequentialTest, TestCosts};
 use super::window::OutcomeWindow;
 
 /// Outcomes that a data centre must have seen to speak for an upstream.
-const DEFENCE_OUTCOMES: u32 = 3;
+const DEFENCE_OUTCOMES: u32 = 5;
 /// The highest failure share with which a data centre speaks for an upstream.
-const DEFENCE_SHARE: f64 = 0.2;
-/// How far back outcomes speak for an upstream.
-const DEFENCE_SPAN: Duration = Duration::from_secs(5);
+const DEFENCE_SHARE: f64 = 0.1;
+/// How much older than the others earlier outcomes count.
+const EARLIER_AGE: Duration = Duration::from_millis(500);
 /// Failures that a data centre must have seen to support an ejection.
 const SUPPORT_FAILURES: u32 = 2;
 
@@ -33,8 +34,13 @@
         }
     }
 
-    fn defends(&self, now: Instant) -> bool {
-        let (good, bad) = self.window.since(now, earlier(now, DEFENCE_SPAN));
+    fn observe(&mut self, now: Instant, count: EvidenceCount, base: f64) {
+        take(&mut self.test, count, base);
+        add(&mut self.window, now, count);
+    }
+
+    fn defends(&self, now: Instant, from: Instant) -> bool {
+        let (good, bad) = self.window.since(now, from);
         let total = good + bad;
         total >= DEFENCE_OUTCOMES && f64::from(bad) <= f64::from(total) * DEFENCE_SHARE
     }
@@ -74,21 +80,21 @@
         &mut self,
         now: Instant,
         observer: &ids::DataCentreId,
-        (good, bad): (u32, u32),
+        count: EvidenceCount,
         base: f64,
     ) {
+        self.pooled.observe(count.earlier, 0, base);
         if self.pooled.score() <= 0.0 {
             self.onset = now;
         }
-        self.pooled.observe(good, bad, base);
-        self.window.add(now, good, bad);
+        self.pooled.observe(count.good, count.bad, base);
+        add(&mut self.window, now, count);
         let cap = self.cap;
         let view = self
             .views
             .entry(observer.clone())
             .or_insert_with(|| ObserverView::new(now, cap));
-        view.test.observe(good, bad, base);
-        view.window.add(now, good, bad);
+        view.observe(now, count, base);
     }
 
     /// Data centres whose own evidence reaches a score.
@@ -106,7 +112,9 @@
             .views
             .iter()
             .filter(|(observer, _)| !except.contains(observer));
-        others.into_iter().any(|(_, view)| view.defends(now))
+        others
+            .into_iter()
+            .any(|(_, view)| view.defends(now, self.onset))
     }
 
     /// Data centres that saw the upstream fail.
@@ -126,6 +134,17 @@
     }
 }
 
+/// Takes earlier outcomes before the others, so that they do not cancel newer failures.
+fn take(test: &mut SequentialTest, count: EvidenceCount, base: f64) {
+    test.observe(count.earlier, 0, base);
+    test.observe(count.good, count.bad, base);
+}
+
+fn add(window: &mut OutcomeWindow, now: Instant, count: EvidenceCount) {
+    window.add_earlier(now, EARLIER_AGE, count.earlier);
+    window.add(now, count.good, count.bad);
+}
+
 /// The instant that lies a span before another.
 pub(super) fn earlier(now: Instant, span: Duration) -> Instant {
     now.checked_sub(span).unwrap_or(now)
--- a/crates/policy/src/detection/evidence.rs
+++ b/crates/policy/src/detection/evidence.rs
@@ -7,12 +7,14 @@
 use tokio::time::Instant;
 
 /// How long counts without a failure may wait for a report.
-const QUIET_REPORT_INTERVAL: Duration = Duration::from_secs(2);
+const QUIET_REPORT_INTERVAL: Duration = Duration::from_millis(300);
 
 model::record! {
     /// Good and bad outcomes of one upstream.
     #[derive(Default, Copy, Eq)]
     pub struct EvidenceCount {
+        /// Outcomes that speak for the upstream and are older than the others.
+        pub earlier: u32,
         /// Outcomes that speak for the upstream.
         pub good: u32,
         /// Outcomes that speak against it.
@@ -27,6 +29,32 @@
         pub observer: ids::DataCentreId,
         /// Counts by upstream.
         pub counts: BTreeMap<ids::UpstreamId, EvidenceCount>,
+        /// The latency of one recent good outcome, in microseconds.
+        pub latency_micros: Option<u32>,
+    }
+
+    /// The usual latency of a service, as its collector knows it.
+    #[derive(Eq)]
+    pub struct ServiceTempo {
+        /// The service.
+        pub service: ids::ServiceId,
+        /// The median latency, in microseconds.
+        pub median_micros: u32,
+    }
+}
+
+impl EvidenceCount {
+    /// Adds the counts of another report.
+    pub const fn add(&mut self, other: Self) {
+        self.earlier += other.earlier;
+        self.good += other.good;
+        self.bad += other.bad;
+    }
+
+    /// Counts every good outcome as an earlier one, since time has passed.
+    pub const fn age(&mut self) {
+        self.earlier += self.good;
+        self.good = 0;
     }
 }
 
@@ -52,20 +80,29 @@
 
     /// Adds outcomes of one upstream.
     pub fn add(&mut self, upstream: &ids::UpstreamId, good: u32, bad: u32) {
+        let new = EvidenceCount {
+            earlier: 0,
+            good,
+            bad,
+        };
         if let Some(count) = self.counts.get_mut(upstream) {
-            count.good += good;
-            count.bad += bad;
+            count.add(new);
         } else {
-            self.counts
-                .insert(upstream.clone(), EvidenceCount { good, bad });
+            self.counts.insert(upstream.clone(), new);
         }
         self.urgent |= bad > 0;
     }
 
+    /// Whether nothing waits for a report.
+    pub fn is_empty(&self) -> bool {
+        self.counts.is_empty()
+    }
+
     /// Takes the counts when a report is due.
     pub fn take_due(&mut self, now: Instant) -> Option<BTreeMap<ids::UpstreamId, EvidenceCount>> {
         let waited = now.saturating_duration_since(self.reported) >= QUIET_REPORT_INTERVAL;
         if self.counts.is_empty() || !(self.urgent || waited) {
+            self.counts.values_mut().for_each(EvidenceCount::age);
             return None;
         }
         self.urgent = false;
--- a/crates/policy/src/detection/judge.rs
+++ b/crates/policy/src/detection/judge.rs
@@ -8,14 +8,19 @@
 use tokio::time::Instant;
 
 use super::docket::{Docket, earlier};
-use super::evidence::EvidenceReport;
+use super::evidence::{EvidenceReport, ServiceTempo};
 use super::sequential::TestCosts;
+use super::tempo::LatencyTempo;
 use super::window::OutcomeWindow;
 
 /// Failure share of the other upstreams at which a service fails as a whole.
 const SERVICE_FAILING_SHARE: f64 = 0.3;
-/// The shortest past over which upstreams are compared.
-const COMPARE_SPAN_MIN: Duration = Duration::from_millis(500);
+/// Outcomes of the other upstreams that a comparison wants.
+const COMPARE_OUTCOMES: u32 = 3;
+/// How long a comparison waits for them.
+const COMPARE_PATIENCE: Duration = Duration::from_secs(2);
+/// The part of the median by which it must change to be told again.
+const TEMPO_CHANGE_DIVISOR: u32 = 5;
 /// How long an upstream is avoided at least.
 const AVOID_SPAN_MIN: Duration = Duration::from_secs(2);
 /// The longest time that flapping adds to.
@@ -75,6 +80,9 @@
     costs: TestCosts,
     observers: usize,
     cases: BTreeMap<ids::UpstreamId, Case>,
+    tempo: LatencyTempo,
+    /// The median last told, in microseconds.
+    told_micros: u32,
 }
 
 impl ServiceJudge {
@@ -86,6 +94,8 @@
             costs,
             observers,
             cases: BTreeMap::new(),
+            tempo: LatencyTempo::default(),
+            told_micros: 0,
         };
         judge.sync_cases(now);
         judge
@@ -117,17 +127,16 @@
 
     /// Takes the counts of one data centre.
     pub fn observe(&mut self, now: Instant, report: &EvidenceReport) {
+        if let Some(micros) = report.latency_micros {
+            self.tempo.observe(Duration::from_micros(u64::from(micros)));
+        }
         for (id, count) in &report.counts {
             let base = self.failure_share(now, id, earlier(now, OutcomeWindow::SPAN));
             let Some(case) = self.cases.get_mut(id) else {
                 continue;
             };
-            case.docket.observe(
-                now,
-                &report.observer,
-                (count.good, count.bad),
-                base.unwrap_or(0.0),
-            );
+            case.docket
+                .observe(now, &report.observer, *count, base.unwrap_or(0.0));
         }
     }
 
@@ -152,6 +161,28 @@
         changes
     }
 
+    /// The usual latency, when it differs much from what was told last.
+    pub fn take_tempo(&mut self) -> Option<ServiceTempo> {
+        let median = self.tempo.median()?;
+        let micros = u32::try_from(median.as_micros()).unwrap_or(u32::MAX);
+        let near = micros.abs_diff(self.told_micros) <= self.told_micros / TEMPO_CHANGE_DIVISOR;
+        if near {
+            return None;
+        }
+        self.told_micros = micros;
+        self.tempo()
+    }
+
+    /// The usual latency as told last.
+    pub fn tempo(&self) -> Option<ServiceTempo> {
+        let service = self.service.id.clone();
+        let told = ServiceTempo {
+            service,
+            median_micros: self.told_micros,
+        };
+        (self.told_micros > 0).then_some(told)
+    }
+
     /// Starts the probation of an upstream that was ejected: it must prove itself in trials.
     pub fn reinstate(&mut self, now: Instant, upstream: &ids::UpstreamId) {
         if let Some(case) = self.cases.get_mut(upstream) {
@@ -261,11 +292,25 @@
 
     /// Whether the other upstreams fail as well, since this one began to.
     fn service_failing(&self, now: Instant, id: &ids::UpstreamId, case: &Case) -> bool {
-        let from = case.docket.onset.min(earlier(now, COMPARE_SPAN_MIN));
+        let from = case.docket.onset;
+        let seen = self
+            .others(id)
+            .map(|other| other.docket.window.since(now, from));
+        let outcomes: u32 = seen.map(|(good, bad)| good + bad).sum();
+        let early = now.saturating_duration_since(from) < COMPARE_PATIENCE;
+        if outcomes < COMPARE_OUTCOMES && early && self.others(id).next().is_some() {
+            return true;
+        }
         let recent = self.failure_share(now, id, from);
-        let wide = earlier(now, OutcomeWindow::SPAN);
-        let share = recent.or_else(|| self.failure_share(now, id, wide));
-        share.unwrap_or(0.0) >= SERVICE_FAILING_SHARE
+        recent.unwrap_or(0.0) >= SERVICE_FAILING_SHARE
+    }
+
+    fn others<'a>(&'a self, id: &'a ids::UpstreamId) -> impl Iterator<Item = &'a Case> {
+        let others = self
+            .cases
+            .iter()
+            .filter(move |(other, case)| *other != id && case.in_service());
+        others.map(|(_, case)| case)
     }
 
     /// The median failure share of the other upstreams, weighted by their outcomes.
--- a/crates/policy/src/detection/mod.rs
+++ b/crates/policy/src/detection/mod.rs
@@ -11,8 +11,8 @@
 mod tempo;
 mod window;
 
-pub use evidence::{EvidenceCount, EvidenceLedger, EvidenceReport};
+pub use evidence::{EvidenceCount, EvidenceLedger, EvidenceReport, ServiceTempo};
 pub use judge::{ServiceJudge, Verdict, VerdictChange, VerdictScope};
 pub use sequential::{SequentialTest, TestCosts};
-pub use tempo::LatencyTempo;
+pub use tempo::{LatencyTempo, overdue_bound};
 pub use window::OutcomeWindow;
--- a/crates/policy/src/detection/tempo.rs
+++ b/crates/policy/src/detection/tempo.rs
@@ -59,12 +59,11 @@
         })?;
         Some(upper_edge(index))
     }
+}
 
-    /// The latency beyond which a request is evidence against its upstream.
-    pub fn overdue(&self, fallback: Duration) -> Duration {
-        let bound = self.median().map(|median| median.mul_f64(OVERDUE_FACTOR));
-        bound.map_or(fallback, |bound| bound.min(fallback))
-    }
+/// The latency beyond which a request is evidence, for a service with this median.
+pub fn overdue_bound(median: Duration) -> Duration {
+    median.mul_f64(OVERDUE_FACTOR)
 }
 
 #[expect(
--- a/crates/policy/src/detection/window.rs
+++ b/crates/policy/src/detection/window.rs
@@ -38,6 +38,13 @@
         *bads += bad;
     }
 
+    /// Adds good outcomes that lie a span before an instant.
+    pub fn add_earlier(&mut self, now: Instant, age: Duration, good: u32) {
+        self.advance(now);
+        let at = now.checked_sub(age).unwrap_or(now);
+        self.buckets[slot(self.index(at))].0 += good;
+    }
+
     /// Good and bad outcomes since an instant, to the width of a bucket.
     pub fn since(&self, now: Instant, from: Instant) -> (u32, u32) {
         let last = self.index(now);
--- a/crates/policy/src/service/board.rs
+++ b/crates/policy/src/service/board.rs
@@ -18,12 +18,6 @@
 use crate::limit;
 use crate::retry::{self, AttemptEnd};
 
-/// How long a node avoids an upstream on its own evidence alone.
-const OWN_AVOID_SPAN: Duration = Duration::from_secs(3);
-/// How long a collector's verdict holds when it is not repeated.
-const TOLD_AVOID_SPAN: Duration = Duration::from_secs(10);
-/// How long a drain signal in an answer holds when no configuration confirms it.
-const DRAIN_SPAN: Duration = Duration::from_mins(1);
 /// Trials of one avoided upstream in a second, over the whole fleet.
 const FLEET_TRIALS_PER_SECOND: f64 = 4.0;
 /// The shortest time between two trials by one node.
@@ -114,6 +108,10 @@
     tickets: SlotMap<TicketKey, Ticket>,
     budget: retry::RetryBudget,
     tempo: detection::LatencyTempo,
+    /// The median that the service's collector told.
+    told_median: Option<Duration>,
+    /// A latency for the next report.
+    sample: Option<Duration>,
     ledger: detection::EvidenceLedger,
     gauge: limit::WorkspaceGauge,
     trial_interval: Duration,
@@ -137,6 +135,8 @@
             tickets: SlotMap::with_key(),
             budget: retry::RetryBudget::default(),
             tempo: detection::LatencyTempo::default(),
+            told_median: None,
+            sample: None,
             ledger: detection::EvidenceLedger::new(now),
             gauge: limit::WorkspaceGauge::default(),
             trial_interval: TRIAL_INTERVAL_MIN,
@@ -154,9 +154,7 @@
             self.put_member(now, Arc::new(up.clone()));
         }
         for (id, key) in &self.by_id {
-            if !known.contains(id) {
-                self.members[*key].drain_seen.get_or_insert(now);
-            }
+            self.members[*key].stranger = !known.contains(id);
         }
         self.service = service;
         self.forget_idle_strangers(&known);
@@ -314,6 +312,7 @@
                 member.limit.on_success(ticket.in_flight_before);
                 self.budget.deposit();
                 self.tempo.observe(latency);
+                self.sample = Some(latency);
             }
             AttemptEnd::Shed => member.limit.on_shed(now),
             _ => {}
@@ -342,6 +341,12 @@
         }
     }
 
+    /// Whether anything here changes with time alone; an idle board needs no ticks.
+    pub fn needs_tick(&self) -> bool {
+        let busy = !self.tickets.is_empty() || !self.ledger.is_empty();
+        busy || self.members.values().any(Member::lapses)
+    }
+
     /// Looks at requests in flight and takes a report when one is due.
     pub fn tick(&mut self, now: Instant) -> Option<detection::EvidenceReport> {
         self.blame_overdue(now);
@@ -351,6 +356,10 @@
             service: self.service.id.clone(),
             observer: self.home.clone(),
             counts,
+            latency_micros: self
+                .sample
+                .take()
+                .and_then(|latency| latency.as_micros().try_into().ok()),
         })
     }
 
@@ -373,28 +382,23 @@
     }
 
     fn lapse(&mut self, now: Instant) {
-        let configured: BTreeSet<_> = self.service.upstreams.iter().map(|up| &up.id).collect();
-        for member in self.members.values_mut() {
-            let own_over = |at: Instant| now.duration_since(at) >= OWN_AVOID_SPAN;
-            if member.own_avoid.is_some_and(own_over) {
-                member.own_avoid = None;
-                member.own.set(0.0);
-            }
-            let told_over = |at: Instant| now.duration_since(at) >= TOLD_AVOID_SPAN;
-            if member.told_avoid.is_some_and(told_over) {
-                member.told_avoid = None;
-            }
-            let drain_over = |at: Instant| now.duration_since(at) >= DRAIN_SPAN;
-            let known = configured.contains(&member.upstream.id);
-            if known && member.drain_seen.is_some_and(drain_over) {
-                member.drain_seen = None;
-            }
+        for member in self.members.values_mut().filter(|member| member.lapses()) {
+            member.lapse(now);
         }
     }
 
+    /// The bound from this node's own median, else from the collector's, else from the deadline.
     fn overdue_bound(&self) -> Duration {
         let fallback = self.service.deadline.get().mul_f64(OVERDUE_DEADLINE_SHARE);
-        self.tempo.overdue(fallback)
+        let median = self.tempo.median().or(self.told_median);
+        median.map_or(fallback, |median| {
+            detection::overdue_bound(median).min(fallback)
+        })
+    }
+
+    /// Takes the usual latency from the service's collector.
+    pub fn take_tempo(&mut self, tempo: &detection::ServiceTempo) {
+        self.told_median = Some(Duration::from_micros(u64::from(tempo.median_micros)));
     }
 
     /// How long a repeatable request waits before a hedge, once that is known.
--- a/crates/policy/src/service/member.rs
+++ b/crates/policy/src/service/member.rs
@@ -14,6 +14,13 @@
 /// How long a returning upstream's load takes to grow to its full share.
 const RAMP_SPAN: Duration = Duration::from_secs(30);
 
+/// How long a node avoids an upstream on its own evidence alone.
+const OWN_AVOID_SPAN: Duration = Duration::from_secs(3);
+/// How long a collector's verdict holds when it is not repeated.
+const TOLD_AVOID_SPAN: Duration = Duration::from_secs(10);
+/// How long a drain signal in an answer holds when no configuration confirms it.
+const DRAIN_SPAN: Duration = Duration::from_mins(1);
+
 model::choice! {
     /// How a node treats an upstream.
     pub enum Standing {
@@ -57,6 +64,8 @@
     pub(super) told_avoid: Option<Instant>,
     pub(super) ejected: bool,
     pub(super) drain_seen: Option<Instant>,
+    /// Whether the configuration no longer names it.
+    pub(super) stranger: bool,
     pub(super) next_trial: Instant,
     ramp: Option<Instant>,
 }
@@ -74,6 +83,7 @@
             told_avoid: None,
             ejected: false,
             drain_seen: None,
+            stranger: false,
             next_trial: now,
             ramp: None,
         }
@@ -81,7 +91,7 @@
 
     pub(super) fn standing(&self) -> Standing {
         let drains = self.upstream.state == config::UpstreamState::Draining;
-        if drains || self.drain_seen.is_some() {
+        if drains || self.stranger || self.drain_seen.is_some() {
             Standing::Draining
         } else if self.ejected {
             Standing::Ejected
@@ -92,6 +102,28 @@
         }
     }
 
+    /// Whether some of its state ends with time.
+    pub(super) const fn lapses(&self) -> bool {
+        self.own_avoid.is_some() || self.told_avoid.is_some() || self.drain_seen.is_some()
+    }
+
+    /// Ends what has lasted long enough.
+    pub(super) fn lapse(&mut self, now: Instant) {
+        let over = |since: Option<Instant>, span| {
+            since.is_some_and(|at| now.saturating_duration_since(at) >= span)
+        };
+        if over(self.own_avoid, OWN_AVOID_SPAN) {
+            self.own_avoid = None;
+            self.own.set(0.0);
+        }
+        if over(self.told_avoid, TOLD_AVOID_SPAN) {
+            self.told_avoid = None;
+        }
+        if over(self.drain_seen, DRAIN_SPAN) {
+            self.drain_seen = None;
+        }
+    }
+
     pub(super) fn has_room(&self) -> bool {
         self.limit.has_room(self.in_flight)
     }
--- a/crates/upstream/src/service/handle.rs
+++ b/crates/upstream/src/service/handle.rs
@@ -6,7 +6,7 @@
 
 use model::error::{ErrorKind, FleetError};
 use model::{config, ids, sizes};
-use policy::detection::Verdict;
+use policy::detection::{ServiceTempo, Verdict};
 use policy::ejection::EjectionRecord;
 use policy::retry::{AttemptEnd, RetryCase, RetryRefusal};
 use policy::service::{Ask, Grant, MemberView};
@@ -35,6 +35,7 @@
         upstream: ids::UpstreamId,
         verdict: Verdict,
     },
+    Tempo(ServiceTempo),
     Record(Arc<EjectionRecord>),
     Drain(ids::UpstreamId),
     Load {
@@ -129,6 +130,11 @@
         self.tell(ServiceOrder::Verdict { upstream, verdict }).await;
     }
 
+    /// Passes the service's usual latency on.
+    pub async fn tempo(&self, tempo: ServiceTempo) {
+        self.tell(ServiceOrder::Tempo(tempo)).await;
+    }
+
     /// Passes the record of what is ejected on.
     pub async fn record(&self, record: Arc<EjectionRecord>) {
         self.tell(ServiceOrder::Record(record)).await;
--- a/crates/upstream/src/service/task.rs
+++ b/crates/upstream/src/service/task.rs
@@ -85,8 +85,7 @@
         mut inbox: mpsc::Receiver<ServiceOrder>,
         mut note_inbox: mpsc::UnboundedReceiver<FlightNote>,
     ) {
-        let mut ticks = time::interval(TICK_INTERVAL);
-        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Skip);
+        let mut next_tick = Instant::now();
         let mut notes = Vec::with_capacity(NOTES_BATCH);
         loop {
             tokio::select! {
@@ -98,11 +97,19 @@
                     let Some(order) = order else { return };
                     self.take_order(order);
                 }
-                _ = ticks.tick() => self.tick(),
+                () = time::sleep_until(next_tick), if self.needs_tick() => {
+                    self.tick();
+                    next_tick = Instant::now() + TICK_INTERVAL;
+                }
             }
         }
     }
 
+    /// An idle service costs no wake-ups.
+    fn needs_tick(&self) -> bool {
+        !self.line.is_empty() || self.board.needs_tick()
+    }
+
     fn tick(&mut self) {
         let now = Instant::now();
         for waiter in self.line.expire(now) {
@@ -154,6 +161,7 @@
             ServiceOrder::Verdict { upstream, verdict } => {
                 self.board.take_verdict(now, &upstream, &verdict);
             }
+            ServiceOrder::Tempo(tempo) => self.board.take_tempo(&tempo),
             ServiceOrder::Record(record) => self.board.take_record(now, &record),
             ServiceOrder::Drain(upstream) => self.take_drain(now, &upstream),
             ServiceOrder::Load { upstream, load } => self.board.take_load(&upstream, load),
--- /dev/null
+++ b/testing/lab/src/report.rs
@@ -0,0 +1,150 @@
+//! Rows of figures: a table for people, one JSON object a line for machines.
+
+use std::io::{IsTerminal as _, Write as _};
+
+use serde_json::json;
+
+/// Which side of a bound is good.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Bound {
+    /// The value must not be above.
+    AtMost(f64),
+    /// The value must not be below.
+    AtLeast(f64),
+    /// The value is shown without a bound.
+    Free,
+}
+
+impl Bound {
+    fn value(self) -> Option<f64> {
+        match self {
+            Self::AtMost(bound) | Self::AtLeast(bound) => Some(bound),
+            Self::Free => None,
+        }
+    }
+
+    fn holds(self, value: f64) -> Option<bool> {
+        match self {
+            Self::AtMost(bound) => Some(value <= bound),
+            Self::AtLeast(bound) => Some(value >= bound),
+            Self::Free => None,
+        }
+    }
+}
+
+/// One figure.
+#[derive(Debug, Clone)]
+pub(crate) struct Row {
+    pub(crate) case: String,
+    pub(crate) subject: &'static str,
+    pub(crate) metric: &'static str,
+    pub(crate) unit: &'static str,
+    pub(crate) value: f64,
+    pub(crate) bound: Bound,
+}
+
+/// The figures of one experiment.
+#[derive(Debug)]
+pub(crate) struct Report {
+    experiment: &'static str,
+    json: bool,
+    rows: Vec<Row>,
+}
+
+impl Report {
+    pub(crate) const fn new(experiment: &'static str, json: bool) -> Self {
+        Self {
+            experiment,
+            json,
+            rows: Vec::new(),
+        }
+    }
+
+    /// Adds a figure; with JSON it is printed at once.
+    pub(crate) fn add(&mut self, row: Row) {
+        if self.json {
+            println!("{}", self.line(&row));
+        }
+        self.rows.push(row);
+    }
+
+    fn line(&self, row: &Row) -> serde_json::Value {
+        json!({
+            "experiment": self.experiment,
+            "case": row.case,
+            "subject": row.subject,
+            "metric": row.metric,
+            "unit": row.unit,
+            "value": row.value,
+            "bound": row.bound.value(),
+            "holds": row.bound.holds(row.value),
+        })
+    }
+
+    /// Shows what is under way, on a terminal only.
+    pub(crate) fn progress(&self, text: &str) {
+        let mut out = std::io::stderr();
+        if out.is_terminal() && !self.json {
+            let _ = write!(out, "\r\x1b[K{}: {text}", self.experiment);
+            let _ = out.flush();
+        }
+    }
+
+    /// Prints the table and tells whether every bound holds.
+    pub(crate) fn finish(&self) -> bool {
+        self.progress("");
+        if !self.json {
+            self.print_table();
+        }
+        self.rows
+            .iter()
+            .all(|row| row.bound.holds(row.value) != Some(false))
+    }
+
+    fn print_table(&self) {
+        println!();
+        let width = self
+            .rows
+            .iter()
+            .map(|row| row.case.len())
+            .max()
+            .unwrap_or(0);
+        for row in &self.rows {
+            let bound = match row.bound {
+                Bound::Free => String::new(),
+                Bound::AtMost(bound) => format!("at most {bound}"),
+                Bound::AtLeast(bound) => format!("at least {bound}"),
+            };
+            let mark = match row.bound.holds(row.value) {
+                Some(true) => "holds",
+                Some(false) => "MISSED",
+                None => "",
+            };
+            println!(
+                "{:width$}  {:22} {:34} {:>14.3} {:10} {:18} {mark}",
+                row.case, row.subject, row.metric, row.value, row.unit, bound
+            );
+        }
+    }
+}
+
+/// The value at a share of sorted samples; zero when there are none.
+pub(crate) fn quantile(sorted: &[f64], share: f64) -> f64 {
+    if sorted.is_empty() {
+        return 0.0;
+    }
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "the index lies within the slice"
+    )]
+    let index = ((sorted.len() as f64 * share).ceil() as usize).clamp(1, sorted.len()) - 1;
+    sorted[index]
+}
+
+/// A count as a figure.
+#[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
+pub(crate) const fn figure(count: u64) -> f64 {
+    count as f64
+}
