feat(limit): hold goodput under overload and after mass loss, measured by lab storm

Cause: requests that waited in line were sent with half of the little time left and timed out; upstreams that refuse at once drew the most outcomes, so their weight made the service look as if all of it failed; overflow went to them. Change: the line lets a request go only while its usual latency fits, an attempt is cut short only when half the time is more than usual, comparisons cap the weight of one upstream, avoided upstreams take one request at a time.

--- a/crates/policy/src/detection/judge.rs
+++ b/crates/policy/src/detection/judge.rs
@@ -17,6 +17,9 @@
 const SERVICE_FAILING_SHARE: f64 = 0.3;
 /// Outcomes of the other upstreams that a comparison wants.
 const COMPARE_OUTCOMES: u32 = 3;
+/// The most outcomes of one upstream that a comparison counts, since an upstream
+/// that fails at once gets more requests than the others.
+const COMPARE_WEIGHT_MAX: u32 = 4;
 /// How long a comparison waits for them.
 const COMPARE_PATIENCE: Duration = Duration::from_secs(2);
 /// The part of the median by which it must change to be told again.
@@ -315,14 +318,14 @@
 
     /// The median failure share of the other upstreams, weighted by their outcomes.
     fn failure_share(&self, now: Instant, id: &ids::UpstreamId, from: Instant) -> Option<f64> {
-        let others = self
-            .cases
-            .iter()
-            .filter(|(other, case)| *other != id && case.in_service());
-        let mut shares: Vec<(f64, u32)> = others
-            .map(|(_, case)| case.docket.window.since(now, from))
+        let mut shares: Vec<(f64, u32)> = self
+            .others(id)
+            .map(|case| case.docket.window.since(now, from))
             .filter(|(good, bad)| good + bad > 0)
-            .map(|(good, bad)| (f64::from(bad) / f64::from(good + bad), good + bad))
+            .map(|(good, bad)| {
+                let share = f64::from(bad) / f64::from(good + bad);
+                (share, (good + bad).min(COMPARE_WEIGHT_MAX))
+            })
             .collect();
         shares.sort_by(|a, b| a.0.total_cmp(&b.0));
         let total: u32 = shares.iter().map(|(_, weight)| weight).sum();
--- a/crates/policy/src/limit/adaptive.rs
+++ b/crates/policy/src/limit/adaptive.rs
@@ -9,7 +9,7 @@
 const LIMIT_MIN: f64 = 1.0;
 /// How far the limit may rise above the upstream's slots.
 const SLOTS_FACTOR_MAX: f64 = 4.0;
-/// What remains of the limit after a shed answer.
+/// What remains of the limit after a sign of overload.
 const BACKOFF: f64 = 0.8;
 /// The shortest time between two reductions.
 const BACKOFF_INTERVAL: Duration = Duration::from_millis(100);
@@ -46,8 +46,8 @@
         }
     }
 
-    /// Takes an answer that shed the request.
-    pub fn on_shed(&mut self, now: Instant) {
+    /// Takes a shed answer, a refused connection or a time-out.
+    pub fn on_overload(&mut self, now: Instant) {
         let recent = self
             .reduced
             .is_some_and(|at| now.duration_since(at) < BACKOFF_INTERVAL);
--- a/crates/policy/src/service/board.rs
+++ b/crates/policy/src/service/board.rs
@@ -314,7 +314,9 @@
                 self.tempo.observe(latency);
                 self.sample = Some(latency);
             }
-            AttemptEnd::Shed => member.limit.on_shed(now),
+            AttemptEnd::Shed | AttemptEnd::ConnectFailed | AttemptEnd::TimedOut => {
+                member.limit.on_overload(now);
+            }
             _ => {}
         }
         let good = end
@@ -388,7 +390,7 @@
     }
 
     /// The bound from this node's own median, else from the collector's, else from the deadline.
-    fn overdue_bound(&self) -> Duration {
+    pub fn overdue_bound(&self) -> Duration {
         let fallback = self.service.deadline.get().mul_f64(OVERDUE_DEADLINE_SHARE);
         let median = self.tempo.median().or(self.told_median);
         median.map_or(fallback, |median| {
@@ -401,6 +403,12 @@
         self.told_median = Some(Duration::from_micros(u64::from(tempo.median_micros)));
     }
 
+    /// When a request must leave the line to be answered by its deadline.
+    pub fn latest_start(&self, deadline: Instant) -> Instant {
+        let needed = self.tempo.quantile(HEDGE_QUANTILE).unwrap_or_default();
+        deadline.checked_sub(needed).unwrap_or(deadline)
+    }
+
     /// How long a repeatable request waits before a hedge, once that is known.
     pub fn hedge_delay(&self) -> Option<Duration> {
         self.tempo
--- a/crates/policy/src/service/member.rs
+++ b/crates/policy/src/service/member.rs
@@ -125,7 +125,8 @@
     }
 
     pub(super) fn has_room(&self) -> bool {
-        self.limit.has_room(self.in_flight)
+        let trial_only = self.standing() == Standing::Avoided;
+        self.limit.has_room(self.in_flight) && !(trial_only && self.in_flight > 0)
     }
 
     /// Starts the ramp of an upstream that comes back.
--- a/crates/upstream/src/dispatch/race.rs
+++ b/crates/upstream/src/dispatch/race.rs
@@ -11,7 +11,8 @@
 use crate::attempt::AttemptFailure;
 use crate::service::AttemptLease;
 
-/// Share of the time left that one attempt may take when another could follow.
+/// Part of the time left that one attempt may take when another could follow,
+/// unless that is less than attempts usually take.
 const ATTEMPT_DIVISOR: u32 = 2;
 
 /// Makes an attempt; races it against a hedge when it is slow.
@@ -24,8 +25,11 @@
     let hedgeable = plan.case.repeatable && body.is_kept();
     let mut case = plan.case.clone();
     if hedgeable {
-        let left = case.deadline.saturating_duration_since(Instant::now());
-        case.head_deadline = Instant::now() + left / ATTEMPT_DIVISOR;
+        let now = Instant::now();
+        let half = case.deadline.saturating_duration_since(now) / ATTEMPT_DIVISOR;
+        if half >= lease.overdue() {
+            case.head_deadline = now + half;
+        }
     }
     let delay = lease.hedge_delay().filter(|_| hedgeable);
     let handle = plan.handle.clone();
--- a/crates/upstream/src/service/handle.rs
+++ b/crates/upstream/src/service/handle.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use model::error::{ErrorKind, FleetError};
-use model::{config, ids, sizes};
+use model::{config, ids};
 use policy::detection::{ServiceTempo, Verdict};
 use policy::ejection::EjectionRecord;
 use policy::retry::{AttemptEnd, RetryCase, RetryRefusal};
@@ -199,6 +199,7 @@
     pub(super) service: Arc<config::Service>,
     pub(super) pool: ConnectionPool,
     pub(super) hedge_delay: Option<Duration>,
+    pub(super) overdue: Duration,
     pub(super) notes: mpsc::UnboundedSender<FlightNote>,
     pub(super) ended: bool,
 }
@@ -214,11 +215,6 @@
         &self.service
     }
 
-    /// Healthy slots that must remain, for the status page.
-    pub fn floor(&self) -> sizes::SlotCount {
-        self.service.floor
-    }
-
     /// The upstream's connections.
     pub const fn pool(&self) -> &ConnectionPool {
         &self.pool
@@ -229,6 +225,11 @@
         self.hedge_delay
     }
 
+    /// The latency beyond which an attempt counts as overdue.
+    pub const fn overdue(&self) -> Duration {
+        self.overdue
+    }
+
     /// Notes that the connection may have fallen silent.
     pub fn suspect(&self) {
         let _ = self.notes.send(FlightNote::Suspect(self.grant.ticket));
--- a/crates/upstream/src/service/task.rs
+++ b/crates/upstream/src/service/task.rs
@@ -222,7 +222,8 @@
                 let _ = waiter.reply.send(Err(kind));
             }
             Admission::Wait => {
-                if let Some(dropped) = self.line.push(waiter.deadline, waiter) {
+                let latest = self.board.latest_start(waiter.deadline);
+                if let Some(dropped) = self.line.push(latest, waiter) {
                     let _ = dropped.reply.send(Err(ErrorKind::Overload));
                 }
             }
@@ -241,6 +242,7 @@
             service: Arc::clone(self.board.service()),
             pool: pool.clone(),
             hedge_delay: self.board.hedge_delay(),
+            overdue: self.board.overdue_bound(),
             notes: self.notes.clone(),
             ended: false,
         };
@@ -268,7 +270,10 @@
                 Admission::Refuse(kind) => {
                     let _ = waiter.reply.send(Err(kind));
                 }
-                Admission::Wait => return self.line.push_front(waiter.deadline, waiter),
+                Admission::Wait => {
+                    let latest = self.board.latest_start(waiter.deadline);
+                    return self.line.push_front(latest, waiter);
+                }
             }
         }
     }
--- a/testing/lab/src/main.rs
+++ b/testing/lab/src/main.rs
@@ -1,8 +1,11 @@
 //! Experiments: each prints its figures and ends with 1 when a bound was missed.
 
 mod detect;
+mod load;
+mod overhead;
 mod report;
 mod settings;
+mod storm;
 
 use std::process::ExitCode;
 
@@ -21,7 +24,8 @@
     };
     let holds = match flags.subcommand {
         GooseberrydykeLabCmd::Detect(_) => detect::run(&settings(40)),
-        GooseberrydykeLabCmd::Overhead(_) => true,
+        GooseberrydykeLabCmd::Overhead(_) => block_on(overhead::run(&settings(60))),
+        GooseberrydykeLabCmd::Storm(_) => block_on(storm::run(&settings(5))),
     };
     if holds {
         ExitCode::SUCCESS
@@ -29,3 +33,15 @@
         ExitCode::FAILURE
     }
 }
+
+/// Runs an experiment that uses sockets.
+fn block_on(experiment: impl Future<Output = std::io::Result<bool>>) -> bool {
+    let result = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .and_then(|runtime| runtime.block_on(experiment));
+    result.unwrap_or_else(|error| {
+        eprintln!("gooseberrydyke-lab: {error}");
+        false
+    })
+}
--- a/testing/standin/src/upstream/ledger.rs
+++ b/testing/standin/src/upstream/ledger.rs
@@ -1,11 +1,13 @@
 //! A ledger of the actions that ran, shared by every upstream of a test.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use tokio::sync::{mpsc, oneshot};
 
 enum LedgerOrder {
     Ran(String),
+    Reached(String),
+    CountReached(oneshot::Sender<u64>),
     Counts(oneshot::Sender<HashMap<String, u32>>),
 }
 
@@ -34,6 +36,18 @@
         let _ = self.orders.send(LedgerOrder::Ran(action.to_owned()));
     }
 
+    /// Notes that a request for a target arrived somewhere.
+    pub fn arrived(&self, target: &str) {
+        let _ = self.orders.send(LedgerOrder::Reached(target.to_owned()));
+    }
+
+    /// Distinct targets that arrived somewhere.
+    pub async fn reached(&self) -> u64 {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.orders.send(LedgerOrder::CountReached(reply));
+        answer.await.unwrap_or(0)
+    }
+
     /// Runs of each action so far.
     pub async fn counts(&self) -> HashMap<String, u32> {
         let (reply, answer) = oneshot::channel();
@@ -44,9 +58,16 @@
 
 async fn run(mut inbox: mpsc::UnboundedReceiver<LedgerOrder>) {
     let mut counts: HashMap<String, u32> = HashMap::new();
+    let mut reached: HashSet<String> = HashSet::new();
     while let Some(order) = inbox.recv().await {
         match order {
             LedgerOrder::Ran(action) => *counts.entry(action).or_default() += 1,
+            LedgerOrder::Reached(target) => {
+                reached.insert(target);
+            }
+            LedgerOrder::CountReached(reply) => {
+                let _ = reply.send(reached.len() as u64);
+            }
             LedgerOrder::Counts(reply) => {
                 let _ = reply.send(counts.clone());
             }
--- a/testing/standin/src/upstream/server.rs
+++ b/testing/standin/src/upstream/server.rs
@@ -220,6 +220,7 @@
         request: http::Request<Incoming>,
     ) -> Response<BodyStream> {
         let number = self.served.fetch_add(1, Ordering::Relaxed);
+        self.ledger.arrived(request.uri().path());
         let mut rng = SmallRng::seed_from_u64(self.seed ^ number);
         let (reply, entered) = oneshot::channel();
         let room = (behaviour.slots, behaviour.queue);
@@ -234,7 +235,10 @@
         if behaviour.gray == GrayMode::Hang && rng.random_bool(HANG_SHARE) {
             time::sleep(HANG_SPAN).await;
         }
-        time::sleep(self.service_time(behaviour, &mut rng)).await;
+        let service_time = self.service_time(behaviour, &mut rng);
+        if !service_time.is_zero() {
+            time::sleep(service_time).await;
+        }
         if behaviour.gray == GrayMode::Errors {
             return answer::plain(StatusCode::INTERNAL_SERVER_ERROR);
         }
