--- a/crates/operator/src/change/step.rs
+++ b/crates/operator/src/change/step.rs
@@ -4,7 +4,7 @@
 
 use model::config::{FleetConfig, Route, Service, Upstream, UpstreamState, Workspace};
 use model::error::{ErrorKind, FleetError};
-use model::ids;
+use model::{ids, sizes};
 
 model::record! {
     /// What an operator asks for.
@@ -157,33 +157,49 @@
     next.services.insert(service.id.clone(), Arc::new(service));
 }
 
-/// States the sheet's services and routes. An upstream that the sheet leaves out
-/// drains first and is removed by a later sheet that leaves it out again.
+/// States the sheet's services and routes. What the sheet leaves out drains
+/// first, and is removed by a later sheet that leaves it out again.
 fn apply_sheet(next: &mut FleetConfig, services: &[Service], routes: &[Route]) {
     let before = std::mem::take(&mut next.services);
     for service in services {
         let mut stated = service.clone();
-        let leaving = before
+        let known = before
             .get(&service.id)
             .into_iter()
             .flat_map(|known| &known.upstreams);
-        let leaving = leaving
-            .filter(|up| up.state == UpstreamState::Active)
-            .filter(|up| !service.upstreams.iter().any(|kept| kept.id == up.id))
-            .map(|up| Upstream {
-                state: UpstreamState::Draining,
-                ..up.clone()
-            });
-        stated.upstreams.extend(leaving);
+        let left_out = known.filter(|up| !service.upstreams.iter().any(|kept| kept.id == up.id));
+        stated.upstreams.extend(draining(left_out));
         stated.upstreams.sort_by(|a, b| a.id.cmp(&b.id));
         next.services.insert(stated.id.clone(), Arc::new(stated));
     }
+    for (id, service) in before {
+        let upstreams: Vec<_> = draining(service.upstreams.iter()).collect();
+        if next.services.contains_key(&id) || upstreams.is_empty() {
+            continue;
+        }
+        let floor = sizes::SlotCount::new(0);
+        let leaving = Service {
+            upstreams,
+            floor,
+            ..service.as_ref().clone()
+        };
+        next.services.insert(id, Arc::new(leaving));
+    }
     next.routes = routes
         .iter()
         .map(|route| (route.id.clone(), Arc::new(route.clone())))
         .collect();
 }
 
+/// Upstreams that take work, told to drain; those that drain already are gone.
+fn draining<'a>(upstreams: impl Iterator<Item = &'a Upstream>) -> impl Iterator<Item = Upstream> {
+    let active = upstreams.filter(|up| up.state == UpstreamState::Active);
+    active.map(|up| Upstream {
+        state: UpstreamState::Draining,
+        ..up.clone()
+    })
+}
+
 fn service_mut<'a>(
     config: &'a mut FleetConfig,
     id: &ids::ServiceId,
--- a/crates/operator/src/sheet/mod.rs
+++ b/crates/operator/src/sheet/mod.rs
@@ -1,1 +1,18 @@
-//! The sheet.
+//! The planners' sheet: comma- or semicolon-separated rows as a spreadsheet exports them.
+//!
+//! Each row states one thing, named by the column `kind`: a `service`, an
+//! `upstream`, a `route`, a `rule` or a `floor`. Columns may stand in any order.
+//!
+//! | kind | name | service | other columns |
+//! | --- | --- | --- | --- |
+//! | `service` | the service | | `profile`, `floor`, `deadline`, `queue`, `workspace-limit`, `shed-is-not-run`, `key-retention`, `probe-path` |
+//! | `upstream` | the upstream | its service | `address`, `data-centre`, `slots`, `state` |
+//! | `route` | the route | its service | `host`, `prefix`, `methods` |
+//! | `rule` | the route | | `repeat` |
+//! | `floor` | the service | | `floor` |
+
+mod parse;
+mod row;
+
+pub use parse::{Sheet, parse};
+pub use row::SheetFault;
--- a/testing/lab/src/detect/mod.rs
+++ b/testing/lab/src/detect/mod.rs
@@ -9,3 +9,4 @@
 mod world;
 
 pub(crate) use cases::run;
+pub(crate) use world::parse as name;
--- a/testing/lab/src/detect/world.rs
+++ b/testing/lab/src/detect/world.rs
@@ -103,7 +103,8 @@
     }
 }
 
-pub(super) fn parse<T: std::str::FromStr>(text: &str) -> T {
+/// Parses a name of the lab.
+pub(crate) fn parse<T: std::str::FromStr>(text: &str) -> T {
     text.parse()
         .unwrap_or_else(|_| unreachable!("names of the lab are names"))
 }
--- a/testing/lab/src/main.rs
+++ b/testing/lab/src/main.rs
@@ -2,6 +2,7 @@
 
 mod detect;
 mod load;
+mod once_only;
 mod overhead;
 mod report;
 mod settings;
@@ -24,6 +25,7 @@
     };
     let holds = match flags.subcommand {
         GooseberrydykeLabCmd::Detect(_) => detect::run(&settings(40)),
+        GooseberrydykeLabCmd::OnceOnly(_) => once_only::run(&settings(40)),
         GooseberrydykeLabCmd::Overhead(_) => block_on(overhead::run(&settings(60))),
         GooseberrydykeLabCmd::Storm(_) => block_on(storm::run(&settings(5))),
     };
--- a/testing/lab/src/settings.rs
+++ b/testing/lab/src/settings.rs
@@ -25,6 +25,8 @@
             cmd detect {}
             /// Latency that an entry node adds, and its throughput
             cmd overhead {}
+            /// Keyed requests while everything fails; 25000 requests for each second
+            cmd once-only {}
             /// Load far above the capacity, and half of the upstreams lost
             cmd storm {}
         }
