--- a/crates/caller/src/wire.rs
+++ b/crates/caller/src/wire.rs
@@ -30,7 +30,7 @@
 /// `BadRequest` when the request breaks the standard or a header of the fleet is faulty.
 pub fn read_call(request: Request<Incoming>) -> Result<Call, FleetError> {
     let (parts, incoming) = request.into_parts();
-    check_framing(&parts)?;
+    check_method(&parts.method)?;
     let host = read_host(&parts)?;
     let target = read_target(&parts)?;
     let mut headers = parts.headers;
@@ -61,14 +61,11 @@
     Ok(Call { head, body })
 }
 
-/// Refuses framing that two readers may understand differently.
-fn check_framing(parts: &http::request::Parts) -> Result<(), FleetError> {
-    let headers = &parts.headers;
-    let chunked = headers.contains_key(header::TRANSFER_ENCODING);
-    if chunked && headers.contains_key(header::CONTENT_LENGTH) {
-        return Err(bad("both Content-Length and Transfer-Encoding are given"));
-    }
-    if parts.method == Method::CONNECT {
+/// Refuses tunnels. Framing itself is checked by the library: chunks win over a
+/// length beside them and the connection closes after the answer, two lengths
+/// that differ are refused.
+fn check_method(method: &Method) -> Result<(), FleetError> {
+    if *method == Method::CONNECT {
         return Err(bad("CONNECT is not served"));
     }
     Ok(())
--- a/crates/node/src/collector/seats.rs
+++ b/crates/node/src/collector/seats.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 /// How long the seats hold when the members do not change.
-const SEATS_SPAN: Duration = Duration::from_secs(5);
+const SEATS_SPAN: Duration = Duration::from_secs(10);
 
 /// The collectors of every service.
 #[derive(Debug)]
@@ -34,13 +34,16 @@
 
 impl Seats {
     pub(super) fn draw(now: Instant, table: Arc<MemberTable>, fleet: &config::FleetConfig) -> Self {
-        let centres = table.centres();
-        let by_service = fleet.services.keys().map(|service| {
-            (
-                service.clone(),
-                ServiceSeats::draw(now, &table, &centres, service),
-            )
-        });
+        let mut able = AbleByCentre::new();
+        for member in table.able(now) {
+            able.entry(member.data_centre.clone())
+                .or_default()
+                .push(member);
+        }
+        let by_service = fleet
+            .services
+            .keys()
+            .map(|service| (service.clone(), ServiceSeats::draw(&table, &able, service)));
         let by_service = by_service.collect();
         Self {
             table,
@@ -79,27 +82,37 @@
     }
 }
 
+/// Members that can do jobs, by data centre.
+type AbleByCentre = BTreeMap<ids::DataCentreId, Vec<Arc<Member>>>;
+
 impl ServiceSeats {
-    fn draw(
-        now: Instant,
-        table: &MemberTable,
-        centres: &[ids::DataCentreId],
-        service: &ids::ServiceId,
-    ) -> Self {
-        let home = &table.own().data_centre;
-        let ranked = rendezvous::rank(&format!("eject/{service}"), centres, |centre| {
+    /// Draws the seats of one service. Only its own collector needs to know the
+    /// collectors of the other data centres.
+    fn draw(table: &MemberTable, able: &AbleByCentre, service: &ids::ServiceId) -> Self {
+        let own = table.own();
+        let collector = |near: &Vec<Arc<Member>>| MemberTable::collector_among(service, near);
+        let near = able.get(&own.data_centre).and_then(collector);
+        if near.as_ref().is_some_and(|member| member.node != own.node) {
+            return Self {
+                near,
+                ..Self::default()
+            };
+        }
+        let centres: Vec<_> = able.keys().collect();
+        let ranked = rendezvous::rank(&format!("eject/{service}"), &centres, |centre| {
             centre.as_str()
         });
         let rank = ranked
             .iter()
-            .position(|centre| *centre == home)
+            .position(|centre| ***centre == own.data_centre)
             .unwrap_or(0);
-        let far = centres.iter().filter(|centre| *centre != home);
+        let far = able
+            .iter()
+            .filter(|(centre, _)| **centre != own.data_centre);
+        let far = far.filter_map(|(_, members)| collector(members)).collect();
         Self {
-            near: table.collector(now, service, home),
-            far: far
-                .filter_map(|centre| table.collector(now, service, centre))
-                .collect(),
+            near,
+            far,
             rank: u32::try_from(rank).unwrap_or(u32::MAX),
         }
     }
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -169,9 +169,8 @@
             NodeRequest::Drained { service, upstream } => (self.drained)(service, upstream),
             NodeRequest::Compare { from, mark } => {
                 let own = self.follower.mark().await;
-                if let Some(member) = self.members.table().find(&from) {
-                    self.follower.heard(mark, Arc::clone(member)).await;
-                }
+                self.members.introduce(from.clone()).await;
+                self.follower.heard(mark, Arc::new(from)).await;
                 return NodeReply::Mark(own);
             }
             NodeRequest::Root => return NodeReply::Root(self.follower.root().await.to_vec()),
--- a/crates/node/src/follow/task.rs
+++ b/crates/node/src/follow/task.rs
@@ -26,8 +26,8 @@
 const COMPARE_PATIENCE: Duration = Duration::from_secs(2);
 /// Orders that wait for the task; senders wait when it is full.
 const ORDERS_MAX: usize = 256;
-/// Fetches that run at once.
-const FETCHES_MAX: usize = 2;
+/// Fetches from other nodes that run at once; the next comparison starts another.
+const NODE_FETCHES_MAX: usize = 2;
 
 /// What is in force.
 #[derive(Debug, Clone)]
@@ -45,7 +45,9 @@
         from: Arc<Member>,
     },
     Fetched(Box<Fetched>),
-    FetchEnded,
+    FetchEnded {
+        platform: bool,
+    },
     PlatformRoot,
     Records(Vec<VersionedRecord>),
     Mark(oneshot::Sender<StateMark>),
@@ -87,8 +89,9 @@
             cache: ChunkCache::default(),
             bytes: HashMap::new(),
             records: BTreeMap::new(),
-            fetches: 0,
-            postponed: None,
+            platform_fetch: false,
+            platform_again: false,
+            node_fetches: 0,
         };
         tokio::spawn(task.run(inbox));
         tokio::spawn(watcher::run(platform, members.clone(), follower.clone()));
@@ -156,9 +159,11 @@
     cache: ChunkCache,
     bytes: HashMap<digest::ContentHash, Bytes>,
     records: BTreeMap<ids::ServiceId, VersionedRecord>,
-    fetches: usize,
-    /// The newest fetch that found no room.
-    postponed: Option<FetchFrom>,
+    /// Whether a fetch from the platform runs; those from nodes must not wait for it.
+    platform_fetch: bool,
+    /// Whether the platform changed meanwhile.
+    platform_again: bool,
+    node_fetches: usize,
 }
 
 impl FollowTask {
@@ -173,7 +178,7 @@
             FollowOrder::Heard { mark, from } => self.hear(mark, from),
             FollowOrder::PlatformRoot => self.fetch(FetchFrom::Platform),
             FollowOrder::Fetched(fetched) => self.apply(*fetched),
-            FollowOrder::FetchEnded => self.end_fetch(),
+            FollowOrder::FetchEnded { platform } => self.end_fetch(platform),
             FollowOrder::Records(records) => self.take_records(records),
             FollowOrder::Mark(reply) => {
                 let _ = reply.send(self.mark());
@@ -208,11 +213,19 @@
     }
 
     fn fetch(&mut self, from: FetchFrom) {
-        if self.fetches >= FETCHES_MAX {
-            self.postponed = Some(from);
+        let platform = matches!(from, FetchFrom::Platform);
+        if platform && self.platform_fetch {
+            self.platform_again = true;
+            return;
+        }
+        if !platform && self.node_fetches >= NODE_FETCHES_MAX {
             return;
         }
-        self.fetches += 1;
+        if platform {
+            self.platform_fetch = true;
+        } else {
+            self.node_fetches += 1;
+        }
         let job = fetch::FetchJob {
             from,
             platform: self.platform.clone(),
@@ -225,14 +238,18 @@
             if let Some(fetched) = job.run().await {
                 let _ = orders.send(FollowOrder::Fetched(Box::new(fetched))).await;
             }
-            let _ = orders.send(FollowOrder::FetchEnded).await;
+            let _ = orders.send(FollowOrder::FetchEnded { platform }).await;
         });
     }
 
-    fn end_fetch(&mut self) {
-        self.fetches = self.fetches.saturating_sub(1);
-        if let Some(from) = self.postponed.take() {
-            self.fetch(from);
+    fn end_fetch(&mut self, platform: bool) {
+        if !platform {
+            self.node_fetches = self.node_fetches.saturating_sub(1);
+            return;
+        }
+        self.platform_fetch = false;
+        if std::mem::take(&mut self.platform_again) {
+            self.fetch(FetchFrom::Platform);
         }
     }
 
@@ -274,7 +291,7 @@
             return;
         }
         let request = NodeRequest::Compare {
-            from: table.own().node.clone(),
+            from: table.own().clone(),
             mark: self.mark(),
         };
         for member in table.neighbours() {
@@ -335,7 +352,7 @@
         let table = members.table();
         let mark = follower.mark().await;
         let request = NodeRequest::Compare {
-            from: table.own().node.clone(),
+            from: table.own().clone(),
             mark,
         };
         for member in pick_two(&table) {
--- a/crates/node/src/members/task.rs
+++ b/crates/node/src/members/task.rs
@@ -20,6 +20,7 @@
 #[derive(Debug)]
 enum MemberOrder {
     Suspect(ids::NodeId),
+    Introduce(Member),
     Leave,
 }
 
@@ -64,6 +65,13 @@
         let _ = self.orders.send(MemberOrder::Suspect(node.clone())).await;
     }
 
+    /// Takes a node that presented itself.
+    pub async fn introduce(&self, member: Member) {
+        if self.table().find(&member.node).is_none() {
+            let _ = self.orders.send(MemberOrder::Introduce(member)).await;
+        }
+    }
+
     /// Hands this node's jobs on.
     pub async fn leave(&self) {
         let _ = self.orders.send(MemberOrder::Leave).await;
@@ -105,6 +113,10 @@
                 log::info!(target: "members", "Node {node} does not answer.");
                 self.table.suspect(Instant::now(), &node);
             }
+            MemberOrder::Introduce(member) => {
+                log::info!(target: "members", "Node {} presented itself.", member.node);
+                self.table.introduce(member);
+            }
             MemberOrder::Leave => self.table.leave(),
         }
         self.publish();
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -6,6 +6,7 @@
 use policy::claim::{ClaimKey, ClaimOrder, ClaimVerdict, Settlement};
 use policy::detection::{EvidenceReport, ServiceTempo, VerdictChange};
 use policy::ejection::EjectionRecord;
+use policy::membership::Member;
 use quick_error::quick_error;
 
 /// The largest message, in bytes.
@@ -47,8 +48,8 @@
         },
         /// Compare what we know; `from` may be asked for more.
         Compare {
-            /// The asking node.
-            from: ids::NodeId,
+            /// The asking node, which the other may not know yet.
+            from: Member,
             /// What it knows.
             mark: StateMark,
         },
--- a/crates/operator/src/commit.rs
+++ b/crates/operator/src/commit.rs
@@ -9,7 +9,9 @@
 };
 use model::error::{ErrorKind, FleetError};
 use model::{clock, digest, ids, sizes};
-use platform::{PlatformClient, config_store, records};
+use platform::config_store::{self, StoredRoot};
+use platform::{PlatformClient, records};
+use tokio::sync::watch;
 
 use crate::audit;
 use crate::change::{self, ConfigStep, Difference};
@@ -26,6 +28,8 @@
 pub struct Committer {
     platform: PlatformClient,
     clock: clock::WallClock,
+    /// Chunks read before, so that a change reads only what is new.
+    cache: Arc<watch::Sender<ChunkCache>>,
 }
 
 /// A change that an operator asks for.
@@ -54,6 +58,7 @@
         Self {
             platform,
             clock: clock::WallClock::start(),
+            cache: Arc::new(watch::Sender::new(ChunkCache::default())),
         }
     }
 
@@ -67,10 +72,15 @@
     /// # Errors
     /// `PlatformAway` when it cannot be read.
     pub async fn read(&self) -> Result<FleetConfig, FleetError> {
-        let mut cache = ChunkCache::default();
-        Ok(config_store::read_config(&self.platform, &mut cache)
-            .await?
-            .1)
+        Ok(self.read_stored().await?.1)
+    }
+
+    async fn read_stored(&self) -> Result<(StoredRoot, FleetConfig), FleetError> {
+        let mut cache = self.cache.borrow().clone();
+        let read = config_store::read_config(&self.platform, &mut cache).await?;
+        cache.keep_only(&read.0.root);
+        self.cache.send_replace(cache);
+        Ok(read)
     }
 
     /// Works out what a change would do, without making it.
@@ -99,9 +109,8 @@
     /// `Conflict` names the other change, `Invalid` the faults, `UnderFloor` the figures;
     /// `WriteUnknown` when the change may or may not have been accepted.
     pub async fn commit(&self, order: &ChangeOrder) -> Result<Accepted, FleetError> {
-        let mut cache = ChunkCache::default();
         for _ in 0..TRIES_MAX {
-            match self.try_commit(order, &mut cache).await {
+            match self.try_commit(order).await {
                 Err(error) if error.kind() == ErrorKind::Conflict && order.expected.is_none() => {}
                 result => return result,
             }
@@ -112,12 +121,8 @@
         ))
     }
 
-    async fn try_commit(
-        &self,
-        order: &ChangeOrder,
-        cache: &mut ChunkCache,
-    ) -> Result<Accepted, FleetError> {
-        let (stored, before) = config_store::read_config(&self.platform, cache).await?;
+    async fn try_commit(&self, order: &ChangeOrder) -> Result<Accepted, FleetError> {
+        let (stored, before) = self.read_stored().await?;
         if order
             .expected
             .is_some_and(|expected| expected != before.generation)
--- a/crates/platform/src/config_store.rs
+++ b/crates/platform/src/config_store.rs
@@ -3,11 +3,15 @@
 use bytes::Bytes;
 use model::config::{Chunk, ChunkBytes, ChunkCache, ConfigRoot, FleetConfig};
 use model::{digest, error, sizes};
+use tokio::task::JoinSet;
 
 use crate::client::PlatformClient;
 use crate::names;
 use crate::object::Condition;
 
+/// Chunks that are read at once.
+const READS_AT_ONCE: usize = 16;
+
 /// The root with the version of its object.
 #[derive(Debug, Clone, PartialEq)]
 pub struct StoredRoot {
@@ -109,9 +113,19 @@
     root: &ConfigRoot,
     cache: &mut ChunkCache,
 ) -> Result<(), error::FleetError> {
-    for hash in cache.missing(root) {
-        let (_, chunk) = read_chunk(platform, &hash).await?;
-        cache.insert(hash, chunk);
+    let missing = cache.missing(root);
+    for hashes in missing.chunks(READS_AT_ONCE) {
+        let mut reads = JoinSet::new();
+        for hash in hashes.iter().cloned() {
+            let platform = platform.clone();
+            reads.spawn(async move { (read_chunk(&platform, &hash).await, hash) });
+        }
+        while let Some(read) = reads.join_next().await {
+            let (chunk, hash) = read.map_err(|why| {
+                error::FleetError::new(error::ErrorKind::PlatformAway, why.to_string())
+            })?;
+            cache.insert(hash, chunk?.1);
+        }
     }
     Ok(())
 }
--- a/crates/policy/src/claim/batch.rs
+++ b/crates/policy/src/claim/batch.rs
@@ -219,6 +219,7 @@
 
     /// The next update, unless one is under way or nothing waits.
     pub fn next_write(&mut self, now: clock::UnixMillis) -> Option<BatchWrite> {
+        self.drop_late(now);
         let waits = !self.orders.is_empty() || !self.settlements.is_empty();
         if self.writing.is_some() || !waits {
             return None;
@@ -228,7 +229,7 @@
         if segment.is_full() {
             segment.sealed = true;
         } else {
-            self.fill(now, &mut segment);
+            self.fill(&mut segment);
         }
         let (number, condition) = (open.number, open.condition);
         let write = BatchWrite {
@@ -241,13 +242,20 @@
         Some(write)
     }
 
-    fn fill(&self, now: clock::UnixMillis, segment: &mut Segment) {
+    /// Drops claims whose requests can no longer be sent.
+    fn drop_late(&mut self, now: clock::UnixMillis) {
+        self.orders.retain(|_, orders| {
+            orders.retain(|order| order.settled_by > now);
+            !orders.is_empty()
+        });
+    }
+
+    fn fill(&self, segment: &mut Segment) {
         for (key, settlement) in &self.settlements {
             segment.settled.insert(key.clone(), settlement.clone());
         }
         for (key, orders) in &self.orders {
-            let first = orders.iter().find(|order| order.settled_by > now);
-            let Some(order) = first else {
+            let Some(order) = orders.first() else {
                 continue;
             };
             segment.claims.insert(key.clone(), record_of(order));
--- a/crates/policy/src/detection/docket.rs
+++ b/crates/policy/src/detection/docket.rs
@@ -45,8 +45,8 @@
         total >= DEFENCE_OUTCOMES && f64::from(bad) <= f64::from(total) * DEFENCE_SHARE
     }
 
-    fn supports(&self, now: Instant) -> bool {
-        let (good, bad) = self.window.since(now, earlier(now, OutcomeWindow::SPAN));
+    fn supports(&self, now: Instant, from: Instant) -> bool {
+        let (good, bad) = self.window.since(now, from);
         bad >= SUPPORT_FAILURES && bad >= good
     }
 }
@@ -121,7 +121,7 @@
     pub(super) fn supporters(&self, now: Instant) -> usize {
         self.views
             .values()
-            .filter(|view| view.supports(now))
+            .filter(|view| view.supports(now, self.onset))
             .count()
     }
 
--- a/crates/policy/src/detection/evidence.rs
+++ b/crates/policy/src/detection/evidence.rs
@@ -6,8 +6,12 @@
 use model::ids;
 use tokio::time::Instant;
 
-/// How long counts without a failure may wait for a report.
+/// How long counts without a failure may wait for a report in a fleet of up to
+/// [`SMALL_FLEET`] nodes; in a larger one they wait longer in proportion, so that
+/// more of them travel together.
 const QUIET_REPORT_INTERVAL: Duration = Duration::from_millis(300);
+/// Nodes of a small fleet.
+const SMALL_FLEET: u32 = 48;
 
 model::record! {
     /// Good and bad outcomes of one upstream.
@@ -66,6 +70,7 @@
     counts: BTreeMap<ids::UpstreamId, EvidenceCount>,
     urgent: bool,
     reported: Instant,
+    quiet_interval: Duration,
 }
 
 impl EvidenceLedger {
@@ -75,9 +80,16 @@
             counts: BTreeMap::new(),
             urgent: false,
             reported: now,
+            quiet_interval: QUIET_REPORT_INTERVAL,
         }
     }
 
+    /// Sets how long good counts wait, by the number of nodes.
+    pub fn set_fleet_size(&mut self, nodes: u32) {
+        let share = f64::from(nodes) / f64::from(SMALL_FLEET);
+        self.quiet_interval = QUIET_REPORT_INTERVAL.mul_f64(share.max(1.0));
+    }
+
     /// Adds outcomes of one upstream.
     pub fn add(&mut self, upstream: &ids::UpstreamId, good: u32, bad: u32) {
         let new = EvidenceCount {
@@ -100,7 +112,7 @@
 
     /// Takes the counts when a report is due.
     pub fn take_due(&mut self, now: Instant) -> Option<BTreeMap<ids::UpstreamId, EvidenceCount>> {
-        let waited = now.saturating_duration_since(self.reported) >= QUIET_REPORT_INTERVAL;
+        let waited = now.saturating_duration_since(self.reported) >= self.quiet_interval;
         if self.counts.is_empty() || !(self.urgent || waited) {
             self.counts.values_mut().for_each(EvidenceCount::age);
             return None;
--- a/crates/policy/src/detection/tempo.rs
+++ b/crates/policy/src/detection/tempo.rs
@@ -52,6 +52,14 @@
         if self.total < SAMPLES_MIN {
             return None;
         }
+        self.rough_quantile(share)
+    }
+
+    /// A quantile of however few samples there are.
+    pub fn rough_quantile(&self, share: f64) -> Option<Duration> {
+        if self.total <= 0.0 {
+            return None;
+        }
         let mut sum = 0.0;
         let index = self.weights.iter().position(|weight| {
             sum += weight;
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -73,6 +73,15 @@
         changed
     }
 
+    /// Adds a node that presented itself and that the list does not name yet.
+    pub fn introduce(&mut self, member: Member) -> bool {
+        let known = self.members.contains_key(&member.node);
+        if !known {
+            self.members.insert(member.node.clone(), Arc::new(member));
+        }
+        !known
+    }
+
     /// Marks this node as leaving, so that it hands its jobs on.
     pub fn leave(&mut self) {
         self.own.leaving = true;
@@ -139,9 +148,13 @@
         service: &ids::ServiceId,
         centre: &ids::DataCentreId,
     ) -> Option<Arc<Member>> {
+        Self::collector_among(service, &self.able_in(now, centre))
+    }
+
+    /// The collector of a service among the able members of one data centre.
+    pub fn collector_among(service: &ids::ServiceId, near: &[Arc<Member>]) -> Option<Arc<Member>> {
         let job = format!("collect/{service}");
-        let near = self.able_in(now, centre);
-        rendezvous::first(&job, &near, |member| member.node.as_str()).cloned()
+        rendezvous::first(&job, near, |member| member.node.as_str()).cloned()
     }
 
     /// Whether this node collects for a service in its data centre.
--- a/crates/policy/src/retry/budget.rs
+++ b/crates/policy/src/retry/budget.rs
@@ -1,18 +1,18 @@
 //! A budget that ties repeated attempts to successes.
 
 /// What one success adds.
-const DEPOSIT: f64 = 0.1;
+const DEPOSIT: u32 = 1;
 /// What one repeated attempt takes.
-const PRICE: f64 = 1.0;
+const PRICE: u32 = 10;
 /// The most that is saved up.
-const BALANCE_MAX: f64 = 10.0;
+const BALANCE_MAX: u32 = 100;
 /// The balance at the start.
-const BALANCE_START: f64 = 3.0;
+const BALANCE_START: u32 = 30;
 
 /// Tokens of one service at one node.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RetryBudget {
-    balance: f64,
+    balance: u32,
 }
 
 impl Default for RetryBudget {
@@ -25,7 +25,7 @@
 
 impl RetryBudget {
     /// Adds what a success is worth.
-    pub const fn deposit(&mut self) {
+    pub fn deposit(&mut self) {
         self.balance = (self.balance + DEPOSIT).min(BALANCE_MAX);
     }
 
@@ -39,7 +39,7 @@
     }
 
     /// What is left.
-    pub const fn balance(&self) -> f64 {
+    pub const fn balance(&self) -> u32 {
         self.balance
     }
 }
--- a/crates/policy/src/retry/decide.rs
+++ b/crates/policy/src/retry/decide.rs
@@ -72,6 +72,16 @@
     }
 }
 
+model::choice! {
+    /// What pays for another attempt.
+    pub enum RetryPayer {
+        /// The service's budget.
+        Budget = "budget",
+        /// The trial that the last attempt was; the fleet bounds those.
+        Trial = "trial",
+    }
+}
+
 /// The facts of one decision.
 #[derive(Debug, Clone, Copy)]
 pub struct RetryCase {
@@ -81,6 +91,8 @@
     pub repeatable: bool,
     /// Whether a shed answer means that the request did not run.
     pub shed_is_not_run: bool,
+    /// What pays for another attempt.
+    pub payer: RetryPayer,
     /// Whether the body is still at hand.
     pub body_kept: bool,
     /// Attempts made.
@@ -123,7 +135,7 @@
     if case.left < TIME_LEFT_MIN {
         return Err(RetryRefusal::Time);
     }
-    if !budget.pay() {
+    if case.payer == RetryPayer::Budget && !budget.pay() {
         return Err(RetryRefusal::Budget);
     }
     Ok(())
--- a/crates/policy/src/service/board.rs
+++ b/crates/policy/src/service/board.rs
@@ -24,10 +24,11 @@
 const TRIAL_INTERVAL_MIN: Duration = Duration::from_millis(250);
 /// Share of the deadline that counts as overdue before the usual latency is known.
 const OVERDUE_DEADLINE_SHARE: f64 = 0.5;
-/// How much longer than the usual slow request a hedge waits.
-const HEDGE_FACTOR: f64 = 1.5;
 /// The quantile that counts as a usual slow request.
-const HEDGE_QUANTILE: f64 = 0.95;
+const SLOW_QUANTILE: f64 = 0.95;
+/// How much longer than a usual slow request a hedge waits, and a waiting
+/// request reckons with.
+const SLOW_MARGIN: f64 = 1.5;
 
 slotmap::new_key_type! {
     struct MemberKey;
@@ -65,6 +66,8 @@
     pub ticket: TicketKey,
     /// Where it goes.
     pub upstream: Arc<config::Upstream>,
+    /// Whether the attempt tries an avoided upstream out.
+    pub trial: bool,
 }
 
 /// What the board says to a request.
@@ -190,6 +193,7 @@
     pub fn set_fleet_size(&mut self, nodes: u32) {
         let seconds = f64::from(nodes) / FLEET_TRIALS_PER_SECOND;
         self.trial_interval = Duration::from_secs_f64(seconds).max(TRIAL_INTERVAL_MIN);
+        self.ledger.set_fleet_size(nodes);
     }
 
     /// Sets the upstreams that this node uses first.
@@ -275,9 +279,11 @@
             suspect: false,
             in_flight_before,
         };
+        let trial = standing == Standing::Avoided;
         Grant {
             ticket: self.tickets.insert(ticket),
             upstream,
+            trial,
         }
     }
 
@@ -403,17 +409,17 @@
         self.told_median = Some(Duration::from_micros(u64::from(tempo.median_micros)));
     }
 
-    /// When a request must leave the line to be answered by its deadline.
-    pub fn latest_start(&self, deadline: Instant) -> Instant {
-        let needed = self.tempo.quantile(HEDGE_QUANTILE).unwrap_or_default();
-        deadline.checked_sub(needed).unwrap_or(deadline)
+    /// Time that a request must have left to be worth sending.
+    pub fn time_needed(&self) -> Duration {
+        let slow = self.tempo.rough_quantile(SLOW_QUANTILE).unwrap_or_default();
+        slow.mul_f64(SLOW_MARGIN)
     }
 
     /// How long a repeatable request waits before a hedge, once that is known.
     pub fn hedge_delay(&self) -> Option<Duration> {
         self.tempo
-            .quantile(HEDGE_QUANTILE)
-            .map(|slow| slow.mul_f64(HEDGE_FACTOR))
+            .quantile(SLOW_QUANTILE)
+            .map(|slow| slow.mul_f64(SLOW_MARGIN))
     }
 
     /// Decides on a repeated attempt and pays for it.
--- /dev/null
+++ b/crates/policy/tests/decisions.rs
@@ -0,0 +1,201 @@
+//! Routes, limits, waiting lines, members and shared jobs.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::{CENTRES, name, service};
+use gooseberrydyke_policy::limit::{AdaptiveLimit, WaitingLine};
+use gooseberrydyke_policy::membership::{Member, MemberTable};
+use gooseberrydyke_policy::retry::RetryBudget;
+use gooseberrydyke_policy::routing::RouteTable;
+use model::call::CallHead;
+use model::config::{FleetConfig, RepeatRule, Route};
+use model::sizes::{Generation, RequestCount, SlotCount};
+use tokio::time::{self, Instant};
+
+fn head(method: &str, host: &str, target: &str) -> CallHead {
+    CallHead {
+        method: method.parse().unwrap(),
+        target: target.into(),
+        host: host.into(),
+        headers: http::HeaderMap::new(),
+        workspace: None,
+        key: None,
+        patience: None,
+    }
+}
+
+fn table(routes: &[(&str, Option<&str>, &str, &[&str])]) -> RouteTable {
+    let service = service(1, 1, 0);
+    let mut config = FleetConfig {
+        generation: Generation::new(1),
+        ..FleetConfig::empty()
+    };
+    config
+        .services
+        .insert(service.id.clone(), Arc::clone(&service));
+    for (id, host, prefix, methods) in routes {
+        let route = Route {
+            id: name(id),
+            host: host.map(Arc::from),
+            prefix: (*prefix).into(),
+            methods: methods.iter().map(|method| Arc::from(*method)).collect(),
+            service: service.id.clone(),
+            repeat: RepeatRule::SafeMethods,
+        };
+        config.routes.insert(route.id.clone(), Arc::new(route));
+    }
+    RouteTable::build(&config)
+}
+
+fn found(table: &RouteTable, head: &CallHead) -> Option<String> {
+    table.find(head).map(|found| found.route.id.to_string())
+}
+
+#[test]
+fn routes_have_a_total_order() {
+    let table = table(&[
+        ("all", None, "/", &[]),
+        ("stock", None, "/stock", &[]),
+        ("stock-get", None, "/stock", &["GET"]),
+        ("stock-deep", None, "/stock/list", &[]),
+        ("member", Some("Members.example"), "/", &[]),
+    ]);
+    let find = |method, host, target| found(&table, &head(method, host, target)).unwrap();
+    assert_eq!(find("GET", "any", "/stock?page=2"), "stock-get");
+    assert_eq!(find("POST", "any", "/stock"), "stock");
+    assert_eq!(find("GET", "any", "/stock/list/7"), "stock-deep");
+    assert_eq!(find("GET", "any", "/stocks"), "all");
+    assert_eq!(find("GET", "members.EXAMPLE:8080", "/stock"), "member");
+}
+
+#[test]
+fn a_request_without_a_route_finds_none() {
+    let table = table(&[("view", None, "/view", &["GET"])]);
+    assert_eq!(found(&table, &head("GET", "h", "/other")), None);
+    assert_eq!(found(&table, &head("POST", "h", "/view")), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_full_line_drops_the_earliest_deadline_and_pops_in_order() {
+    let mut line = WaitingLine::new(RequestCount::new(2));
+    let at = |millis| Instant::now() + Duration::from_millis(millis);
+    assert_eq!(line.push(at(300), "a"), None);
+    assert_eq!(line.push(at(100), "b"), None);
+    assert_eq!(line.push(at(200), "c"), Some("b"));
+    time::advance(Duration::from_millis(250)).await;
+    let released = line.pop(Instant::now());
+    assert_eq!((released.next, released.expired), (Some("a"), vec![]));
+    assert_eq!(line.expire(Instant::now()), ["c"]);
+    assert!(line.is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_limit_grows_when_it_is_used_and_shrinks_when_work_is_shed() {
+    let mut limit = AdaptiveLimit::new(SlotCount::new(4));
+    for _ in 0..100 {
+        limit.on_success(0);
+    }
+    assert!((limit.get() - 4.0).abs() < f64::EPSILON, "it grew unused");
+    for _ in 0..100 {
+        limit.on_success(100);
+    }
+    assert!(limit.get() > 8.0 && limit.get() <= 16.0);
+    for _ in 0..50 {
+        time::advance(Duration::from_millis(200)).await;
+        limit.on_overload(Instant::now());
+    }
+    assert!(limit.has_room(0) && !limit.has_room(1));
+}
+
+#[test]
+fn retries_cost_ten_successes_each() {
+    let mut budget = RetryBudget::default();
+    while budget.pay() {}
+    let mut paid = 0;
+    for _ in 0..1_000 {
+        budget.deposit();
+        paid += u32::from(budget.pay());
+    }
+    assert!((99..=100).contains(&paid), "{paid}");
+}
+
+fn member(number: usize) -> Member {
+    Member {
+        node: name(&format!("node-{number}")),
+        address: ([127, 0, 0, 1], 7400).into(),
+        data_centre: name(CENTRES[number % 3]),
+        leaving: false,
+    }
+}
+
+fn members(count: usize) -> MemberTable {
+    let mut table = MemberTable::new(member(0));
+    table.replace((0..count).map(member).collect());
+    table
+}
+
+#[tokio::test(start_paused = true)]
+async fn nodes_with_the_same_view_agree_and_a_silent_node_is_passed_over() {
+    let now = Instant::now();
+    let mut table = members(48);
+    let service = name("stocklist");
+    let centre = name("lekki");
+    let first = table.collector(now, &service, &centre).unwrap();
+    assert_eq!(first.data_centre, centre);
+    assert_eq!(
+        members(48).collector(now, &service, &centre).unwrap(),
+        first
+    );
+    table.suspect(now, &first.node);
+    assert_ne!(table.collector(now, &service, &centre).unwrap(), first);
+    time::advance(Duration::from_secs(11)).await;
+    assert_eq!(
+        table.collector(Instant::now(), &service, &centre).unwrap(),
+        first
+    );
+}
+
+#[test]
+fn a_node_that_presents_itself_is_known_until_the_list_says_otherwise() {
+    let mut table = members(3);
+    assert!(table.introduce(member(7)));
+    assert!(!table.introduce(member(7)));
+    assert!(table.find(&name("node-7")).is_some());
+    table.replace((0..3).map(member).collect());
+    assert!(table.find(&name("node-7")).is_none());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_leaving_node_hands_its_jobs_on() {
+    let now = Instant::now();
+    let mut table = members(6);
+    table.leave();
+    assert!(!table.relays(now));
+    assert!((0..50).all(|number| !table.collects(now, &name(&format!("s{number}")))));
+    assert_eq!(table.len(), 6);
+}
+
+#[tokio::test(start_paused = true)]
+async fn jobs_spread_and_few_move_when_a_node_leaves() {
+    let now = Instant::now();
+    let table = members(49);
+    let smaller = members(48);
+    let mut load: BTreeMap<_, usize> = BTreeMap::new();
+    let mut moved = 0;
+    for shard in 0..400 {
+        let before = table
+            .collector(now, &name(&format!("s{shard}")), &name("ikeja"))
+            .unwrap();
+        let after = smaller
+            .collector(now, &name(&format!("s{shard}")), &name("ikeja"))
+            .unwrap();
+        moved += usize::from(before != after);
+        *load.entry(before.node.clone()).or_default() += 1;
+    }
+    assert!(moved < 60, "{moved} of 400 moved");
+    assert!(load.values().all(|jobs| *jobs < 70), "{load:?}");
+}
--- a/crates/upstream/src/dispatch/dispatcher.rs
+++ b/crates/upstream/src/dispatch/dispatcher.rs
@@ -10,7 +10,7 @@
 use model::{clock, config, digest, ids};
 use policy::claim::{ClaimKey, ClaimOrder, ClaimState, ClaimToken};
 use policy::invariant::{self, Invariant};
-use policy::retry::{AttemptEnd, RetryCase};
+use policy::retry::{AttemptEnd, RetryCase, RetryPayer};
 use policy::routing::RouteMatch;
 use policy::service::{Ask, Purpose};
 use telemetry::metrics::NodeMetrics;
@@ -235,6 +235,7 @@
             };
             self.attempts += 1;
             self.tried.push(lease.upstream().id.clone());
+            let payer = lease.payer();
             let result = race::run(self, lease, body).await;
             let failure = match result {
                 Ok(answer) => {
@@ -246,10 +247,11 @@
             self.count(failure.end);
             let not_run = failure.end.is_not_run(self.service.shed_is_not_run);
             self.may_have_run |= !not_run;
-            let decision = self
-                .handle
-                .decide_retry(self.retry_case(failure.end, body))
-                .await;
+            let case = RetryCase {
+                payer,
+                ..self.retry_case(failure.end, body)
+            };
+            let decision = self.handle.decide_retry(case).await;
             if let Err(reason) = decision {
                 log::debug!(target: "dispatch", "No further attempt: {reason}.");
                 let kind = failure.end.error(self.service.shed_is_not_run);
@@ -276,6 +278,7 @@
             end,
             repeatable: self.case.repeatable,
             shed_is_not_run: self.service.shed_is_not_run,
+            payer: RetryPayer::Budget,
             body_kept: body.is_at_hand(),
             attempts: self.attempts,
             left: self.case.deadline.saturating_duration_since(Instant::now()),
--- a/crates/upstream/src/dispatch/resume.rs
+++ b/crates/upstream/src/dispatch/resume.rs
@@ -8,7 +8,7 @@
 use http_body_util::BodyExt as _;
 use hyper::body::{Body, Frame, SizeHint};
 use model::call::{BodyError, BodyStream, CallAnswer};
-use policy::retry::{AttemptEnd, RetryCase};
+use policy::retry::{AttemptEnd, RetryCase, RetryPayer};
 use policy::service::Purpose;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -99,6 +99,7 @@
         end: AttemptEnd::Truncated,
         repeatable: true,
         shed_is_not_run: plan.service.shed_is_not_run,
+        payer: RetryPayer::Budget,
         body_kept: true,
         attempts: plan.attempts,
         left: plan.case.deadline.saturating_duration_since(Instant::now()),
--- a/crates/upstream/src/service/handle.rs
+++ b/crates/upstream/src/service/handle.rs
@@ -8,7 +8,7 @@
 use model::{config, ids};
 use policy::detection::{ServiceTempo, Verdict};
 use policy::ejection::EjectionRecord;
-use policy::retry::{AttemptEnd, RetryCase, RetryRefusal};
+use policy::retry::{AttemptEnd, RetryCase, RetryPayer, RetryRefusal};
 use policy::service::{Ask, Grant, MemberView};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
@@ -225,6 +225,15 @@
         self.hedge_delay
     }
 
+    /// What pays for another attempt after this one.
+    pub const fn payer(&self) -> RetryPayer {
+        if self.grant.trial {
+            RetryPayer::Trial
+        } else {
+            RetryPayer::Budget
+        }
+    }
+
     /// The latency beyond which an attempt counts as overdue.
     pub const fn overdue(&self) -> Duration {
         self.overdue
--- a/crates/upstream/src/service/task.rs
+++ b/crates/upstream/src/service/task.rs
@@ -112,7 +112,7 @@
 
     fn tick(&mut self) {
         let now = Instant::now();
-        for waiter in self.line.expire(now) {
+        for waiter in self.line.expire(now + self.board.time_needed()) {
             let _ = waiter.reply.send(Err(ErrorKind::DeadlineUnsent));
         }
         if let Some(report) = self.board.tick(now) {
@@ -222,8 +222,7 @@
                 let _ = waiter.reply.send(Err(kind));
             }
             Admission::Wait => {
-                let latest = self.board.latest_start(waiter.deadline);
-                if let Some(dropped) = self.line.push(latest, waiter) {
+                if let Some(dropped) = self.line.push(waiter.deadline, waiter) {
                     let _ = dropped.reply.send(Err(ErrorKind::Overload));
                 }
             }
@@ -257,7 +256,7 @@
     fn serve_line(&mut self) {
         let now = Instant::now();
         while !self.line.is_empty() {
-            let released = self.line.pop(now);
+            let released = self.line.pop(now + self.board.time_needed());
             for waiter in released.expired {
                 let _ = waiter.reply.send(Err(ErrorKind::DeadlineUnsent));
             }
@@ -270,10 +269,7 @@
                 Admission::Refuse(kind) => {
                     let _ = waiter.reply.send(Err(kind));
                 }
-                Admission::Wait => {
-                    let latest = self.board.latest_start(waiter.deadline);
-                    return self.line.push_front(latest, waiter);
-                }
+                Admission::Wait => return self.line.push_front(waiter.deadline, waiter),
             }
         }
     }
--- a/testing/lab/src/main.rs
+++ b/testing/lab/src/main.rs
@@ -1,5 +1,7 @@
 //! Experiments: each prints its figures and ends with 1 when a bound was missed.
 
+mod config;
+mod control;
 mod detect;
 mod load;
 mod once_only;
@@ -24,6 +26,8 @@
         seconds: flags.seconds.unwrap_or(seconds),
     };
     let holds = match flags.subcommand {
+        GooseberrydykeLabCmd::Config(_) => block_on(config::run(&settings(20))),
+        GooseberrydykeLabCmd::Control(_) => block_on(control::run(&settings(10))),
         GooseberrydykeLabCmd::Detect(_) => detect::run(&settings(40)),
         GooseberrydykeLabCmd::OnceOnly(_) => once_only::run(&settings(40)),
         GooseberrydykeLabCmd::Overhead(_) => block_on(overhead::run(&settings(60))),
--- a/testing/lab/src/settings.rs
+++ b/testing/lab/src/settings.rs
@@ -27,6 +27,10 @@
             cmd overhead {}
             /// Keyed requests while everything fails; 25000 requests for each second
             cmd once-only {}
+            /// Time until a change is in force everywhere; one change for each second
+            cmd config {}
+            /// What control costs a node, and what follows for the target size
+            cmd control {}
             /// Load far above the capacity, and half of the upstreams lost
             cmd storm {}
         }
--- a/testing/scene/src/plan.rs
+++ b/testing/scene/src/plan.rs
@@ -75,6 +75,8 @@
     pub platform_delay: Duration,
     /// How long a stopping node keeps accepting.
     pub stop_notice: Duration,
+    /// How long a head may take to arrive.
+    pub head_patience: Duration,
     /// Seed of every random choice of the stand-ins.
     pub seed: u64,
 }
@@ -88,6 +90,7 @@
             services,
             platform_delay: Duration::from_millis(2),
             stop_notice: Duration::from_millis(300),
+            head_patience: Duration::from_secs(15),
             seed: 1,
         }
     }
--- a/testing/scene/src/stage.rs
+++ b/testing/scene/src/stage.rs
@@ -47,8 +47,8 @@
 pub struct Scene {
     /// The platform.
     pub platform: PlatformStandin,
-    /// The link between the nodes and the platform.
-    pub platform_link: FaultProxy,
+    /// The links between the nodes of each data centre and the platform.
+    pub platform_links: BTreeMap<ids::DataCentreId, FaultProxy>,
     /// Runs of every action.
     pub ledger: RunLedger,
     /// Upstreams by name.
@@ -78,11 +78,15 @@
     /// When an address cannot be bound or the configuration is refused.
     pub async fn start(plan: ScenePlan) -> io::Result<Self> {
         let platform = PlatformStandin::start(ANY_PORT, plan.platform_delay).await?;
-        let platform_link = FaultProxy::start(ANY_PORT, platform.address(), plan.seed).await?;
+        let mut platform_links = BTreeMap::new();
+        for centre in &plan.centres {
+            let link = FaultProxy::start(ANY_PORT, platform.address(), plan.seed).await?;
+            platform_links.insert(name(centre), link);
+        }
         let client = PlatformClient::start(platform.address(), std::sync::Arc::new(|_| {}));
         let mut scene = Self {
             platform,
-            platform_link,
+            platform_links,
             ledger: RunLedger::start(),
             upstreams: BTreeMap::new(),
             entries: BTreeMap::new(),
@@ -175,12 +179,12 @@
             caller_address: ANY_PORT,
             node_address: ANY_PORT,
             ops_address: ANY_PORT,
-            platform: self.platform_link.address(),
+            platform: self.platform_links[&name::<ids::DataCentreId>(centre)].address(),
             seeds: self.members(),
             ca: self.ca.clone(),
             stop_notice: span_of(self.plan.stop_notice),
             stop_patience: TimeSpan::from_secs(30),
-            limits: CallerLimits::default(),
+            limits: self.limits(),
             claim_pace: TimeSpan::from_millis(10),
         };
         let server = EntryServer::start(settings).await?;
@@ -195,6 +199,12 @@
         Ok(address)
     }
 
+    fn limits(&self) -> CallerLimits {
+        let mut limits = CallerLimits::default();
+        limits.connection.head_patience = self.plan.head_patience;
+        limits
+    }
+
     fn members(&self) -> Vec<policy::membership::Member> {
         let members = self.vms.iter().map(|vm| policy::membership::Member {
             node: vm.node.clone(),
--- /dev/null
+++ b/testing/scene/tests/fleet.rs
@@ -0,0 +1,445 @@
+//! Several nodes under failure: what must hold holds.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use model::clock::UnixMillis;
+use model::config::UpstreamState;
+use model::error::ErrorKind;
+use model::ids::UpstreamId;
+use node::keys::{FleetCa, NodeKeys};
+use node::link;
+use operator::change::ConfigStep;
+use operator::commit::ChangeOrder;
+use platform::object::Condition;
+use platform::{PlatformClient, records};
+use policy::invariant::{self, Invariant};
+use scene::stage::name;
+use scene::{CallerClient, ClientRequest, Scene, ScenePlan, ServicePlan};
+use standin::platform_api::PlatformFaults;
+use standin::upstream_server::GrayMode;
+use tokio::sync::watch;
+use tokio::time::{self, Instant};
+
+use gooseberrydyke_scene as scene;
+
+fn plan(nodes_per_centre: usize) -> ScenePlan {
+    let services = vec![
+        ServicePlan::lookups("view", "/view", 6),
+        ServicePlan::actions("book", "/book", 3),
+    ];
+    ScenePlan::three_centres(nodes_per_centre, services)
+}
+
+fn drain(upstream: &str) -> ConfigStep {
+    ConfigStep::SetState {
+        service: name(upstream.split('-').next().unwrap()),
+        upstream: name(upstream),
+        state: UpstreamState::Draining,
+    }
+}
+
+fn assert_no_breach() {
+    for invariant in Invariant::ALL {
+        assert_eq!(invariant::breaches(*invariant), 0, "{invariant}");
+    }
+}
+
+/// Lookups through every node, some at a time, until the flag turns true.
+fn start_lookups(
+    addresses: &[SocketAddr],
+    until: &watch::Receiver<bool>,
+) -> Vec<tokio::task::JoinHandle<(u64, Vec<String>)>> {
+    let callers = addresses.iter().enumerate().map(|(index, address)| {
+        let (address, until) = (*address, until.clone());
+        tokio::spawn(async move {
+            let mut client = CallerClient::new(address);
+            let (mut count, mut faults) = (0, Vec::new());
+            while !*until.borrow() {
+                let target = format!("/view/{index}-{count}");
+                let answer = client.call(ClientRequest::get(&*target)).await;
+                count += 1;
+                if !answer.whole || answer.status != 200 {
+                    faults.push(format!(
+                        "{target}: {} {:?}",
+                        answer.status,
+                        answer.outcome()
+                    ));
+                } else if answer.body != format!("{target}\n").as_bytes() {
+                    faults.push(format!("{target}: a foreign answer"));
+                }
+                time::sleep(Duration::from_millis(5)).await;
+            }
+            (count, faults)
+        })
+    });
+    callers.collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gray_upstream_is_avoided_everywhere_and_then_ejected() {
+    let scene = Scene::start(plan(2)).await.unwrap();
+    let (done, until) = watch::channel(false);
+    let callers = start_lookups(&scene.caller_addresses(), &until);
+    time::sleep(Duration::from_secs(1)).await;
+    scene
+        .upstream("view-1")
+        .standin
+        .change(|behaviour| behaviour.gray = GrayMode::Errors);
+    let detected = scene.wait_avoided("view-1", Duration::from_secs(10)).await;
+    assert!(detected.is_some(), "it was not avoided everywhere");
+    let service = name("view");
+    let deadline = Instant::now() + Duration::from_secs(15);
+    loop {
+        let stored = records::read_ejections(scene.committer.platform(), &service)
+            .await
+            .unwrap();
+        if stored
+            .record
+            .ejected
+            .contains_key(&name::<UpstreamId>("view-1"))
+        {
+            break;
+        }
+        assert!(Instant::now() < deadline, "it was not ejected");
+        time::sleep(Duration::from_millis(100)).await;
+    }
+    done.send_replace(true);
+    for caller in callers {
+        let (count, faults) = caller.await.unwrap();
+        assert!(count > 0);
+        assert!(faults.is_empty(), "{faults:?}");
+    }
+    assert_no_breach();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lookups_go_on_through_an_outage_of_the_platform_and_keyed_actions_are_refused() {
+    let mut scene = Scene::start(plan(1)).await.unwrap();
+    scene
+        .platform
+        .set_faults(PlatformFaults {
+            outage: true,
+            lose_answers: 0,
+        })
+        .await;
+    let mut client = scene.client(0);
+    for number in 0..20 {
+        assert_eq!(
+            client
+                .call(ClientRequest::get(format!("/view/{number}")))
+                .await
+                .status,
+            200
+        );
+    }
+    let request = ClientRequest::post("/book/1", "slot")
+        .with("idempotency-key", "outage")
+        .with("action-id", "outage");
+    let answer = client.call(request).await;
+    assert_eq!(answer.outcome(), Some("not-run"));
+    assert!(!scene.ledger.counts().await.contains_key("outage"));
+    // A node that starts now takes the configuration from the others.
+    let address = scene.start_entry("lekki-late", "lekki").await.unwrap();
+    scene.wait_generation(2.into_generation()).await.unwrap();
+    let answer = CallerClient::new(address)
+        .call(ClientRequest::get("/view/late"))
+        .await;
+    assert_eq!(answer.status, 200);
+    // An upstream that fails is avoided without the platform.
+    scene
+        .upstream("view-0")
+        .standin
+        .change(|behaviour| behaviour.gray = GrayMode::Errors);
+    for number in 0..40 {
+        assert_eq!(
+            client
+                .call(ClientRequest::get(format!("/view/b{number}")))
+                .await
+                .status,
+            200
+        );
+    }
+    assert_no_breach();
+}
+
+trait IntoGeneration {
+    fn into_generation(self) -> model::sizes::Generation;
+}
+
+impl IntoGeneration for u64 {
+    fn into_generation(self) -> model::sizes::Generation {
+        model::sizes::Generation::new(self)
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drain_is_in_force_everywhere_within_three_seconds_and_cuts_nothing() {
+    let mut plan = plan(2);
+    plan.services[0] = plan.services[0]
+        .clone()
+        .behaving(|behaviour| behaviour.service_time = Duration::from_millis(60));
+    let scene = Scene::start(plan).await.unwrap();
+    let (done, until) = watch::channel(false);
+    let callers = start_lookups(&scene.caller_addresses(), &until);
+    time::sleep(Duration::from_millis(500)).await;
+    // One upstream is drained by an operator, another one says so itself.
+    scene.change(drain("view-2")).await.unwrap();
+    scene
+        .upstream("view-4")
+        .standin
+        .change(|behaviour| behaviour.draining = true);
+    time::sleep(Duration::from_secs(3)).await;
+    let served = |id| scene.upstream(id).standin.served();
+    let before = (served("view-2"), served("view-4"));
+    time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(
+        (served("view-2"), served("view-4")),
+        before,
+        "new work after three seconds"
+    );
+    done.send_replace(true);
+    for caller in callers {
+        let (_, faults) = caller.await.unwrap();
+        assert!(faults.is_empty(), "{faults:?}");
+    }
+    assert_no_breach();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_under_load_cuts_no_request() {
+    let mut plan = plan(1);
+    plan.services[0] = plan.services[0]
+        .clone()
+        .behaving(|behaviour| behaviour.service_time = Duration::from_millis(150));
+    let mut scene = Scene::start(plan).await.unwrap();
+    let entry = scene.take_entry("ikeja-0").unwrap();
+    let address = entry.caller_address;
+    let callers: Vec<_> = (0..12)
+        .map(|number| {
+            tokio::spawn(async move {
+                let mut client = CallerClient::new(address);
+                let mut answers = Vec::new();
+                for turn in 0..10 {
+                    let answer = client
+                        .call(ClientRequest::get(format!("/view/{number}-{turn}")))
+                        .await;
+                    answers.push((answer.status, answer.whole));
+                    if answer.status == 0 {
+                        break;
+                    }
+                }
+                answers
+            })
+        })
+        .collect();
+    time::sleep(Duration::from_millis(400)).await;
+    entry.stop().await;
+    for caller in callers {
+        let answers = caller.await.unwrap();
+        // A refused connection after the stop is no cut; anything sent is answered whole.
+        let cut = answers
+            .iter()
+            .any(|(status, whole)| *status != 0 && (!whole || *status != 200));
+        assert!(!cut, "{answers:?}");
+        assert!(answers[0] == (200, true), "{answers:?}");
+    }
+    assert_no_breach();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keyed_actions_run_once_while_entries_die_and_answers_are_lost() {
+    let mut scene = Scene::start(plan(2)).await.unwrap();
+    let addresses = scene.caller_addresses();
+    let callers: Vec<_> = (0..12)
+        .map(|caller| {
+            let addresses = addresses.clone();
+            tokio::spawn(async move {
+                let mut refused = Vec::new();
+                for number in 0..15 {
+                    let key = format!("{caller}-{number}");
+                    let mut told = Vec::new();
+                    for turn in 0..3 {
+                        let address = addresses[(caller + number + turn) % addresses.len()];
+                        let mut request = ClientRequest::post(format!("/book/{key}"), "slot")
+                            .with("idempotency-key", &*key)
+                            .with("action-id", &*key);
+                        request.patience = Duration::from_secs(5);
+                        let answer = CallerClient::new(address).call(request).await;
+                        let not_run = answer.outcome() == Some("not-run") || answer.status == 0;
+                        told.push((answer.outcome() == Some("not-run"), not_run));
+                    }
+                    if told.iter().all(|(certain, _)| *certain) {
+                        refused.push(key);
+                    }
+                }
+                refused
+            })
+        })
+        .collect();
+    for (pause, node) in [(300, "ikeja-1"), (700, "lekki-0")] {
+        time::sleep(Duration::from_millis(pause)).await;
+        scene
+            .platform
+            .set_faults(PlatformFaults {
+                outage: false,
+                lose_answers: 5,
+            })
+            .await;
+        scene.take_entry(node).unwrap().kill();
+    }
+    time::sleep(Duration::from_millis(500)).await;
+    scene
+        .platform
+        .set_faults(PlatformFaults {
+            outage: true,
+            lose_answers: 0,
+        })
+        .await;
+    time::sleep(Duration::from_millis(500)).await;
+    scene.platform.set_faults(PlatformFaults::default()).await;
+    let mut refused = Vec::new();
+    for caller in callers {
+        refused.extend(caller.await.unwrap());
+    }
+    let counts = scene.ledger.counts().await;
+    let twice: Vec<_> = counts.iter().filter(|(_, runs)| **runs > 1).collect();
+    assert!(twice.is_empty(), "{twice:?}");
+    let lied: Vec<_> = refused
+        .iter()
+        .filter(|key| counts.contains_key(*key))
+        .collect();
+    assert!(lied.is_empty(), "told not run: {lied:?}");
+    assert!(counts.len() > 60, "only {} ran", counts.len());
+    assert_no_breach();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn of_two_racing_operators_one_is_accepted_and_the_other_is_told() {
+    let scene = Scene::start(plan(1)).await.unwrap();
+    let seen = scene.committer.read().await.unwrap().generation;
+    let order = |operator: &str, upstream: &str| ChangeOrder {
+        operator: name(operator),
+        step: drain(upstream),
+        expected: Some(seen),
+    };
+    let (lagos, kano) = (order("lagos", "view-0"), order("kano", "view-1"));
+    let (first, second) = tokio::join!(
+        scene.committer.commit(&lagos),
+        scene.committer.commit(&kano)
+    );
+    let (winner, loser) = match (&first, &second) {
+        (Ok(_), Err(error)) => ("lagos", error),
+        (Err(error), Ok(_)) => ("kano", error),
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(loser.kind(), ErrorKind::Conflict);
+    assert!(loser.detail().contains(winner), "{loser}");
+    let waited = scene.wait_generation(seen.next()).await.unwrap();
+    assert!(waited < Duration::from_secs(6), "{waited:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_answer_to_the_root_is_settled_by_reading_back() {
+    let scene = Scene::start(plan(1)).await.unwrap();
+    let before = scene.committer.read().await.unwrap().generation;
+    // The reservation, the service's chunk, the audit entry and the root.
+    scene
+        .platform
+        .set_faults(PlatformFaults {
+            outage: false,
+            lose_answers: 4,
+        })
+        .await;
+    let accepted = scene.change(drain("view-3")).await.unwrap();
+    assert_eq!(accepted.generation, before.next());
+    assert_eq!(
+        scene.committer.read().await.unwrap().generation,
+        before.next()
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_reaches_a_data_centre_whose_link_to_the_platform_is_cut_one_way() {
+    let scene = Scene::start(plan(2)).await.unwrap();
+    scene.platform_links[&name("ikeja")].change(|faults| faults.drop_back = true);
+    let accepted = scene.change(drain("view-5")).await.unwrap();
+    let waited = scene.wait_generation(accepted.generation).await.unwrap();
+    assert!(waited < Duration::from_secs(6), "{waited:?}");
+    assert_no_breach();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drain_that_races_an_ejection_keeps_the_floor() {
+    let mut plan = plan(1);
+    plan.services[0].floor = 20;
+    let scene = Scene::start(plan).await.unwrap();
+    let client = scene.committer.platform();
+    let service = scene.committer.read().await.unwrap().services[&name("view")].clone();
+    let stored = records::read_ejections(client, &service.id).await.unwrap();
+    let mut record = stored.record.clone();
+    record
+        .eject(&service, &name("view-0"), UnixMillis::new(1), |_| true)
+        .unwrap();
+    let (drained, ejected) = tokio::join!(
+        scene.change(drain("view-1")),
+        records::write_ejections(client, &record, stored.condition),
+    );
+    assert!(drained.is_err() || ejected.is_err(), "both were accepted");
+    let refused = drained.err().map(|error| error.kind());
+    assert!(
+        refused.is_none_or(|kind| kind == ErrorKind::UnderFloor),
+        "{refused:?}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stranger_is_refused() {
+    let scene = Scene::start(plan(1)).await.unwrap();
+    let node = scene.entries.values().next().unwrap().node_address;
+    let foreign = NodeKeys::mint(&FleetCa::mint().unwrap()).unwrap();
+    let endpoint = link::open_endpoint(([127, 0, 0, 1], 0).into(), &foreign).unwrap();
+    let connecting = endpoint.connect(node, node::keys::SERVER_NAME).unwrap();
+    let connected = time::timeout(Duration::from_secs(3), connecting).await;
+    assert!(!matches!(connected, Ok(Ok(_))), "a stranger was let in");
+}
+
+#[tokio::test]
+async fn the_platforms_conditional_writes_let_one_of_two_win() {
+    let scene = Scene::start(ScenePlan::small(vec![])).await.unwrap();
+    let client = PlatformClient::start(scene.platform.address(), Arc::new(|_| {}));
+    let object = "test/object".parse().unwrap();
+    let (a, b) = tokio::join!(
+        client.put(&object, "a".into(), Condition::Absent),
+        client.put(&object, "b".into(), Condition::Absent),
+    );
+    assert_eq!(u32::from(a.is_ok()) + u32::from(b.is_ok()), 1);
+    let version = a.or(b).unwrap();
+    client
+        .put(&object, "c".into(), Condition::Version(version))
+        .await
+        .unwrap();
+    let late = client
+        .put(&object, "d".into(), Condition::Version(version))
+        .await;
+    assert_eq!(late.unwrap_err().kind(), ErrorKind::Conflict);
+    scene
+        .platform
+        .set_faults(PlatformFaults {
+            outage: false,
+            lose_answers: 1,
+        })
+        .await;
+    let other = "test/other".parse().unwrap();
+    let lost = client.put(&other, "e".into(), Condition::Absent).await;
+    assert_eq!(lost.unwrap_err().kind(), ErrorKind::WriteUnknown);
+    let settled = client
+        .put_and_settle(&other, "e".into(), Condition::Absent)
+        .await;
+    assert_eq!(
+        settled.unwrap_err().kind(),
+        ErrorKind::Conflict,
+        "it took effect before"
+    );
+}
--- a/testing/standin/src/upstream/ledger.rs
+++ b/testing/standin/src/upstream/ledger.rs
@@ -6,7 +6,8 @@
 
 enum LedgerOrder {
     Ran(String),
-    Reached(String),
+    Reached(String, Vec<(String, String)>),
+    LastHeaders(oneshot::Sender<Vec<(String, String)>>),
     CountReached(oneshot::Sender<u64>),
     Counts(oneshot::Sender<HashMap<String, u32>>),
 }
@@ -37,8 +38,23 @@
     }
 
     /// Notes that a request for a target arrived somewhere.
-    pub fn arrived(&self, target: &str) {
-        let _ = self.orders.send(LedgerOrder::Reached(target.to_owned()));
+    pub fn arrived(&self, target: &str, headers: &http::HeaderMap) {
+        let texts = headers.iter().map(|(name, value)| {
+            (
+                name.as_str().to_owned(),
+                String::from_utf8_lossy(value.as_bytes()).into_owned(),
+            )
+        });
+        let _ = self
+            .orders
+            .send(LedgerOrder::Reached(target.to_owned(), texts.collect()));
+    }
+
+    /// Headers of the request that arrived last.
+    pub async fn last_headers(&self) -> Vec<(String, String)> {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.orders.send(LedgerOrder::LastHeaders(reply));
+        answer.await.unwrap_or_default()
     }
 
     /// Distinct targets that arrived somewhere.
@@ -59,11 +75,16 @@
 async fn run(mut inbox: mpsc::UnboundedReceiver<LedgerOrder>) {
     let mut counts: HashMap<String, u32> = HashMap::new();
     let mut reached: HashSet<String> = HashSet::new();
+    let mut last_headers = Vec::new();
     while let Some(order) = inbox.recv().await {
         match order {
             LedgerOrder::Ran(action) => *counts.entry(action).or_default() += 1,
-            LedgerOrder::Reached(target) => {
+            LedgerOrder::Reached(target, headers) => {
                 reached.insert(target);
+                last_headers = headers;
+            }
+            LedgerOrder::LastHeaders(reply) => {
+                let _ = reply.send(last_headers.clone());
             }
             LedgerOrder::CountReached(reply) => {
                 let _ = reply.send(reached.len() as u64);
--- a/testing/standin/src/upstream/server.rs
+++ b/testing/standin/src/upstream/server.rs
@@ -220,7 +220,7 @@
         request: http::Request<Incoming>,
     ) -> Response<BodyStream> {
         let number = self.served.fetch_add(1, Ordering::Relaxed);
-        self.ledger.arrived(request.uri().path());
+        self.ledger.arrived(request.uri().path(), request.headers());
         let mut rng = SmallRng::seed_from_u64(self.seed ^ number);
         let (reply, entered) = oneshot::channel();
         let room = (behaviour.slots, behaviour.queue);
