--- a/bins/entry/src/probes.rs
+++ b/bins/entry/src/probes.rs
@@ -3,42 +3,86 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use model::config;
+use model::sizes::Generation;
+use model::{config, ids};
 use node::members::MemberSet;
+use policy::membership::MemberTable;
 use tokio::sync::watch;
 use tokio::time::{self, Instant};
 use upstream::probe;
-use upstream::service::ServiceDirectory;
+use upstream::service::{ServiceDirectory, ServiceHandle};
 
-/// How often each upstream is probed from each data centre.
-const PROBE_INTERVAL: Duration = Duration::from_secs(2);
+/// How often each upstream is probed from each data centre that does so.
+const PROBE_INTERVAL: Duration = Duration::from_secs(3);
+/// How long the assignment holds when neither members nor services change.
+const SEATS_SPAN: Duration = Duration::from_secs(10);
+
+/// The services whose upstreams this node probes.
+struct ProbeSeats {
+    table: Arc<MemberTable>,
+    generation: Generation,
+    drawn: Instant,
+    services: Vec<ids::ServiceId>,
+}
+
+impl ProbeSeats {
+    fn draw(table: Arc<MemberTable>, directory: &ServiceDirectory) -> Self {
+        let drawn = Instant::now();
+        let services = directory.config.services.keys();
+        let services = services
+            .filter(|service| table.probes(drawn, service))
+            .cloned()
+            .collect();
+        Self {
+            table,
+            generation: directory.config.generation,
+            drawn,
+            services,
+        }
+    }
+
+    fn is_stale(&self, table: &Arc<MemberTable>, directory: &ServiceDirectory) -> bool {
+        !Arc::ptr_eq(&self.table, table)
+            || self.generation != directory.config.generation
+            || self.drawn.elapsed() >= SEATS_SPAN
+    }
+}
 
 /// Runs until the directory's publisher stops.
 pub(crate) async fn run(directory: watch::Receiver<Arc<ServiceDirectory>>, members: MemberSet) {
     let mut ticks = time::interval(PROBE_INTERVAL);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Skip);
+    let mut seats = ProbeSeats::draw(members.table(), &Arc::clone(&directory.borrow()));
     loop {
         ticks.tick().await;
         if directory.has_changed().is_err() {
             return;
         }
         let current = Arc::clone(&directory.borrow());
-        let table = members.table();
-        let now = Instant::now();
-        for (id, service) in &current.config.services {
-            let Some(handle) = current.handles.get(id) else {
+        if seats.is_stale(&members.table(), &current) {
+            seats = ProbeSeats::draw(members.table(), &current);
+        }
+        for id in &seats.services {
+            let (Some(service), Some(handle)) =
+                (current.config.services.get(id), current.handles.get(id))
+            else {
                 continue;
             };
-            for up in &service.upstreams {
-                let drains = up.state == config::UpstreamState::Draining;
-                if drains || !table.probes(now, &up.id) {
-                    continue;
-                }
-                let handle = handle.clone();
-                let service = Arc::clone(service);
-                let up = Arc::new(up.clone());
-                tokio::spawn(async move { probe::run(&handle, &service, up).await });
-            }
+            probe_service(service, handle);
         }
     }
 }
+
+/// Probes every upstream of a service that takes work.
+fn probe_service(service: &Arc<config::Service>, handle: &ServiceHandle) {
+    let active = service
+        .upstreams
+        .iter()
+        .filter(|up| up.state == config::UpstreamState::Active);
+    for up in active {
+        let handle = handle.clone();
+        let service = Arc::clone(service);
+        let up = Arc::new(up.clone());
+        tokio::spawn(async move { probe::run(&handle, &service, up).await });
+    }
+}
--- a/bins/entry/src/settings.rs
+++ b/bins/entry/src/settings.rs
@@ -130,7 +130,6 @@
         ops_address: setting!("ops", "GOOSEBERRYDYKE_OPS").read_or(flags.ops, "127.0.0.1:9400")?,
         platform: setting!("platform", "GOOSEBERRYDYKE_PLATFORM").read(flags.platform)?,
         seeds: read_seeds(&seed_text).map_err(|why| seeds.refuse(why))?,
-        ca: read_ca(flags.ca_certificate, flags.ca_key)?,
         stop_notice: setting!("stop-notice", "GOOSEBERRYDYKE_STOP_NOTICE")
             .read_or(flags.stop_notice, "5s")?,
         stop_patience: setting!("stop-patience", "GOOSEBERRYDYKE_STOP_PATIENCE")
@@ -138,6 +137,7 @@
         limits,
         claim_pace: setting!("claim-pace", "GOOSEBERRYDYKE_CLAIM_PACE")
             .read_or(flags.claim_pace, "10ms")?,
+        ca: read_ca(flags.ca_certificate, flags.ca_key)?,
     })
 }
 
--- /dev/null
+++ b/bins/entry/tests/process.rs
@@ -0,0 +1,215 @@
+//! The entry node as a process: settings, signals, sudden death.
+
+use std::io::{BufRead as _, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::time::Duration;
+
+use node::keys::FleetCa;
+use scene::stage::name;
+use scene::{CallerClient, ClientRequest, Scene, ScenePlan, ServicePlan};
+use tokio::time::{self, Instant};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_gooseberrydyke-entry");
+
+/// A process that is killed with its handle.
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn run(arguments: &[&str]) -> Output {
+    Command::new(BINARY).args(arguments).output().unwrap()
+}
+
+fn write_ca(test: &str) -> (PathBuf, PathBuf) {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test);
+    std::fs::create_dir_all(&folder).unwrap();
+    let ca = FleetCa::mint().unwrap();
+    let (certificate, key) = (folder.join("ca.pem"), folder.join("ca-key.pem"));
+    std::fs::write(&certificate, ca.certificate.as_bytes()).unwrap();
+    std::fs::write(&key, ca.key.as_bytes()).unwrap();
+    (certificate, key)
+}
+
+/// Starts a node in front of a scene's platform; returns it with its address for callers.
+fn start(test: &str, scene: &Scene) -> (Process, SocketAddr) {
+    let (certificate, key) = write_ca(test);
+    let mut child = Command::new(BINARY)
+        .args(["--node", test, "--data-centre", "ikeja"])
+        .args([
+            "--callers",
+            "127.0.0.1:0",
+            "--nodes",
+            "127.0.0.1:0",
+            "--ops",
+            "127.0.0.1:0",
+        ])
+        .args(["--platform", &scene.platform.address().to_string()])
+        .args(["--ca-certificate", certificate.to_str().unwrap()])
+        .args(["--ca-key", key.to_str().unwrap()])
+        .args(["--stop-notice", "300ms", "--log-format", "json"])
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    let process = Process(child);
+    let serving = lines
+        .by_ref()
+        .map(Result::unwrap)
+        .find(|line| line.contains("serves callers"));
+    let line = serving.unwrap();
+    std::thread::spawn(move || lines.for_each(drop));
+    assert!(
+        line.starts_with('{') && line.contains("\"part\":\"entry\""),
+        "{line}"
+    );
+    let address = line
+        .split("callers at ")
+        .nth(1)
+        .unwrap()
+        .split('.')
+        .collect::<Vec<_>>();
+    let address = address[..4]
+        .join(".")
+        .trim_end_matches(|c: char| !c.is_ascii_digit())
+        .to_owned();
+    (process, address.parse().unwrap())
+}
+
+async fn wait_serving(address: SocketAddr) {
+    let deadline = Instant::now() + Duration::from_secs(10);
+    while CallerClient::new(address)
+        .call(ClientRequest::get("/view/up"))
+        .await
+        .status
+        != 200
+    {
+        assert!(Instant::now() < deadline, "the node does not serve");
+        time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+fn signal(process: &Process, signal: &str) {
+    let id = process.0.id().to_string();
+    assert!(
+        Command::new("kill")
+            .args([signal, &id])
+            .status()
+            .unwrap()
+            .success()
+    );
+}
+
+async fn slow_scene() -> Scene {
+    let slow = |plan: ServicePlan| {
+        plan.behaving(|behaviour| behaviour.service_time = Duration::from_millis(400))
+    };
+    let services = vec![
+        slow(ServicePlan::lookups("view", "/view", 3)),
+        slow(ServicePlan::actions("book", "/book", 3)),
+    ];
+    Scene::start(ScenePlan::small(services)).await.unwrap()
+}
+
+#[test]
+fn help_names_every_flag_with_its_variable() {
+    let help = run(&["--help"]);
+    let text = String::from_utf8_lossy(&help.stdout).into_owned();
+    let flags = text.matches("--").count();
+    assert!(flags >= 17, "{text}");
+    assert_eq!(
+        text.matches("[GOOSEBERRYDYKE_").count(),
+        flags - 1,
+        "{text}"
+    );
+}
+
+#[test]
+fn a_faulty_setting_is_refused_with_its_name_value_and_what_is_allowed() {
+    let base = [
+        "--node",
+        "n",
+        "--data-centre",
+        "d",
+        "--platform",
+        "127.0.0.1:1",
+    ];
+    for (flag, value, allowed) in [
+        ("--stop-notice", "soon", "ms, s, m or h"),
+        ("--head-bytes", "1", "8192 to 1048576"),
+        ("--log-format", "xml", "text json"),
+        ("--seeds", "a@b", "NAME@ADDRESS@DATA-CENTRE"),
+    ] {
+        let output = run(&[&base[..], &[flag, value]].concat());
+        let text = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(output.status.code(), Some(2), "{flag}: {text}");
+        for part in [flag, value, allowed] {
+            assert!(text.contains(part), "{text:?} lacks {part:?}");
+        }
+    }
+    assert_eq!(run(&["--no-such-flag"]).status.code(), Some(2));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_terminated_node_finishes_its_work_and_exits_well() {
+    let scene = slow_scene().await;
+    let (mut process, address) = start("terminated", &scene);
+    wait_serving(address).await;
+    let callers: Vec<_> = (0..8)
+        .map(|number| {
+            tokio::spawn(async move {
+                let request = ClientRequest::get(format!("/view/{number}"));
+                CallerClient::new(address).call(request).await
+            })
+        })
+        .collect();
+    time::sleep(Duration::from_millis(150)).await;
+    signal(&process, "-TERM");
+    for caller in callers {
+        let answer = caller.await.unwrap();
+        assert!(
+            answer.whole && answer.status == 200,
+            "cut: status {}",
+            answer.status
+        );
+    }
+    let status = tokio::task::spawn_blocking(move || process.0.wait())
+        .await
+        .unwrap()
+        .unwrap();
+    assert!(status.success(), "{status}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_action_in_flight_at_a_killed_node_runs_at_most_once_and_reads_as_claimed() {
+    let scene = slow_scene().await;
+    let (process, address) = start("killed", &scene);
+    wait_serving(address).await;
+    let request = ClientRequest::post("/book/1", "slot")
+        .with("idempotency-key", "k1")
+        .with("action-id", "k1");
+    let first = {
+        let request = request.clone();
+        tokio::spawn(async move { CallerClient::new(address).call(request).await })
+    };
+    time::sleep(Duration::from_millis(250)).await;
+    drop(process);
+    let answer = first.await.unwrap();
+    assert!(!answer.whole, "a dead node answered");
+    // The same key at another node: never a second run, and never "not run".
+    for _ in 0..3 {
+        let answer = scene.client(0).call(request.clone()).await;
+        assert_ne!(answer.status, 200);
+        assert_ne!(answer.outcome(), Some("not-run"), "the key was claimed");
+        time::sleep(Duration::from_millis(200)).await;
+    }
+    let runs = scene.ledger.counts().await.get("k1").copied().unwrap_or(0);
+    assert!(runs <= 1, "{runs} runs");
+    assert_eq!(name::<model::ids::ServiceId>("book").as_str(), "book");
+}
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -18,6 +18,8 @@
 const SUSPECT_SPAN: Duration = Duration::from_secs(10);
 /// Nodes of one data centre that watch the platform for the others.
 const RELAYS_PER_CENTRE: usize = 2;
+/// Data centres from which an upstream is probed.
+const PROBING_CENTRES: usize = 3;
 
 model::record! {
     /// One node of the fleet.
@@ -182,12 +184,21 @@
             .any(|member| member.node == self.own.node)
     }
 
-    /// The node of this data centre that probes an upstream.
-    pub fn probes(&self, now: Instant, upstream: &ids::UpstreamId) -> bool {
+    /// Whether this node probes the upstreams of a service: one node in each of a
+    /// few data centres does.
+    pub fn probes(&self, now: Instant, service: &ids::ServiceId) -> bool {
+        let job = format!("probe/{service}");
+        let centres = self.centres();
+        let ranked = rendezvous::rank(&job, &centres, |centre| centre.as_str());
+        let chosen = ranked.into_iter().take(PROBING_CENTRES);
+        if !chosen
+            .into_iter()
+            .any(|centre| *centre == self.own.data_centre)
+        {
+            return false;
+        }
         let near = self.able_in(now, &self.own.data_centre);
-        let prober = rendezvous::first(&format!("probe/{upstream}"), &near, |member| {
-            member.node.as_str()
-        });
+        let prober = rendezvous::first(&job, &near, |member| member.node.as_str());
         prober.is_some_and(|member| member.node == self.own.node)
     }
 
--- a/testing/lab/src/control.rs
+++ b/testing/lab/src/control.rs
@@ -36,6 +36,11 @@
 const MESSAGE_OVERHEAD: f64 = 150.0;
 /// How long the collectors' seats hold.
 const SEATS_SECONDS: f64 = 10.0;
+/// Data centres that probe an upstream, and how often each does.
+const PROBING_CENTRES: f64 = 3.0;
+const PROBE_SECONDS: f64 = 3.0;
+/// Probes that are measured.
+const PROBES: u32 = 500;
 /// Times that a cheap step is repeated to be measured.
 const REPEATS: u32 = 20_000;
 
@@ -76,8 +81,9 @@
     };
     let memory = measure_memory(&mut sink);
     let steps = measure_steps(&mut sink);
+    let probe = measure_probe(&mut sink).await?;
     let idle = measure_fleet(&mut sink, settings).await?;
-    draw_out(&mut sink, memory, &steps, &idle);
+    draw_out(&mut sink, memory, &steps, probe, &idle);
     Ok(report.finish())
 }
 
@@ -192,8 +198,7 @@
         latency_micros: Some(20_000),
     };
     let bytes = node::wire::encode(&node::wire::NodeRequest::Evidence(vec![report.clone()]))
-        .map(|bytes| bytes.len())
-        .unwrap_or(0);
+        .map_or(0, |bytes| bytes.len());
     sink.slope(
         "size of a report of one outcome",
         "bytes",
@@ -261,6 +266,23 @@
     table
 }
 
+/// Processor time of one probe in microseconds, both ends counted.
+async fn measure_probe(sink: &mut Sink<'_>) -> std::io::Result<f64> {
+    let scene = Scene::start(ScenePlan::small(vec![ServicePlan::lookups(
+        "view", "/view", 1,
+    )]))
+    .await?;
+    let address = scene.upstream("view-0").standin.address();
+    let before = processor_time();
+    for _ in 0..PROBES {
+        let request = scene::ClientRequest::get("/healthz");
+        scene::CallerClient::new(address).call(request).await;
+    }
+    let spent = processor_time().saturating_sub(before).as_secs_f64() * 1e6 / f64::from(PROBES);
+    sink.slope("probing an upstream over a new connection", "us", spent);
+    Ok(spent)
+}
+
 /// What an idle fleet costs each node at some sizes.
 struct Idle {
     /// Share of a core, in percent.
@@ -292,7 +314,8 @@
         );
         time::sleep(span).await;
         let seconds = span.as_secs_f64();
-        let core = (processor_time() - processor).as_secs_f64() / seconds / count * 100.0;
+        let core =
+            processor_time().saturating_sub(processor).as_secs_f64() / seconds / count * 100.0;
         let bytes = (sent_bytes(&scene) - bytes) / seconds / count;
         let after: u64 = scene.platform.calls().await.values().sum();
         let calls = figure(after - calls.values().sum::<u64>()) / seconds;
@@ -348,7 +371,7 @@
 }
 
 /// Adds the slopes up at the target size.
-fn draw_out(sink: &mut Sink<'_>, config_memory: f64, steps: &Steps, idle: &Idle) {
+fn draw_out(sink: &mut Sink<'_>, config_memory: f64, steps: &Steps, probe: f64, idle: &Idle) {
     let case = "580 nodes, 500 services, 8500 upstreams";
     let neighbours = NODES / CENTRES;
     let outcomes = REQUESTS_PER_SECOND / NODES;
@@ -359,7 +382,9 @@
     let drawn = figure(SERVICES as u64) + services_here * (CENTRES - 1.0);
     let seats = drawn * steps.seats / SEATS_SECONDS;
     let rebuild = steps.rebuild * CHANGES_PER_DAY / SECONDS_PER_DAY;
-    let micros = reports * (steps.report + steps.observe) + seats + rebuild;
+    let probes =
+        figure((SERVICES * UPSTREAMS_EACH) as u64) * PROBING_CENTRES / NODES / PROBE_SECONDS;
+    let micros = reports * (steps.report + steps.observe) + seats + rebuild + probes * probe;
     let core = idle.core + micros / 1e6 * 100.0;
     sink.add(
         case,
