fix(operator): tell a stale change of its conflict before anything else

Cause: the plan checked the floor of the newer configuration before the generation, so an operator whose change came second was told of a floor, not of the other change. Change: a stale change goes straight to the commit, which names the other one. Conclusion: a conflict always names the change that came first.

--- a/crates/operator/src/api/desk.rs
+++ b/crates/operator/src/api/desk.rs
@@ -68,12 +68,15 @@
             Role::Operator
         })?;
         let before = self.committer.read().await?;
-        let plan = self.committer.plan(&call.step).await?;
         let share = leaving_share(&before, &call.step.apply(&before)?);
         if call.plan_only {
-            return Ok(answer(plan, share));
+            return Ok(answer(self.committer.plan(&call.step).await?, share));
         }
-        if share > LEAVING_SHARE_MAX && !call.large_share {
+        // A change on top of another one is told of that first.
+        let stale = call
+            .expected
+            .is_some_and(|expected| expected != before.generation);
+        if share > LEAVING_SHARE_MAX && !call.large_share && !stale {
             let detail = format!(
                 "{:.0}% of a service's upstreams would leave at once, {:.0}% may without the flag",
                 share * 100.0,
