fix(caller): let callers go before a planned stop closes their connections

Cause: a request sent on an idle connection just as the node closed it was cut, and the test counted that as a refused connection. AtMostOnce was declared and never checked. Change: a leaving node closes each connection with its next answer; the test tells sent requests from refused connections; the invariant is checked before each attempt. The accept loop of two servers is one; two large files are split.

--- a/bins/entry/src/ops.rs
+++ b/bins/entry/src/ops.rs
@@ -32,26 +32,17 @@
     ) -> io::Result<SocketAddr> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        tokio::spawn(self.accept(listener, stopping));
-        Ok(address)
-    }
-
-    async fn accept(self, listener: TcpListener, mut stopping: watch::Receiver<bool>) {
-        let connection_stop = stopping.clone();
-        loop {
-            let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
-                _ = stopping.wait_for(|stopping| *stopping) => return,
-            };
-            let Ok((stream, _)) = accepted else { continue };
+        let handler: server::Handler<BodyStream> = Arc::new(move |request| {
             let desk = self.clone();
-            let handler: server::Handler<BodyStream> = Arc::new(move |request| {
-                let desk = desk.clone();
-                Box::pin(async move { desk.answer(request.uri().path()).await })
-            });
-            let stop = connection_stop.clone();
-            tokio::spawn(server::serve(stream, ServeLimits::default(), handler, stop));
-        }
+            Box::pin(async move { desk.answer(request.uri().path()).await })
+        });
+        tokio::spawn(server::listen(
+            listener,
+            ServeLimits::default(),
+            handler,
+            stopping,
+        ));
+        Ok(address)
     }
 
     async fn answer(&self, path: &str) -> Response<BodyStream> {
--- a/bins/entry/src/server.rs
+++ b/bins/entry/src/server.rs
@@ -93,7 +93,13 @@
             let dispatcher = dispatcher.clone();
             Box::pin(async move { dispatcher.serve(call).await })
         });
-        let front = CallerFront::bind(settings.caller_address, settings.limits, dispatch).await?;
+        let front = CallerFront::bind(
+            settings.caller_address,
+            settings.limits,
+            dispatch,
+            leaving_watch.clone(),
+        )
+        .await?;
         let caller_address = front.address()?;
         let desk = OpsDesk {
             directory: directory.clone(),
--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -6,7 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::{HeaderValue, Request, Response, header};
 use http1::server::{self, ServeLimits};
+use hyper::body::Incoming;
 use model::call::{BodyStream, Call, CallAnswer};
 use model::error::FleetError;
 use tokio::net::{TcpListener, TcpStream};
@@ -48,10 +50,12 @@
     listener: TcpListener,
     limits: CallerLimits,
     dispatch: Dispatch,
+    leaving: watch::Receiver<bool>,
 }
 
 impl CallerFront {
-    /// Binds the front end to an address.
+    /// Binds the front end to an address. Once `leaving` is true every answer
+    /// tells its caller to close the connection.
     ///
     /// # Errors
     /// When the address cannot be bound.
@@ -59,11 +63,14 @@
         address: SocketAddr,
         limits: CallerLimits,
         dispatch: Dispatch,
+        leaving: watch::Receiver<bool>,
     ) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
         Ok(Self {
-            listener: TcpListener::bind(address).await?,
+            listener,
             limits,
             dispatch,
+            leaving,
         })
     }
 
@@ -79,6 +86,7 @@
     pub async fn run(self, mut stopping: watch::Receiver<bool>) {
         let mut connections = JoinSet::new();
         let connection_stop = stopping.clone();
+        let handler = handler(self.dispatch, self.leaving);
         loop {
             let accepted = tokio::select! {
                 accepted = self.listener.accept() => accepted,
@@ -87,9 +95,9 @@
             };
             match accepted {
                 Ok((stream, _)) if connections.len() < self.limits.connections => {
-                    let dispatch = Arc::clone(&self.dispatch);
+                    let handler = Arc::clone(&handler);
                     let stop = connection_stop.clone();
-                    connections.spawn(serve(stream, self.limits.connection, dispatch, stop));
+                    connections.spawn(serve(stream, self.limits.connection, handler, stop));
                 }
                 Ok((_, peer)) => {
                     log::warn!(target: "caller", "Too many connections, closed {peer}.");
@@ -109,24 +117,37 @@
 async fn serve(
     stream: TcpStream,
     limits: ServeLimits,
-    dispatch: Dispatch,
+    handler: server::Handler<BodyStream>,
     stopping: watch::Receiver<bool>,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(target: "caller", "No delay cannot be set: {error}.");
     }
-    let handler: server::Handler<BodyStream> = Arc::new(move |request| {
+    server::serve(stream, limits, handler, stopping).await;
+}
+
+fn handler(dispatch: Dispatch, leaving: watch::Receiver<bool>) -> server::Handler<BodyStream> {
+    Arc::new(move |request| {
         let dispatch = Arc::clone(&dispatch);
+        let leaving = leaving.clone();
         Box::pin(async move {
-            let call = match wire::read_call(request) {
-                Ok(call) => call,
-                Err(error) => return wire::write_error(&error),
-            };
-            match dispatch(call).await {
-                Ok(answer) => wire::write_answer(answer),
-                Err(error) => wire::write_error(&error),
+            let mut response = answer(&dispatch, request).await;
+            if *leaving.borrow() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
             }
+            response
         })
-    });
-    server::serve(stream, limits, handler, stopping).await;
+    })
+}
+
+async fn answer(dispatch: &Dispatch, request: Request<Incoming>) -> Response<BodyStream> {
+    let call = match wire::read_call(request) {
+        Ok(call) => call,
+        Err(error) => return wire::write_error(&error),
+    };
+    match dispatch(call).await {
+        Ok(answer) => wire::write_answer(answer),
+        Err(error) => wire::write_error(&error),
+    }
 }
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -10,8 +10,14 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time;
+
+/// How long a listener rests when the system cannot give it a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// The smallest read buffer that the library takes.
+const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
 /// Bounds on what one connection may send.
 #[derive(Debug, Clone, Copy)]
@@ -72,8 +78,39 @@
     log_end(connection.await);
 }
 
-/// The smallest read buffer that the library takes.
-const MIN_BUFFER_BYTES: usize = 8 * 1024;
+/// Accepts connections, a task for each, until `stopping` turns true or its sender is gone.
+pub async fn listen<B>(
+    listener: TcpListener,
+    limits: ServeLimits,
+    handler: Handler<B>,
+    mut stopping: watch::Receiver<bool>,
+) where
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let connection_stop = stopping.clone();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopping.wait_for(|stopping| *stopping) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let _ = stream.set_nodelay(true);
+                tokio::spawn(serve(
+                    stream,
+                    limits,
+                    Arc::clone(&handler),
+                    connection_stop.clone(),
+                ));
+            }
+            Err(error) => {
+                log::warn!(target: "http", "Accept failed: {error}.");
+                time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
 
 fn log_end(result: Result<(), hyper::Error>) {
     if let Err(error) = result {
--- a/crates/policy/src/service/board.rs
+++ b/crates/policy/src/service/board/mod.rs
@@ -1,6 +1,8 @@
 //! The board: admits requests, takes their ends, and gathers evidence.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+mod news;
+
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,7 +15,6 @@
 use super::choose;
 use super::member::{Member, MemberView, Standing};
 use crate::detection::{self, TestCosts};
-use crate::ejection;
 use crate::invariant;
 use crate::limit;
 use crate::retry::{self, AttemptEnd};
@@ -149,60 +150,6 @@
         board
     }
 
-    /// Takes new settings; members that stay keep their state.
-    pub fn configure(&mut self, now: Instant, service: Arc<config::Service>) {
-        self.costs = TestCosts::of(service.profile);
-        let known: BTreeSet<_> = service.upstreams.iter().map(|up| up.id.clone()).collect();
-        for up in &service.upstreams {
-            self.put_member(now, Arc::new(up.clone()));
-        }
-        for (id, key) in &self.by_id {
-            self.members[*key].stranger = !known.contains(id);
-        }
-        self.service = service;
-        self.forget_idle_strangers(&known);
-    }
-
-    fn put_member(&mut self, now: Instant, upstream: Arc<config::Upstream>) {
-        let id = upstream.id.clone();
-        if let Some(key) = self.by_id.get(&id) {
-            let member = &mut self.members[*key];
-            if member.upstream.state != upstream.state {
-                member.drain_seen = None;
-            }
-            member.upstream = upstream;
-            return;
-        }
-        let member = Member::new(now, upstream, self.costs.eject);
-        let key = self.members.insert(member);
-        self.by_id.insert(id, key);
-    }
-
-    fn forget_idle_strangers(&mut self, known: &BTreeSet<ids::UpstreamId>) {
-        let members = &mut self.members;
-        self.by_id.retain(|id, key| {
-            let keep = known.contains(id) || members[*key].in_flight > 0;
-            if !keep {
-                members.remove(*key);
-            }
-            keep
-        });
-    }
-
-    /// Sets how many nodes share the trials of an upstream.
-    pub fn set_fleet_size(&mut self, nodes: u32) {
-        let seconds = f64::from(nodes) / FLEET_TRIALS_PER_SECOND;
-        self.trial_interval = Duration::from_secs_f64(seconds).max(TRIAL_INTERVAL_MIN);
-        self.ledger.set_fleet_size(nodes);
-    }
-
-    /// Sets the upstreams that this node uses first.
-    pub fn set_subset(&mut self, subset: &BTreeSet<ids::UpstreamId>) {
-        for member in self.members.values_mut() {
-            member.in_subset = subset.contains(&member.upstream.id);
-        }
-    }
-
     /// The service as configured.
     pub const fn service(&self) -> &Arc<config::Service> {
         &self.service
@@ -404,11 +351,6 @@
         })
     }
 
-    /// Takes the usual latency from the service's collector.
-    pub fn take_tempo(&mut self, tempo: &detection::ServiceTempo) {
-        self.told_median = Some(Duration::from_micros(u64::from(tempo.median_micros)));
-    }
-
     /// Time that a request must have left to be worth sending.
     pub fn time_needed(&self) -> Duration {
         let slow = self.tempo.rough_quantile(SLOW_QUANTILE).unwrap_or_default();
@@ -430,68 +372,6 @@
         retry::decide(case, &mut self.budget)
     }
 
-    /// Takes a collector's verdict.
-    pub fn take_verdict(
-        &mut self,
-        now: Instant,
-        upstream: &ids::UpstreamId,
-        verdict: &detection::Verdict,
-    ) {
-        let Some(key) = self.by_id.get(upstream) else {
-            return;
-        };
-        let avoid = match verdict {
-            detection::Verdict::Clear => false,
-            detection::Verdict::Eject
-            | detection::Verdict::Avoid(detection::VerdictScope::Fleet) => true,
-            detection::Verdict::Avoid(detection::VerdictScope::DataCentres(centres)) => {
-                centres.contains(&self.home)
-            }
-        };
-        let member = &mut self.members[*key];
-        if avoid && member.told_avoid.is_none() {
-            let jitter = self
-                .trial_interval
-                .mul_f64(rand::Rng::random::<f64>(&mut self.rng));
-            member.next_trial = now + jitter;
-        }
-        if !avoid && member.told_avoid.is_some() {
-            member.start_ramp(now);
-            member.own.set(0.0);
-            member.own_avoid = None;
-        }
-        member.told_avoid = avoid.then_some(now);
-    }
-
-    /// Takes the record of what is ejected.
-    pub fn take_record(&mut self, now: Instant, record: &ejection::EjectionRecord) {
-        for member in self.members.values_mut() {
-            let ejected = record.ejected.contains_key(&member.upstream.id);
-            if member.ejected && !ejected {
-                member.start_ramp(now);
-            }
-            member.ejected = ejected;
-        }
-    }
-
-    /// Takes a sign that an upstream drains; returns whether it is news.
-    pub fn take_drain(&mut self, now: Instant, upstream: &ids::UpstreamId) -> bool {
-        let Some(key) = self.by_id.get(upstream) else {
-            return false;
-        };
-        let member = &mut self.members[*key];
-        let news = member.standing() != Standing::Draining;
-        member.drain_seen = Some(now);
-        news
-    }
-
-    /// Takes the load that an upstream reports, from 0 to 1.
-    pub fn take_load(&mut self, upstream: &ids::UpstreamId, load: f64) {
-        if let Some(key) = self.by_id.get(upstream) {
-            self.members[*key].reported_load = load.clamp(0.0, 1.0);
-        }
-    }
-
     /// Adds the outcome of a probe or of a body that broke off late.
     pub fn take_witness(&mut self, now: Instant, upstream: &ids::UpstreamId, good: bool) {
         if let Some(key) = self.by_id.get(upstream).copied() {
--- a/crates/upstream/src/dispatch/dispatcher.rs
+++ b/crates/upstream/src/dispatch/dispatcher.rs
@@ -233,6 +233,10 @@
                 Ok(lease) => lease,
                 Err(kind) => return self.give_up(last, kind),
             };
+            let may_send = self.case.repeatable || !self.may_have_run;
+            invariant::check(Invariant::AtMostOnce, may_send, || {
+                format!("request {} would be sent again", self.case.request)
+            });
             self.attempts += 1;
             self.tried.push(lease.upstream().id.clone());
             let payer = lease.payer();
--- a/testing/lab/src/once_only/world.rs
+++ b/testing/lab/src/once_only/world/mod.rs
@@ -1,13 +1,16 @@
 //! Nodes that claim, batch, pause and die; callers that repeat keys.
 
+mod claims;
+mod faults;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
 
 use model::clock::UnixMillis;
 use model::sizes::ObjectVersion;
 use policy::claim::{
-    BatchWrite, ClaimKey, ClaimOrder, ClaimState, ClaimToken, ClaimVerdict, Decided, Settlement,
-    ShardBatcher, ShardId, StoredSegment, shard_of,
+    BatchWrite, ClaimKey, ClaimState, ClaimToken, ClaimVerdict, Settlement, ShardBatcher, ShardId,
+    StoredSegment, shard_of,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -303,126 +306,6 @@
         usize::try_from(shard_of(key).get()).unwrap_or(0) % NODES
     }
 
-    fn claim(&mut self, node: usize, request: Box<Try>) {
-        if self.protocol == Protocol::OwnerMemory {
-            let known = self.nodes[node]
-                .memory
-                .insert(request.key.clone(), request.token.clone());
-            let verdict = match known {
-                None => ClaimVerdict::Granted,
-                Some(_) => ClaimVerdict::Held(ClaimState::Claimed),
-            };
-            return self.after(2, Event::Verdict(request, verdict));
-        }
-        let order = ClaimOrder {
-            key: request.key.clone(),
-            token: request.token.clone(),
-            request: 1,
-            expires: UnixMillis::new(self.now + RETENTION),
-            settled_by: UnixMillis::new(request.deadline + SETTLE_SPAN),
-        };
-        let shard = shard_of(&request.key);
-        self.nodes[node]
-            .waiting
-            .insert(request.token.clone(), request);
-        let now = self.unix();
-        let decided = self.batcher(node, shard).claim(now, order);
-        self.answer(node, decided);
-        self.work(node, shard);
-    }
-
-    fn batcher(&mut self, node: usize, shard: ShardId) -> &mut ShardBatcher {
-        self.nodes[node]
-            .shards
-            .entry(shard)
-            .or_insert_with(|| ShardBatcher::new(shard))
-    }
-
-    fn answer(&mut self, node: usize, decided: Vec<Decided>) {
-        for Decided { token, verdict, .. } in decided {
-            if let Some(request) = self.nodes[node].waiting.remove(&token) {
-                let delay = self.within(5);
-                self.after(delay, Event::Verdict(request, verdict));
-            }
-        }
-    }
-
-    /// Starts the next read or update of a shard at a node.
-    fn work(&mut self, node: usize, shard: ShardId) {
-        let now = self.unix();
-        let life = self.nodes[node].life;
-        if self.nodes[node].busy.contains(&shard) || self.batcher(node, shard).waiting() == 0 {
-            return;
-        }
-        if self.batcher(node, shard).needs_load() {
-            self.nodes[node].busy.insert(shard);
-            self.result.loads += 1;
-            let out = self.now < self.out_until;
-            let segments = (!out).then(|| self.platform.read(shard));
-            let delay = self.within(10);
-            return self.after(delay, Event::Loaded(node, life, shard, segments));
-        }
-        let Some(write) = self.batcher(node, shard).next_write(now) else {
-            return;
-        };
-        self.nodes[node].busy.insert(shard);
-        self.result.writes += 1;
-        let lost = self.rng.random_bool(LOST_ANSWERS);
-        let late = lost && self.rng.random_bool(LATE_WRITES);
-        let delay = if late {
-            self.within(5_000)
-        } else {
-            self.within(5)
-        };
-        self.after(delay, Event::Apply(node, life, write, lost));
-    }
-
-    fn apply(&mut self, node: usize, life: u64, write: BatchWrite, lost: bool) {
-        let shard = write.shard;
-        let out = self.now < self.out_until;
-        let version = if out {
-            None
-        } else {
-            self.platform.apply(write)
-        };
-        if lost || out {
-            return self.after(ANSWER_PATIENCE, Event::Written(node, life, shard, None));
-        }
-        let delay = self.within(5);
-        self.after(delay, Event::Written(node, life, shard, version));
-    }
-
-    fn written(&mut self, node: usize, life: u64, shard: ShardId, version: Option<ObjectVersion>) {
-        let now = self.unix();
-        if let Some(version) = version {
-            let decided = self.batcher(node, shard).written(now, version);
-            self.answer(node, decided);
-        } else {
-            self.result.unsure_writes += 1;
-            self.batcher(node, shard).unsure();
-        }
-        self.after(PACE, Event::Ready(node, life, shard));
-    }
-
-    fn loaded(
-        &mut self,
-        node: usize,
-        life: u64,
-        shard: ShardId,
-        segments: Option<Vec<StoredSegment>>,
-    ) {
-        let now = self.unix();
-        let delay = match segments {
-            Some(segments) => {
-                let decided = self.batcher(node, shard).load(now, segments);
-                self.answer(node, decided);
-                1
-            }
-            None => ANSWER_PATIENCE,
-        };
-        self.after(delay, Event::Ready(node, life, shard));
-    }
-
     fn verdict(&mut self, request: Box<Try>, verdict: ClaimVerdict) {
         let in_time = self.now < request.deadline;
         if !in_time || !self.answered.insert(request.token.clone()) {
@@ -471,66 +354,6 @@
         self.after(delay, Event::Settle(node, request.key.clone(), settlement));
     }
 
-    fn kill(&mut self) {
-        let node = self.rng.random_range(0..NODES);
-        let life = self.nodes[node].life + 1;
-        self.nodes[node] = Node {
-            life,
-            ..Node::default()
-        };
-        self.again(KILL_INTERVAL, Event::Kill);
-    }
-
-    fn pause(&mut self) {
-        let node = self.rng.random_range(0..NODES);
-        self.nodes[node].paused_until = self.now + self.within(PAUSE_SPAN);
-        self.again(PAUSE_INTERVAL, Event::Pause);
-    }
-
-    fn outage(&mut self) {
-        self.out_until = self.now + self.within(OUTAGE_SPAN);
-        self.again(OUTAGE_INTERVAL, Event::Outage);
-    }
-
-    fn tidy(&mut self) {
-        let now = self.unix();
-        for node in 0..NODES {
-            if self.nodes[node].paused_until > self.now {
-                continue;
-            }
-            let platform = &mut self.platform;
-            for (shard, batcher) in &mut self.nodes[node].shards {
-                while let Some((number, version)) = batcher.take_expired(now) {
-                    platform.delete(*shard, number, version);
-                }
-            }
-            self.withdraw_late(node);
-        }
-        self.again(TIDY_INTERVAL * 2, Event::Tidy);
-    }
-
-    /// Withdraws claims whose callers have gone.
-    fn withdraw_late(&mut self, node: usize) {
-        let now = self.now;
-        let Node {
-            waiting, shards, ..
-        } = &mut self.nodes[node];
-        waiting.retain(|token, request| {
-            let waits = request.deadline > now;
-            if let Some(batcher) = shards.get_mut(&shard_of(&request.key)).filter(|_| !waits) {
-                batcher.withdraw(&request.key, token);
-            }
-            waits
-        });
-    }
-
-    fn again(&mut self, interval: u64, event: Event) {
-        if self.active() {
-            let delay = self.within(interval * 2);
-            self.after(delay, event);
-        }
-    }
-
     fn close(&mut self) {
         let false_refusals = self
             .refused
--- a/testing/scene/src/client.rs
+++ b/testing/scene/src/client.rs
@@ -68,15 +68,18 @@
     pub body: Bytes,
     /// Whether the body arrived to its end.
     pub whole: bool,
+    /// Whether a connection was open and the request may have been sent.
+    pub sent: bool,
 }
 
 impl ClientAnswer {
-    fn nothing() -> Self {
+    fn nothing(sent: bool) -> Self {
         Self {
             status: 0,
             headers: HeaderMap::new(),
             body: Bytes::new(),
             whole: false,
+            sent,
         }
     }
 
@@ -119,21 +122,30 @@
     pub async fn call(&mut self, request: ClientRequest) -> ClientAnswer {
         let patience = request.patience;
         let answered = time::timeout(patience, self.exchange(request)).await;
-        answered
-            .ok()
-            .flatten()
-            .unwrap_or_else(ClientAnswer::nothing)
+        answered.unwrap_or_else(|_| ClientAnswer::nothing(true))
     }
 
-    async fn exchange(&mut self, request: ClientRequest) -> Option<ClientAnswer> {
+    async fn exchange(&mut self, request: ClientRequest) -> ClientAnswer {
         let idle = self
             .idle
             .take()
             .filter(|connection| !connection.is_closed());
         let connection = match idle {
-            Some(connection) => connection,
-            None => client::open(self.address, CONNECT_PATIENCE).await.ok()?,
+            Some(connection) => Some(connection),
+            None => client::open(self.address, CONNECT_PATIENCE).await.ok(),
         };
+        let Some(connection) = connection else {
+            return ClientAnswer::nothing(false);
+        };
+        let answer = self.exchange_over(connection, request).await;
+        answer.unwrap_or_else(|| ClientAnswer::nothing(true))
+    }
+
+    async fn exchange_over(
+        &mut self,
+        connection: Connection,
+        request: ClientRequest,
+    ) -> Option<ClientAnswer> {
         let mut builder = http::Request::builder()
             .method(request.method)
             .uri(request.target)
@@ -165,6 +177,7 @@
             headers: parts.headers,
             body: bytes.freeze(),
             whole,
+            sent: true,
         })
     }
 }
--- a/testing/scene/tests/fleet.rs
+++ b/testing/scene/tests/fleet.rs
@@ -225,7 +225,7 @@
                     let answer = client
                         .call(ClientRequest::get(format!("/view/{number}-{turn}")))
                         .await;
-                    answers.push((answer.status, answer.whole));
+                    answers.push((answer.status, answer.whole, answer.sent));
                     if answer.status == 0 {
                         break;
                     }
@@ -241,9 +241,9 @@
         // A refused connection after the stop is no cut; anything sent is answered whole.
         let cut = answers
             .iter()
-            .any(|(status, whole)| *status != 0 && (!whole || *status != 200));
+            .any(|(status, whole, sent)| *sent && (!whole || *status != 200));
         assert!(!cut, "{answers:?}");
-        assert!(answers[0] == (200, true), "{answers:?}");
+        assert!(answers[0] == (200, true, true), "{answers:?}");
     }
     assert_no_breach();
 }
--- a/testing/standin/src/platform/server.rs
+++ b/testing/standin/src/platform/server.rs
@@ -42,7 +42,13 @@
         let (orders, inbox) = mpsc::channel(ORDERS_MAX);
         let (stop, stopping) = watch::channel(false);
         tokio::spawn(store::run(inbox));
-        tokio::spawn(accept(listener, orders.clone(), delay, stopping));
+        let handler = handler(orders.clone(), delay);
+        tokio::spawn(server::listen(
+            listener,
+            ServeLimits::default(),
+            handler,
+            stopping,
+        ));
         Ok(Self {
             address,
             orders,
@@ -82,33 +88,15 @@
     answer.await.ok()
 }
 
-async fn accept(
-    listener: TcpListener,
-    orders: mpsc::Sender<StoreOrder>,
-    delay: Duration,
-    mut stopping: watch::Receiver<bool>,
-) {
-    let connection_stop = stopping.clone();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stopping.changed() => return,
-        };
-        let Ok((stream, _)) = accepted else { continue };
-        let _ = stream.set_nodelay(true);
+fn handler(orders: mpsc::Sender<StoreOrder>, delay: Duration) -> server::Handler<BodyStream> {
+    Arc::new(move |request| {
         let orders = orders.clone();
-        let handler: server::Handler<BodyStream> = Arc::new(move |request| {
-            let orders = orders.clone();
-            Box::pin(async move {
-                time::sleep(delay).await;
-                answer(&orders, request)
-                    .await
-                    .unwrap_or_else(|| plain(StatusCode::BAD_REQUEST))
-            })
-        });
-        let stop = connection_stop.clone();
-        tokio::spawn(server::serve(stream, ServeLimits::default(), handler, stop));
-    }
+        Box::pin(async move {
+            time::sleep(delay).await;
+            let answered = answer(&orders, request).await;
+            answered.unwrap_or_else(|| plain(StatusCode::BAD_REQUEST))
+        })
+    })
 }
 
 async fn answer(
