fix(detection): do not eject when a whole service fails after a lone failure

Change: the newest 1.5 s counts beside the time since the onset, an upstream is avoided for 2 s before its ejection is proposed, the detection profile avoids at 5.2. The command line has tests against a running API; a slow upstream is raced. Conclusion: avoiding is enough for the first two seconds.

--- /dev/null
+++ b/bins/ctl/tests/commands.rs
@@ -0,0 +1,229 @@
+//! The command line against a running administration API.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+use std::time::Duration;
+
+use admin::{AdminProcess, AdminSettings};
+use scene::plan::ANY_PORT;
+use scene::{Scene, ScenePlan, ServicePlan};
+use telemetry::logs::{LogFormat, LogLevel};
+use tokio::time::{self, Instant};
+
+const TOKEN: &str = "a-root-token-for-tests";
+
+struct Stage {
+    scene: Scene,
+    process: AdminProcess,
+    folder: PathBuf,
+}
+
+impl Stage {
+    async fn start(test: &str) -> Self {
+        let view = ServicePlan::lookups("view", "/view", 6);
+        let scene = Scene::start(ScenePlan::small(vec![view])).await.unwrap();
+        let settings = AdminSettings {
+            address: ANY_PORT,
+            platform: scene.platform.address(),
+            root_token: Some(TOKEN.into()),
+            log_format: LogFormat::Text,
+            log_level: LogLevel::Error,
+        };
+        let process = AdminProcess::start(&settings).unwrap();
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test);
+        std::fs::create_dir_all(&folder).unwrap();
+        let stage = Self {
+            scene,
+            process,
+            folder,
+        };
+        let deadline = Instant::now() + Duration::from_secs(10);
+        while stage.ctl(&["status"]).await.status.code() != Some(0) {
+            assert!(Instant::now() < deadline, "the API does not answer");
+            time::sleep(Duration::from_millis(50)).await;
+        }
+        stage
+    }
+
+    async fn ctl(&self, arguments: &[&str]) -> Output {
+        self.ctl_as(TOKEN, arguments).await
+    }
+
+    async fn ctl_as(&self, token: &str, arguments: &[&str]) -> Output {
+        let address = self.process.address.to_string();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_gooseberrydyke-ctl"));
+        command
+            .args(["--admin", &address, "--token", token])
+            .args(arguments);
+        tokio::task::spawn_blocking(move || command.output().unwrap())
+            .await
+            .unwrap()
+    }
+
+    fn write(&self, name: &str, text: &str) -> String {
+        let path = self.folder.join(name);
+        std::fs::write(&path, text).unwrap();
+        path.to_str().unwrap().to_owned()
+    }
+}
+
+fn text(output: &Output) -> String {
+    let both = [&output.stdout[..], &output.stderr[..]].concat();
+    String::from_utf8_lossy(&both).into_owned()
+}
+
+fn sheet(stage: &Stage, floor: u32) -> String {
+    let mut rows = format!(
+        "kind;name;service;floor;deadline;address;data-centre;slots;prefix\nservice;view;;{floor};4s;;;;\n"
+    );
+    for (id, upstream) in &stage.scene.upstreams {
+        let address = upstream.link.address();
+        rows += &format!("upstream;{id};view;;;{address};ikeja;4;\n");
+    }
+    rows + "route;view;view;;;;;;/view\n"
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_sheet_is_checked_planned_and_applied_at_the_planned_generation_only() {
+    let stage = Stage::start("sheet").await;
+    let file = stage.write("good.csv", &sheet(&stage, 8));
+    assert_eq!(
+        stage.ctl(&["sheet", "check", &file]).await.status.code(),
+        Some(0)
+    );
+    let plan = stage.ctl(&["sheet", "plan", &file]).await;
+    assert!(
+        text(&plan).contains("changes  service view (floor: 4 to 8)"),
+        "{}",
+        text(&plan)
+    );
+    assert!(text(&plan).contains("--generation 2"), "{}", text(&plan));
+    let apply = ["sheet", "apply", &file, "--generation", "2"];
+    let first = stage.ctl(&apply).await;
+    assert!(
+        text(&first).contains("Accepted as generation 3"),
+        "{}",
+        text(&first)
+    );
+    let second = stage.ctl(&apply).await;
+    assert_eq!(second.status.code(), Some(3), "{}", text(&second));
+    assert!(
+        text(&second).contains("generation 3 by root"),
+        "{}",
+        text(&second)
+    );
+    let faulty = stage.write("faulty.csv", &sheet(&stage, 8).replace("4;\n", "four;\n"));
+    let check = stage.ctl(&["sheet", "check", &faulty]).await;
+    assert_eq!(check.status.code(), Some(1));
+    assert_eq!(
+        text(&check).matches("column slots: \"four\"").count(),
+        6,
+        "{}",
+        text(&check)
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drains_lists_status_and_audit_show_what_happened() {
+    let stage = Stage::start("drains").await;
+    let drain = stage.ctl(&["drain", "view", "view-1"]).await;
+    assert_eq!(drain.status.code(), Some(0), "{}", text(&drain));
+    let list = text(&stage.ctl(&["list", "upstreams"]).await);
+    let line = list
+        .lines()
+        .find(|line| line.starts_with("view-1 "))
+        .unwrap();
+    assert!(line.ends_with("draining"), "{line}");
+    let status = stage.ctl(&["--json", "status"]).await;
+    let status: serde_json::Value = serde_json::from_slice(&status.stdout).unwrap();
+    assert_eq!(status["services"][0]["active_slots"], 20);
+    let audit = text(&stage.ctl(&["audit", "--most", "1"]).await);
+    assert!(
+        audit.contains("root: set view-1 of view to draining"),
+        "{audit}"
+    );
+    let undrain = stage.ctl(&["undrain", "view", "view-1"]).await;
+    assert!(
+        text(&undrain).contains("undrains upstream view-1"),
+        "{}",
+        text(&undrain)
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn parts_are_put_and_removed_from_files() {
+    let stage = Stage::start("parts").await;
+    let space = stage.write("space.json", r#"{"id": "lagos", "limit": 7}"#);
+    let put = stage.ctl(&["put", "workspace", &space]).await;
+    assert_eq!(put.status.code(), Some(0), "{}", text(&put));
+    assert!(text(&stage.ctl(&["list", "workspaces"]).await).contains("lagos"));
+    let route = r#"{"id": "r", "host": null, "prefix": "/r", "methods": [], "service": "nobody", "repeat": "always"}"#;
+    let refused = stage
+        .ctl(&["put", "route", &stage.write("route.json", route)])
+        .await;
+    assert_eq!(refused.status.code(), Some(1));
+    assert!(
+        text(&refused).contains("service nobody does not exist"),
+        "{}",
+        text(&refused)
+    );
+    let removed = stage.ctl(&["remove", "workspace", "lagos"]).await;
+    assert!(
+        text(&removed).contains("removes  workspace lagos"),
+        "{}",
+        text(&removed)
+    );
+    assert_eq!(
+        stage
+            .ctl(&["remove", "workspace", "lagos"])
+            .await
+            .status
+            .code(),
+        Some(1)
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn exit_codes_tell_refusals_usage_and_silence_apart() {
+    let stage = Stage::start("codes").await;
+    assert_eq!(
+        stage
+            .ctl_as("nobody-knows-me", &["status"])
+            .await
+            .status
+            .code(),
+        Some(1)
+    );
+    assert_eq!(stage.ctl(&["list", "lodges"]).await.status.code(), Some(2));
+    assert_eq!(stage.ctl(&["no-such-command"]).await.status.code(), Some(2));
+    let issued = stage.ctl(&["token", "issue", "kano", "viewer"]).await;
+    let token = text(&issued).trim().to_owned();
+    assert_eq!(
+        stage.ctl_as(&token, &["status"]).await.status.code(),
+        Some(0)
+    );
+    let refused = stage.ctl_as(&token, &["drain", "view", "view-1"]).await;
+    assert_eq!(refused.status.code(), Some(1));
+    assert!(
+        text(&refused).contains("needs operator"),
+        "{}",
+        text(&refused)
+    );
+    let Stage {
+        process, folder, ..
+    } = stage;
+    let address = process.address.to_string();
+    process.stop().await;
+    let mut command = Command::new(env!("CARGO_BIN_EXE_gooseberrydyke-ctl"));
+    command.args(["--admin", &address, "--token", TOKEN, "status"]);
+    assert_eq!(command.output().unwrap().status.code(), Some(4));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_gooseberrydyke-ctl"));
+    let path = folder.to_str().unwrap();
+    let made = command.args(["new-ca", path]).output().unwrap();
+    assert!(
+        [Some(0), Some(2)].contains(&made.status.code()),
+        "{}",
+        text(&made)
+    );
+    assert!(folder.join("ca.pem").exists() && folder.join("ca-key.pem").exists());
+}
--- a/crates/operator/src/api/description.rs
+++ b/crates/operator/src/api/description.rs
@@ -6,7 +6,7 @@
 struct CallLine(&'static str, &'static str, &'static str, &'static str);
 
 /// Every call.
-const CALLS: [CallLine; 18] = [
+const CALLS: [CallLine; 19] = [
     CallLine(
         "get",
         "/v1/status",
@@ -85,6 +85,7 @@
         "operator",
     ),
     CallLine("post", "/v1/tokens", "Issue a token", "admin"),
+    CallLine("delete", "/v1/tokens/{operator}", "Revoke a token", "admin"),
 ];
 
 /// The description as JSON.
--- a/crates/policy/src/detection/judge.rs
+++ b/crates/policy/src/detection/judge.rs
@@ -20,10 +20,15 @@
 /// The most outcomes of one upstream that a comparison counts, since an upstream
 /// that fails at once gets more requests than the others.
 const COMPARE_WEIGHT_MAX: u32 = 4;
+/// The newest past, in which a service that fails as a whole shows at once.
+const COMPARE_NEWEST: Duration = Duration::from_millis(1500);
 /// How long a comparison waits for them.
 const COMPARE_PATIENCE: Duration = Duration::from_secs(2);
 /// The part of the median by which it must change to be told again.
 const TEMPO_CHANGE_DIVISOR: u32 = 5;
+/// How long an upstream is avoided before its ejection is proposed: avoiding is
+/// enough for the moment, and the others may turn out to fail as well.
+const EJECT_DWELL: Duration = Duration::from_secs(2);
 /// How long an upstream is avoided at least.
 const AVOID_SPAN_MIN: Duration = Duration::from_secs(2);
 /// The longest time that flapping adds to.
@@ -288,6 +293,9 @@
     }
 
     fn ejectable(&self, now: Instant, case: &Case) -> bool {
+        if now.saturating_duration_since(case.since) < EJECT_DWELL {
+            return false;
+        }
         let sure = case.docket.pooled.score() >= self.costs.eject;
         let wanted = self.observers.clamp(1, 2);
         sure && case.docket.supporters(now) >= wanted
@@ -304,8 +312,12 @@
         if outcomes < COMPARE_OUTCOMES && early && self.others(id).next().is_some() {
             return true;
         }
-        let recent = self.failure_share(now, id, from);
-        recent.unwrap_or(0.0) >= SERVICE_FAILING_SHARE
+        // A lone failure long before may have been the onset, so the newest past counts too.
+        let newest = from.max(earlier(now, COMPARE_NEWEST));
+        [from, newest].into_iter().any(|from| {
+            let share = self.failure_share(now, id, from);
+            share.unwrap_or(0.0) >= SERVICE_FAILING_SHARE
+        })
     }
 
     fn others<'a>(&'a self, id: &'a ids::UpstreamId) -> impl Iterator<Item = &'a Case> {
--- a/crates/policy/src/detection/sequential.rs
+++ b/crates/policy/src/detection/sequential.rs
@@ -23,7 +23,7 @@
     pub const fn of(profile: config::DetectionProfile) -> Self {
         match profile {
             config::DetectionProfile::Detection => Self {
-                avoid: 7.0,
+                avoid: 5.2,
                 eject: 11.0,
             },
             config::DetectionProfile::Stability => Self {
--- a/testing/scene/tests/request_path.rs
+++ b/testing/scene/tests/request_path.rs
@@ -248,6 +248,33 @@
     assert_eq!(answer.status, 200, "a connection without proof was used");
 }
 
+#[tokio::test]
+async fn a_slow_upstream_is_raced_and_the_caller_does_not_wait_for_it() {
+    let scene = lookups(2).await;
+    let mut client = scene.client(0);
+    for _ in 0..80 {
+        assert_eq!(
+            client.call(ClientRequest::get("/download/10")).await.status,
+            200
+        );
+    }
+    scene.upstream("docs-0").standin.change(|behaviour| {
+        behaviour.service_time = Duration::from_secs(3);
+    });
+    for _ in 0..6 {
+        let started = Instant::now();
+        assert_eq!(
+            client.call(ClientRequest::get("/download/10")).await.status,
+            200
+        );
+        assert!(
+            started.elapsed() < Duration::from_secs(2),
+            "{:?}",
+            started.elapsed()
+        );
+    }
+}
+
 #[tokio::test]
 async fn answers_in_any_order_reach_their_own_callers() {
     let services = vec![
