--- a/testing/lab/src/config.rs
+++ b/testing/lab/src/config.rs
@@ -24,7 +24,7 @@
 
 /// Runs the experiment; the seconds set how many changes are made.
 pub(crate) async fn run(settings: &LabSettings) -> std::io::Result<bool> {
-    let mut report = Report::new("config", settings.json);
+    let mut report = Report::new("config", settings);
     let changes = settings.seconds.max(3);
     let mut costs = Vec::new();
     for nodes in SIZES {
--- a/testing/lab/src/detect/cases.rs
+++ b/testing/lab/src/detect/cases.rs
@@ -43,7 +43,7 @@
 
 /// Runs every case.
 pub(crate) fn run(settings: &LabSettings) -> bool {
-    let mut report = Report::new("detect", settings.json);
+    let mut report = Report::new("detect", settings);
     let trials = settings.seconds.clamp(3, 400);
     let mut jobs = Vec::new();
     for deployment in deployments() {
--- a/testing/lab/src/once_only/mod.rs
+++ b/testing/lab/src/once_only/mod.rs
@@ -14,7 +14,7 @@
 
 /// Runs the experiment; the seconds set how many requests are made.
 pub(crate) fn run(settings: &LabSettings) -> bool {
-    let mut report = Report::new("once-only", settings.json);
+    let mut report = Report::new("once-only", settings);
     let requests = settings.seconds * REQUESTS_PER_SECOND;
     for (name, protocol) in protocol::ALL {
         let share = if name == "ours" { 1 } else { 10 };
--- a/testing/lab/src/overhead.rs
+++ b/testing/lab/src/overhead.rs
@@ -27,7 +27,7 @@
 
 /// Runs the experiment.
 pub(crate) async fn run(settings: &LabSettings) -> std::io::Result<bool> {
-    let mut report = Report::new("overhead", settings.json);
+    let mut report = Report::new("overhead", settings);
     let services = vec![
         ServicePlan::lookups("stocklist", "/stock", 6).behaving(|behaviour| {
             behaviour.service_time = Duration::ZERO;
--- a/testing/lab/src/report.rs
+++ b/testing/lab/src/report.rs
@@ -4,6 +4,8 @@
 
 use serde_json::json;
 
+use crate::settings::LabSettings;
+
 /// Which side of a bound is good.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum Bound {
@@ -47,15 +49,17 @@
 #[derive(Debug)]
 pub(crate) struct Report {
     experiment: &'static str,
+    seed: u64,
     json: bool,
     rows: Vec<Row>,
 }
 
 impl Report {
-    pub(crate) const fn new(experiment: &'static str, json: bool) -> Self {
+    pub(crate) const fn new(experiment: &'static str, settings: &LabSettings) -> Self {
         Self {
             experiment,
-            json,
+            seed: settings.seed,
+            json: settings.json,
             rows: Vec::new(),
         }
     }
@@ -102,7 +106,7 @@
     }
 
     fn print_table(&self) {
-        println!();
+        println!("\n{}, seed {}\n", self.experiment, self.seed);
         let width = self
             .rows
             .iter()
--- a/testing/lab/src/storm.rs
+++ b/testing/lab/src/storm.rs
@@ -34,7 +34,7 @@
 
 /// Runs the experiment.
 pub(crate) async fn run(settings: &LabSettings) -> std::io::Result<bool> {
-    let mut report = Report::new("storm", settings.json);
+    let mut report = Report::new("storm", settings);
     for lost in [false, true] {
         for load in LOADS {
             for naive in [false, true] {
