--- a/bins/admin/src/server.rs
+++ b/bins/admin/src/server.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use model::ids;
-use operator::api::desk::AdminDesk;
+use operator::api::calls::AdminApi;
 use operator::api::http::AdminServer;
 use operator::commit::Committer;
 use platform::PlatformClient;
@@ -38,11 +38,11 @@
         let observer =
             Arc::new(|operation| log::debug!(target: "admin", "Platform call: {operation}."));
         let platform = PlatformClient::start(settings.platform, observer);
-        let desk = AdminDesk::new(Committer::new(platform));
+        let api = AdminApi::new(Committer::new(platform));
         if let Some(token) = settings.root_token.clone() {
-            tokio::spawn(adopt(desk.clone(), token));
+            tokio::spawn(adopt(api.clone(), token));
         }
-        let server = AdminServer::bind(settings.address, desk, Handle::current())?;
+        let server = AdminServer::bind(settings.address, api, Handle::current())?;
         let address = server.address;
         let (stop, stopped) = mpsc::channel();
         let serving = tokio::task::spawn_blocking(move || server.run(&stopped));
@@ -63,11 +63,11 @@
 }
 
 /// Stores the token of the settings, however long the platform takes to answer.
-async fn adopt(desk: AdminDesk, token: Arc<str>) {
+async fn adopt(api: AdminApi, token: Arc<str>) {
     let Ok(operator) = ROOT_OPERATOR.parse::<ids::OperatorId>() else {
         return;
     };
-    while let Err(error) = desk.adopt_token(operator.clone(), &token).await {
+    while let Err(error) = api.adopt_token(operator.clone(), &token).await {
         log::warn!(target: "admin", "The root token is not stored yet: {error}.");
         time::sleep(ADOPT_PAUSE).await;
     }
--- a/bins/ctl/src/client.rs
+++ b/bins/ctl/src/client.rs
@@ -10,7 +10,7 @@
 use ureq::{Agent, Body};
 
 /// How long a call may take.
-const CALL_PATIENCE: Duration = Duration::from_secs(30);
+const CALL_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Why a command did not do what was asked.
 #[derive(Debug)]
@@ -75,7 +75,7 @@
     pub(crate) fn new(address: &str, token: String) -> Self {
         let config = Agent::config_builder()
             .http_status_as_error(false)
-            .timeout_global(Some(CALL_PATIENCE))
+            .timeout_global(Some(CALL_TIMEOUT))
             .build();
         Self {
             agent: config.into(),
--- a/bins/ctl/tests/commands.rs
+++ b/bins/ctl/tests/commands.rs
@@ -5,26 +5,28 @@
 use std::time::Duration;
 
 use admin::{AdminProcess, AdminSettings};
-use scene::plan::ANY_PORT;
-use scene::{Scene, ScenePlan, ServicePlan};
 use telemetry::logs::{LogFormat, LogLevel};
+use testbed::plan::ANY_PORT;
+use testbed::{ServicePlan, Testbed, TestbedPlan};
 use tokio::time::{self, Instant};
 
 const TOKEN: &str = "a-root-token-for-tests";
 
-struct Stage {
-    scene: Scene,
+struct Setup {
+    testbed: Testbed,
     process: AdminProcess,
     folder: PathBuf,
 }
 
-impl Stage {
+impl Setup {
     async fn start(test: &str) -> Self {
         let view = ServicePlan::lookups("view", "/view", 6);
-        let scene = Scene::start(ScenePlan::small(vec![view])).await.unwrap();
+        let testbed = Testbed::start(TestbedPlan::small(vec![view]))
+            .await
+            .unwrap();
         let settings = AdminSettings {
             address: ANY_PORT,
-            platform: scene.platform.address(),
+            platform: testbed.platform.address(),
             root_token: Some(TOKEN.into()),
             log_format: LogFormat::Text,
             log_level: LogLevel::Error,
@@ -33,7 +35,7 @@
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test);
         std::fs::create_dir_all(&folder).unwrap();
         let stage = Self {
-            scene,
+            testbed,
             process,
             folder,
         };
@@ -72,11 +74,11 @@
     String::from_utf8_lossy(&both).into_owned()
 }
 
-fn sheet(stage: &Stage, floor: u32) -> String {
+fn sheet(stage: &Setup, floor: u32) -> String {
     let mut rows = format!(
         "kind;name;service;floor;deadline;address;data-centre;slots;prefix\nservice;view;;{floor};4s;;;;\n"
     );
-    for (id, upstream) in &stage.scene.upstreams {
+    for (id, upstream) in &stage.testbed.upstreams {
         let address = upstream.link.address();
         rows += &format!("upstream;{id};view;;;{address};ikeja;4;\n");
     }
@@ -85,7 +87,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_sheet_is_checked_planned_and_applied_at_the_planned_generation_only() {
-    let stage = Stage::start("sheet").await;
+    let stage = Setup::start("sheet").await;
     let file = stage.write("good.csv", &sheet(&stage, 8));
     assert_eq!(
         stage.ctl(&["sheet", "check", &file]).await.status.code(),
@@ -125,7 +127,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn drains_lists_status_and_audit_show_what_happened() {
-    let stage = Stage::start("drains").await;
+    let stage = Setup::start("drains").await;
     let drain = stage.ctl(&["drain", "view", "view-1"]).await;
     assert_eq!(drain.status.code(), Some(0), "{}", text(&drain));
     let list = text(&stage.ctl(&["list", "upstreams"]).await);
@@ -152,7 +154,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn parts_are_put_and_removed_from_files() {
-    let stage = Stage::start("parts").await;
+    let stage = Setup::start("parts").await;
     let space = stage.write("space.json", r#"{"id": "lagos", "limit": 7}"#);
     let put = stage.ctl(&["put", "workspace", &space]).await;
     assert_eq!(put.status.code(), Some(0), "{}", text(&put));
@@ -185,7 +187,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn exit_codes_tell_refusals_usage_and_silence_apart() {
-    let stage = Stage::start("codes").await;
+    let stage = Setup::start("codes").await;
     assert_eq!(
         stage
             .ctl_as("nobody-knows-me", &["status"])
@@ -209,7 +211,7 @@
         "{}",
         text(&refused)
     );
-    let Stage {
+    let Setup {
         process, folder, ..
     } = stage;
     let address = process.address.to_string();
--- a/bins/demo/src/load.rs
+++ b/bins/demo/src/load.rs
@@ -7,7 +7,7 @@
 use hdrhistogram::Histogram;
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
-use scene::{CallerClient, ClientAnswer, ClientRequest};
+use testbed::{CallerClient, ClientAnswer, ClientRequest};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{self, Instant};
 
--- a/bins/demo/src/main.rs
+++ b/bins/demo/src/main.rs
@@ -2,7 +2,7 @@
 
 mod load;
 mod report;
-mod story;
+mod scenario;
 
 use std::process::ExitCode;
 
@@ -13,7 +13,7 @@
     if let Err(error) = logs::start(LogFormat::Text, LogLevel::Error) {
         eprintln!("gooseberrydyke-demo: {error}");
     }
-    match story::run().await {
+    match scenario::run().await {
         Ok(report) => {
             println!("{report}");
             if report.holds() {
--- a/bins/demo/src/story.rs
+++ b/bins/demo/src/scenario.rs
@@ -6,10 +6,10 @@
 
 use model::config::UpstreamState;
 use operator::change::ConfigStep;
-use scene::stage::name;
-use scene::{Scene, ScenePlan, ServicePlan};
 use standin::platform_api::PlatformFaults;
 use standin::upstream_server::GrayMode;
+use testbed::fleet::name;
+use testbed::{ServicePlan, Testbed, TestbedPlan};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{self, Instant};
@@ -24,7 +24,7 @@
 /// How long callers send.
 const LOAD_SPAN: Duration = Duration::from_secs(14);
 /// How long the demo waits for the fleet to notice the gray failure.
-const DETECTION_PATIENCE: Duration = Duration::from_secs(4);
+const DETECTION_TIMEOUT: Duration = Duration::from_secs(4);
 /// How long the requests of a draining upstream are counted.
 const DRAIN_SPAN: Duration = Duration::from_secs(3);
 /// How often the requests of one upstream are counted.
@@ -39,11 +39,11 @@
         ServicePlan::lookups("rota-view", "/view", 6),
         ServicePlan::actions("rota-book", "/book", 3),
     ];
-    let mut scene = Scene::start(ScenePlan::three_centres(2, services)).await?;
+    let mut testbed = Testbed::start(TestbedPlan::three_centres(2, services)).await?;
     let start = Instant::now();
-    let (nodes, watched) = watch::channel(Arc::new(scene.caller_addresses()));
+    let (nodes, watched) = watch::channel(Arc::new(testbed.caller_addresses()));
     let load = start_load(&watched, start + LOAD_SPAN, CALLERS, true);
-    let direct_address = scene.upstream("rota-view-1").standin.address();
+    let direct_address = testbed.upstream("rota-view-1").standin.address();
     let (_, direct_nodes) = watch::channel(Arc::new(vec![direct_address]));
     let direct = start_load(&direct_nodes, start + LOAD_SPAN, DIRECT_CALLERS, false);
 
@@ -52,11 +52,11 @@
         start,
         "rota-view-0 now answers every request with an error; its health check is fine.",
     );
-    scene
+    testbed
         .upstream("rota-view-0")
         .standin
         .change(|behaviour| behaviour.gray = GrayMode::Errors);
-    let detection = scene.wait_avoided("rota-view-0", DETECTION_PATIENCE).await;
+    let detection = testbed.wait_avoided("rota-view-0", DETECTION_TIMEOUT).await;
     say(
         start,
         &format!("The fleet avoids it after {}.", text_of(detection)),
@@ -67,7 +67,7 @@
         start,
         "The platform goes away. Lookups go on; keyed actions are refused as not run.",
     );
-    scene
+    testbed
         .platform
         .set_faults(PlatformFaults {
             outage: true,
@@ -75,12 +75,12 @@
         })
         .await;
     at(start, 10).await;
-    scene.platform.set_faults(PlatformFaults::default()).await;
+    testbed.platform.set_faults(PlatformFaults::default()).await;
     say(
         start,
         "The platform is back. rota-view-2 is drained by an operator.",
     );
-    let drain = drain(&scene).await?;
+    let drain = drain(&testbed).await?;
     say(
         start,
         &format!(
@@ -90,15 +90,15 @@
     );
 
     say(start, "An entry node stops as planned.");
-    if let Some(entry) = scene.take_entry("lekki-1") {
-        nodes.send_replace(Arc::new(scene.caller_addresses()));
-        scene.list_vms().await;
+    if let Some(entry) = testbed.take_entry("lekki-1") {
+        nodes.send_replace(Arc::new(testbed.caller_addresses()));
+        testbed.list_vms().await;
         entry.stop().await;
         say(start, "It stopped without cutting work in flight.");
     }
     let tally = load.await.map_err(io::Error::other)?;
     let direct = direct.await.map_err(io::Error::other)?;
-    let counts = scene.ledger.counts().await;
+    let counts = testbed.ledger.counts().await;
     let duplicates = counts.values().filter(|runs| **runs > 1).count();
     let refused = tally.refused_actions.iter();
     let false_refusals = refused
@@ -143,20 +143,20 @@
     tally
 }
 
-async fn drain(scene: &Scene) -> io::Result<Option<Duration>> {
+async fn drain(testbed: &Testbed) -> io::Result<Option<Duration>> {
     let step = ConfigStep::SetState {
         service: name("rota-view"),
         upstream: name("rota-view-2"),
         state: UpstreamState::Draining,
     };
-    scene.change(step).await.map_err(io::Error::other)?;
-    Ok(Some(watch_last_request(scene, "rota-view-2").await))
+    testbed.change(step).await.map_err(io::Error::other)?;
+    Ok(Some(watch_last_request(testbed, "rota-view-2").await))
 }
 
 /// Counts the requests of an upstream for a while; returns when the last one came.
-async fn watch_last_request(scene: &Scene, id: &str) -> Duration {
+async fn watch_last_request(testbed: &Testbed, id: &str) -> Duration {
     let start = Instant::now();
-    let standin = &scene.upstream(id).standin;
+    let standin = &testbed.upstream(id).standin;
     let mut last = (Duration::ZERO, standin.served());
     while start.elapsed() < DRAIN_SPAN {
         time::sleep(WATCH_INTERVAL).await;
--- a/bins/entry/src/ops.rs
+++ b/bins/entry/src/ops.rs
@@ -16,14 +16,14 @@
 
 /// What the endpoint shows.
 #[derive(Clone)]
-pub(crate) struct OpsDesk {
+pub(crate) struct OpsEndpoint {
     pub(crate) directory: watch::Receiver<Arc<ServiceDirectory>>,
     pub(crate) fleet: FleetHandle,
     pub(crate) metrics: Arc<NodeMetrics>,
     pub(crate) leaving: watch::Receiver<bool>,
 }
 
-impl OpsDesk {
+impl OpsEndpoint {
     /// Binds the endpoint and serves it until the node stops.
     pub(crate) async fn start(
         self,
@@ -33,8 +33,8 @@
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let handler: server::Handler<BodyStream> = Arc::new(move |request| {
-            let desk = self.clone();
-            Box::pin(async move { desk.answer(request.uri().path()).await })
+            let endpoint = self.clone();
+            Box::pin(async move { endpoint.answer(request.uri().path()).await })
         });
         tokio::spawn(server::listen(
             listener,
@@ -77,7 +77,7 @@
             let lines = views.into_values().map(|view| {
                 serde_json::json!({
                     "upstream": view.upstream.as_str(),
-                    "standing": view.standing.as_str(),
+                    "status": view.status.as_str(),
                     "in_flight": view.in_flight,
                     "limit": view.limit,
                 })
--- a/bins/entry/src/probes.rs
+++ b/bins/entry/src/probes.rs
@@ -15,17 +15,17 @@
 /// How often each upstream is probed from each data centre that does so.
 const PROBE_INTERVAL: Duration = Duration::from_secs(3);
 /// How long the assignment holds when neither members nor services change.
-const SEATS_SPAN: Duration = Duration::from_secs(10);
+const ASSIGNMENT_SPAN: Duration = Duration::from_secs(10);
 
 /// The services whose upstreams this node probes.
-struct ProbeSeats {
+struct ProbeAssignment {
     table: Arc<MemberTable>,
     generation: Generation,
     drawn: Instant,
     services: Vec<ids::ServiceId>,
 }
 
-impl ProbeSeats {
+impl ProbeAssignment {
     fn draw(table: Arc<MemberTable>, directory: &ServiceDirectory) -> Self {
         let drawn = Instant::now();
         let services = directory.config.services.keys();
@@ -44,7 +44,7 @@
     fn is_stale(&self, table: &Arc<MemberTable>, directory: &ServiceDirectory) -> bool {
         !Arc::ptr_eq(&self.table, table)
             || self.generation != directory.config.generation
-            || self.drawn.elapsed() >= SEATS_SPAN
+            || self.drawn.elapsed() >= ASSIGNMENT_SPAN
     }
 }
 
@@ -52,17 +52,17 @@
 pub(crate) async fn run(directory: watch::Receiver<Arc<ServiceDirectory>>, members: MemberSet) {
     let mut ticks = time::interval(PROBE_INTERVAL);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Skip);
-    let mut seats = ProbeSeats::draw(members.table(), &Arc::clone(&directory.borrow()));
+    let mut assignment = ProbeAssignment::draw(members.table(), &Arc::clone(&directory.borrow()));
     loop {
         ticks.tick().await;
         if directory.has_changed().is_err() {
             return;
         }
         let current = Arc::clone(&directory.borrow());
-        if seats.is_stale(&members.table(), &current) {
-            seats = ProbeSeats::draw(members.table(), &current);
+        if assignment.is_stale(&members.table(), &current) {
+            assignment = ProbeAssignment::draw(members.table(), &current);
         }
-        for id in &seats.services {
+        for id in &assignment.services {
             let (Some(service), Some(handle)) =
                 (current.config.services.get(id), current.handles.get(id))
             else {
--- a/bins/entry/src/server.rs
+++ b/bins/entry/src/server.rs
@@ -1,4 +1,4 @@
-//! Starts every part of a node and stops them in order.
+//! Starts every part of a node and stops them in command.
 
 use std::io;
 use std::net::SocketAddr;
@@ -7,7 +7,7 @@
 use caller::{CallerFront, listener::Dispatch};
 use model::ids;
 use node::claims::BatchPace;
-use node::collector::CollectorNews;
+use node::collector::CollectorUpdate;
 use node::keys::NodeKeys;
 use node::{FleetHandle, FleetSettings};
 use platform::PlatformClient;
@@ -21,13 +21,13 @@
 use upstream::service::{ServiceDirectory, ServiceSettings, ServiceSink};
 
 use crate::directory::DirectoryParts;
-use crate::ops::OpsDesk;
+use crate::ops::OpsEndpoint;
 use crate::probes;
 use crate::settings::EntrySettings;
 
 /// News for the services that wait; when it is full the newest are dropped,
 /// since verdicts and drains are told again.
-const NEWS_MAX: usize = 4096;
+const UPDATES_MAX: usize = 4096;
 
 /// A running entry node.
 pub struct EntryServer {
@@ -49,8 +49,8 @@
 
 /// News from other nodes for the services of this one.
 #[derive(Debug)]
-enum ServiceNews {
-    Collector(CollectorNews),
+enum ServiceUpdate {
+    Collector(CollectorUpdate),
     Drained(ids::ServiceId, ids::UpstreamId),
 }
 
@@ -62,8 +62,8 @@
     pub async fn start(settings: EntrySettings) -> io::Result<Self> {
         let metrics = Arc::new(NodeMetrics::new().map_err(io::Error::other)?);
         let keys = NodeKeys::mint(&settings.ca).map_err(io::Error::other)?;
-        let (news, news_inbox) = mpsc::channel(NEWS_MAX);
-        let fleet = start_fleet(&settings, keys, &metrics, &news)?;
+        let (update, update_inbox) = mpsc::channel(UPDATES_MAX);
+        let fleet = start_fleet(&settings, keys, &metrics, &update)?;
         let (publish, directory) = watch::channel(Arc::new(ServiceDirectory::default()));
         let parts = DirectoryParts {
             snapshots: fleet.follower.watch(),
@@ -73,8 +73,8 @@
             metrics: Arc::clone(&metrics),
         };
         tokio::spawn(parts.run());
-        tokio::spawn(pass_news(
-            news_inbox,
+        tokio::spawn(pass_updates(
+            update_inbox,
             directory.clone(),
             Arc::clone(&metrics),
         ));
@@ -101,13 +101,13 @@
         )
         .await?;
         let caller_address = front.address()?;
-        let desk = OpsDesk {
+        let endpoint = OpsEndpoint {
             directory: directory.clone(),
             fleet: fleet.clone(),
             metrics: Arc::clone(&metrics),
             leaving: leaving_watch,
         };
-        let ops_address = desk.start(settings.ops_address, closed_watch).await?;
+        let ops_address = endpoint.start(settings.ops_address, closed_watch).await?;
         let front = tokio::spawn(front.run(stopping_watch));
         log::info!(target: "entry", "Node {} serves callers at {caller_address}.", settings.node);
         Ok(Self {
@@ -145,11 +145,11 @@
         log::info!(target: "entry", "Node {} stops.", self.settings.node);
         self.leaving.send_replace(true);
         self.fleet.members.leave().await;
-        time::sleep(self.settings.stop_notice.get()).await;
+        time::sleep(self.settings.stop_delay.get()).await;
         self.stopping.send_replace(true);
-        let closing = time::timeout(self.settings.stop_patience.get(), self.front).await;
+        let closing = time::timeout(self.settings.stop_timeout.get(), self.front).await;
         if closing.is_err() {
-            log::warn!(target: "entry", "Work in flight outlasted the stop's patience.");
+            log::warn!(target: "entry", "Work in flight outlasted the stop's timeout.");
         }
         time::sleep(SETTLE_PAUSE).await;
         self.closed.send_replace(true);
@@ -172,13 +172,13 @@
     settings: &EntrySettings,
     keys: NodeKeys,
     metrics: &Arc<NodeMetrics>,
-    news: &mpsc::Sender<ServiceNews>,
+    update: &mpsc::Sender<ServiceUpdate>,
 ) -> io::Result<FleetHandle> {
     let calls = Arc::clone(metrics);
     let observer = Arc::new(move |operation| calls.platform_call(operation));
     let platform = PlatformClient::start(settings.platform, observer);
-    let collector_news = news.clone();
-    let drain_news = news.clone();
+    let collector_update = update.clone();
+    let drain_update = update.clone();
     let sent = Arc::clone(metrics);
     FleetHandle::start(FleetSettings {
         own: Member {
@@ -193,11 +193,11 @@
         pace: BatchPace {
             interval: settings.claim_pace.get(),
         },
-        news: Arc::new(move |news| {
-            let _ = collector_news.try_send(ServiceNews::Collector(news));
+        update: Arc::new(move |update| {
+            let _ = collector_update.try_send(ServiceUpdate::Collector(update));
         }),
         drained: Arc::new(move |service, upstream| {
-            let _ = drain_news.try_send(ServiceNews::Drained(service, upstream));
+            let _ = drain_update.try_send(ServiceUpdate::Drained(service, upstream));
         }),
         sent: Arc::new(move |bytes| sent.node_sent(bytes as u64)),
     })
@@ -225,11 +225,11 @@
     let settles = fleet.claims.clone();
     let metrics = Arc::clone(metrics);
     ClaimGate {
-        claim: Arc::new(move |order| {
+        claim: Arc::new(move |command| {
             let claims = claims.clone();
             let metrics = Arc::clone(&metrics);
             Box::pin(async move {
-                let result = claims.claim(order).await;
+                let result = claims.claim(command).await;
                 metrics.claim(match &result {
                     Ok(policy::claim::ClaimVerdict::Granted) => "granted",
                     Ok(_) => "refused",
@@ -243,15 +243,15 @@
 }
 
 /// Hands verdicts and drains to the services' tasks.
-async fn pass_news(
-    mut inbox: mpsc::Receiver<ServiceNews>,
+async fn pass_updates(
+    mut inbox: mpsc::Receiver<ServiceUpdate>,
     directory: watch::Receiver<Arc<ServiceDirectory>>,
     metrics: Arc<NodeMetrics>,
 ) {
-    while let Some(news) = inbox.recv().await {
+    while let Some(update) = inbox.recv().await {
         let current = Arc::clone(&directory.borrow());
-        match news {
-            ServiceNews::Collector(CollectorNews::Verdict(change)) => {
+        match update {
+            ServiceUpdate::Collector(CollectorUpdate::Verdict(change)) => {
                 let VerdictChange {
                     service,
                     upstream,
@@ -262,12 +262,12 @@
                     handle.verdict(upstream, verdict).await;
                 }
             }
-            ServiceNews::Collector(CollectorNews::Tempo(tempo)) => {
-                if let Some(handle) = current.handles.get(&tempo.service) {
-                    handle.tempo(tempo).await;
+            ServiceUpdate::Collector(CollectorUpdate::Estimate(estimate)) => {
+                if let Some(handle) = current.handles.get(&estimate.service) {
+                    handle.estimate(estimate).await;
                 }
             }
-            ServiceNews::Drained(service, upstream) => {
+            ServiceUpdate::Drained(service, upstream) => {
                 if let Some(handle) = current.handles.get(&service) {
                     handle.drain(upstream).await;
                 }
--- a/bins/entry/src/settings.rs
+++ b/bins/entry/src/settings.rs
@@ -31,9 +31,9 @@
     /// The fleet's certificate authority.
     pub ca: FleetCa,
     /// How long a stopping node keeps accepting while the balancer takes notice.
-    pub stop_notice: span::TimeSpan,
+    pub stop_delay: span::TimeSpan,
     /// The longest that a stopping node waits for work in flight.
-    pub stop_patience: span::TimeSpan,
+    pub stop_timeout: span::TimeSpan,
     /// Bounds on callers.
     pub limits: CallerLimits,
     /// Shortest time between two writes of a shard of claims.
@@ -73,16 +73,16 @@
             optional --ca-certificate ca_certificate: String
             /// File with the fleet's CA key in PEM [GOOSEBERRYDYKE_CA_KEY]
             optional --ca-key ca_key: String
-            /// How long a stopping node keeps accepting, default 5s [GOOSEBERRYDYKE_STOP_NOTICE]
-            optional --stop-notice stop_notice: String
-            /// Longest wait for work in flight, default 60s [GOOSEBERRYDYKE_STOP_PATIENCE]
-            optional --stop-patience stop_patience: String
+            /// How long a stopping node keeps accepting, default 5s [GOOSEBERRYDYKE_STOP_DELAY]
+            optional --stop-delay stop_delay: String
+            /// Longest wait for work in flight, default 60s [GOOSEBERRYDYKE_STOP_TIMEOUT]
+            optional --stop-timeout stop_timeout: String
             /// Connections from callers, 1 to 1000000, default 10000 [GOOSEBERRYDYKE_CALLER_CONNECTIONS]
             optional --caller-connections caller_connections: String
             /// Largest head of a request in bytes, 8192 to 1048576, default 32768 [GOOSEBERRYDYKE_HEAD_BYTES]
             optional --head-bytes head_bytes: String
-            /// How long a head may take to arrive, default 15s [GOOSEBERRYDYKE_HEAD_PATIENCE]
-            optional --head-patience head_patience: String
+            /// How long a head may take to arrive, default 15s [GOOSEBERRYDYKE_HEAD_TIMEOUT]
+            optional --head-timeout head_timeout: String
             /// Shortest time between two writes of a shard of claims, default 10ms [GOOSEBERRYDYKE_CLAIM_PACE]
             optional --claim-pace claim_pace: String
             /// Log lines as text or json, default text [GOOSEBERRYDYKE_LOG_FORMAT]
@@ -116,8 +116,8 @@
         .read_or::<sizes::RequestCount>(flags.caller_connections, "10000")?;
     limits.connections = usize::try_from(connections.get()).unwrap_or(usize::MAX);
     limits.connection.head_bytes = read_head_bytes(flags.head_bytes)?;
-    limits.connection.head_patience = setting!("head-patience", "GOOSEBERRYDYKE_HEAD_PATIENCE")
-        .read_or::<span::TimeSpan>(flags.head_patience, "15s")?
+    limits.connection.head_timeout = setting!("head-timeout", "GOOSEBERRYDYKE_HEAD_TIMEOUT")
+        .read_or::<span::TimeSpan>(flags.head_timeout, "15s")?
         .get();
     Ok(EntrySettings {
         node: setting!("node", "GOOSEBERRYDYKE_NODE").read(flags.node)?,
@@ -130,10 +130,10 @@
         ops_address: setting!("ops", "GOOSEBERRYDYKE_OPS").read_or(flags.ops, "127.0.0.1:9400")?,
         platform: setting!("platform", "GOOSEBERRYDYKE_PLATFORM").read(flags.platform)?,
         seeds: read_seeds(&seed_text).map_err(|why| seeds.refuse(why))?,
-        stop_notice: setting!("stop-notice", "GOOSEBERRYDYKE_STOP_NOTICE")
-            .read_or(flags.stop_notice, "5s")?,
-        stop_patience: setting!("stop-patience", "GOOSEBERRYDYKE_STOP_PATIENCE")
-            .read_or(flags.stop_patience, "60s")?,
+        stop_delay: setting!("stop-delay", "GOOSEBERRYDYKE_STOP_DELAY")
+            .read_or(flags.stop_delay, "5s")?,
+        stop_timeout: setting!("stop-timeout", "GOOSEBERRYDYKE_STOP_TIMEOUT")
+            .read_or(flags.stop_timeout, "60s")?,
         limits,
         claim_pace: setting!("claim-pace", "GOOSEBERRYDYKE_CLAIM_PACE")
             .read_or(flags.claim_pace, "10ms")?,
--- a/bins/entry/tests/process.rs
+++ b/bins/entry/tests/process.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use node::keys::FleetCa;
-use scene::stage::name;
-use scene::{CallerClient, ClientRequest, Scene, ScenePlan, ServicePlan};
+use testbed::fleet::name;
+use testbed::{CallerClient, ClientRequest, ServicePlan, Testbed, TestbedPlan};
 use tokio::time::{self, Instant};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_gooseberrydyke-entry");
@@ -37,8 +37,8 @@
     (certificate, key)
 }
 
-/// Starts a node in front of a scene's platform; returns it with its address for callers.
-fn start(test: &str, scene: &Scene) -> (Process, SocketAddr) {
+/// Starts a node in front of a testbed's platform; returns it with its address for callers.
+fn start(test: &str, testbed: &Testbed) -> (Process, SocketAddr) {
     let (certificate, key) = write_ca(test);
     let mut child = Command::new(BINARY)
         .args(["--node", test, "--data-centre", "ikeja"])
@@ -50,10 +50,10 @@
             "--ops",
             "127.0.0.1:0",
         ])
-        .args(["--platform", &scene.platform.address().to_string()])
+        .args(["--platform", &testbed.platform.address().to_string()])
         .args(["--ca-certificate", certificate.to_str().unwrap()])
         .args(["--ca-key", key.to_str().unwrap()])
-        .args(["--stop-notice", "300ms", "--log-format", "json"])
+        .args(["--stop-delay", "300ms", "--log-format", "json"])
         .stderr(Stdio::piped())
         .spawn()
         .unwrap();
@@ -106,7 +106,7 @@
     );
 }
 
-async fn slow_scene() -> Scene {
+async fn slow_testbed() -> Testbed {
     let slow = |plan: ServicePlan| {
         plan.behaving(|behaviour| behaviour.service_time = Duration::from_millis(400))
     };
@@ -114,7 +114,7 @@
         slow(ServicePlan::lookups("view", "/view", 3)),
         slow(ServicePlan::actions("book", "/book", 3)),
     ];
-    Scene::start(ScenePlan::small(services)).await.unwrap()
+    Testbed::start(TestbedPlan::small(services)).await.unwrap()
 }
 
 #[test]
@@ -141,7 +141,7 @@
         "127.0.0.1:1",
     ];
     for (flag, value, allowed) in [
-        ("--stop-notice", "soon", "ms, s, m or h"),
+        ("--stop-delay", "soon", "ms, s, m or h"),
         ("--head-bytes", "1", "8192 to 1048576"),
         ("--log-format", "xml", "text json"),
         ("--seeds", "a@b", "NAME@ADDRESS@DATA-CENTRE"),
@@ -158,8 +158,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_terminated_node_finishes_its_work_and_exits_well() {
-    let scene = slow_scene().await;
-    let (mut process, address) = start("terminated", &scene);
+    let testbed = slow_testbed().await;
+    let (mut process, address) = start("terminated", &testbed);
     wait_serving(address).await;
     let callers: Vec<_> = (0..8)
         .map(|number| {
@@ -188,8 +188,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn an_action_in_flight_at_a_killed_node_runs_at_most_once_and_reads_as_claimed() {
-    let scene = slow_scene().await;
-    let (process, address) = start("killed", &scene);
+    let testbed = slow_testbed().await;
+    let (process, address) = start("killed", &testbed);
     wait_serving(address).await;
     let request = ClientRequest::post("/book/1", "slot")
         .with("idempotency-key", "k1")
@@ -204,12 +204,18 @@
     assert!(!answer.whole, "a dead node answered");
     // The same key at another node: never a second run, and never "not run".
     for _ in 0..3 {
-        let answer = scene.client(0).call(request.clone()).await;
+        let answer = testbed.client(0).call(request.clone()).await;
         assert_ne!(answer.status, 200);
         assert_ne!(answer.outcome(), Some("not-run"), "the key was claimed");
         time::sleep(Duration::from_millis(200)).await;
     }
-    let runs = scene.ledger.counts().await.get("k1").copied().unwrap_or(0);
+    let runs = testbed
+        .ledger
+        .counts()
+        .await
+        .get("k1")
+        .copied()
+        .unwrap_or(0);
     assert!(runs <= 1, "{runs} runs");
     assert_eq!(name::<model::ids::ServiceId>("book").as_str(), "book");
 }
--- a/crates/caller/src/wire.rs
+++ b/crates/caller/src/wire.rs
@@ -38,7 +38,7 @@
         .map(|text| text.parse().map_err(|why| faulty(WORKSPACE, &why)))
         .transpose()?;
     let key = read_key(&headers)?;
-    let patience = read_patience(&headers)?;
+    let timeout = read_timeout(&headers)?;
     hop::strip_hop_by_hop(&mut headers);
     for name in [
         WORKSPACE,
@@ -56,7 +56,7 @@
         headers,
         workspace,
         key,
-        patience,
+        timeout,
     };
     Ok(Call { head, body })
 }
@@ -109,7 +109,7 @@
     Ok(Some(key.into()))
 }
 
-fn read_patience(headers: &HeaderMap) -> Result<Option<Duration>, FleetError> {
+fn read_timeout(headers: &HeaderMap) -> Result<Option<Duration>, FleetError> {
     let Some(text) = read_header(headers, DEADLINE_MILLIS)? else {
         return Ok(None);
     };
--- a/crates/caller/tests/bad_input.rs
+++ b/crates/caller/tests/bad_input.rs
@@ -3,17 +3,17 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use scene::{CallerClient, ClientRequest, Scene, ScenePlan, ServicePlan};
+use testbed::{CallerClient, ClientRequest, ServicePlan, Testbed, TestbedPlan};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 use tokio::time;
 
-async fn scene() -> Scene {
+async fn testbed() -> Testbed {
     let services = vec![
         ServicePlan::lookups("stock", "/stock", 2),
         ServicePlan::actions("dues", "/dues", 2),
     ];
-    Scene::start(ScenePlan::small(services)).await.unwrap()
+    Testbed::start(TestbedPlan::small(services)).await.unwrap()
 }
 
 /// Sends bytes as they are and returns what comes back until the connection closes.
@@ -36,8 +36,8 @@
     answer.split(' ').nth(1).unwrap_or("none")
 }
 
-async fn assert_others_are_served(scene: &Scene) {
-    let answer = scene
+async fn assert_others_are_served(testbed: &Testbed) {
+    let answer = testbed
         .client(0)
         .call(ClientRequest::get("/stock/after"))
         .await;
@@ -49,8 +49,8 @@
 
 #[tokio::test]
 async fn an_oversized_head_is_refused() {
-    let scene = scene().await;
-    let address = scene.caller_addresses()[0];
+    let testbed = testbed().await;
+    let address = testbed.caller_addresses()[0];
     let large = format!(
         "GET /stock/1 HTTP/1.1\r\nHost: h\r\nX: {}\r\n\r\n",
         "a".repeat(100_000)
@@ -59,13 +59,13 @@
     let many = "X: a\r\n".repeat(200);
     let many = format!("GET /stock/1 HTTP/1.1\r\nHost: h\r\n{many}\r\n");
     assert_eq!(status(&raw(address, many.as_bytes()).await), "431");
-    assert_others_are_served(&scene).await;
+    assert_others_are_served(&testbed).await;
 }
 
 #[tokio::test]
 async fn a_length_beside_chunks_is_refused_or_the_chunks_win() {
-    let scene = scene().await;
-    let address = scene.caller_addresses()[0];
+    let testbed = testbed().await;
+    let address = testbed.caller_addresses()[0];
     let smuggled = "5\r\nhello\r\n0\r\n\r\nGET /stock/smuggled HTTP/1.1\r\nHost: h\r\n\r\n";
     let first = format!(
         "POST /dues/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n{smuggled}"
@@ -84,13 +84,13 @@
     let two =
         "POST /dues/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nhello";
     assert_eq!(status(&raw(address, two.as_bytes()).await), "400");
-    assert_others_are_served(&scene).await;
+    assert_others_are_served(&testbed).await;
 }
 
 #[tokio::test]
 async fn bare_line_feeds_are_read_as_line_ends_or_refused() {
-    let scene = scene().await;
-    let address = scene.caller_addresses()[0];
+    let testbed = testbed().await;
+    let address = testbed.caller_addresses()[0];
     let answer = raw(
         address,
         b"GET /stock/lf HTTP/1.1\nHost: h\nConnection: close\n\n",
@@ -100,13 +100,13 @@
     let hidden = b"GET /stock/1 HTTP/1.1\r\nHost: h\r\nX: a\nTransfer-Encoding: chunked\r\n\r\n";
     let answer = raw(address, hidden).await;
     assert!(["400", "none"].contains(&status(&answer)) || !answer.contains("200 OK\r\n200"));
-    assert_others_are_served(&scene).await;
+    assert_others_are_served(&testbed).await;
 }
 
 #[tokio::test]
 async fn an_unknown_method_is_passed_on_and_connect_is_not() {
-    let scene = scene().await;
-    let address = scene.caller_addresses()[0];
+    let testbed = testbed().await;
+    let address = testbed.caller_addresses()[0];
     let answer = raw(
         address,
         b"PROPFIND /stock/1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
@@ -117,13 +117,13 @@
     assert_eq!(status(&answer), "400", "{answer}");
     let answer = raw(address, b"G@T /stock HTTP/1.1\r\nHost: h\r\n\r\n").await;
     assert_eq!(status(&answer), "400", "{answer}");
-    assert_others_are_served(&scene).await;
+    assert_others_are_served(&testbed).await;
 }
 
 #[tokio::test]
 async fn a_missing_or_doubled_host_is_refused() {
-    let scene = scene().await;
-    let address = scene.caller_addresses()[0];
+    let testbed = testbed().await;
+    let address = testbed.caller_addresses()[0];
     let none = raw(
         address,
         b"GET /stock/1 HTTP/1.1\r\nConnection: close\r\n\r\n",
@@ -136,8 +136,8 @@
 
 #[tokio::test]
 async fn a_body_shorter_than_declared_runs_nothing_and_blames_no_upstream() {
-    let scene = scene().await;
-    let address = scene.caller_addresses()[0];
+    let testbed = testbed().await;
+    let address = testbed.caller_addresses()[0];
     for _ in 0..10 {
         let mut stream = TcpStream::connect(address).await.unwrap();
         let head = b"POST /dues/1 HTTP/1.1\r\nHost: h\r\nAction-Id: short\r\nContent-Length: 10\r\n\r\nabc";
@@ -146,23 +146,23 @@
         let mut rest = Vec::new();
         let _ = time::timeout(Duration::from_secs(2), stream.read_to_end(&mut rest)).await;
     }
-    assert!(!scene.ledger.counts().await.contains_key("short"));
+    assert!(!testbed.ledger.counts().await.contains_key("short"));
     assert!(
-        scene
+        testbed
             .wait_avoided("dues-0", Duration::from_millis(500))
             .await
             .is_none()
     );
-    assert_others_are_served(&scene).await;
+    assert_others_are_served(&testbed).await;
 }
 
 #[tokio::test]
 async fn a_slow_head_is_cut_off() {
     let services = vec![ServicePlan::lookups("stock", "/stock", 1)];
-    let mut plan = ScenePlan::small(services);
-    plan.head_patience = Duration::from_millis(300);
-    let scene = Scene::start(plan).await.unwrap();
-    let mut stream = TcpStream::connect(scene.caller_addresses()[0])
+    let mut plan = TestbedPlan::small(services);
+    plan.head_timeout = Duration::from_millis(300);
+    let testbed = Testbed::start(plan).await.unwrap();
+    let mut stream = TcpStream::connect(testbed.caller_addresses()[0])
         .await
         .unwrap();
     stream
@@ -172,17 +172,17 @@
     let mut rest = Vec::new();
     let closed = time::timeout(Duration::from_secs(5), stream.read_to_end(&mut rest)).await;
     assert!(closed.is_ok(), "the connection stayed open");
-    assert_others_are_served(&scene).await;
+    assert_others_are_served(&testbed).await;
 }
 
 #[tokio::test]
 async fn hop_by_hop_headers_end_here() {
-    let scene = scene().await;
-    let address = scene.caller_addresses()[0];
+    let testbed = testbed().await;
+    let address = testbed.caller_addresses()[0];
     let request = b"GET /stock/1 HTTP/1.1\r\nHost: h\r\nConnection: close, X-Private\r\n\
         X-Private: secret\r\nKeep-Alive: 5\r\nTE: trailers\r\nUpgrade: foo\r\nX-Public: yes\r\n\r\n";
     assert_eq!(status(&raw(address, request).await), "200");
-    let seen = scene.ledger.last_headers().await;
+    let seen = testbed.ledger.last_headers().await;
     let has = |name: &str| seen.iter().any(|(known, _)| known == name);
     for name in ["connection", "x-private", "keep-alive", "te", "upgrade"] {
         assert!(!has(name), "{name} was passed on: {seen:?}");
@@ -192,14 +192,14 @@
 
 #[tokio::test]
 async fn faulty_headers_of_the_fleet_are_refused_by_name() {
-    let scene = scene().await;
+    let testbed = testbed().await;
     for (name, value) in [
         ("workspace", "a b"),
         ("request-deadline-ms", "soon"),
         ("idempotency-key", ""),
     ] {
         let request = ClientRequest::get("/stock/1").with(name, value);
-        let answer = CallerClient::new(scene.caller_addresses()[0])
+        let answer = CallerClient::new(testbed.caller_addresses()[0])
             .call(request)
             .await;
         assert_eq!(answer.status, 400, "{name}");
--- a/crates/http1/src/client/connection.rs
+++ b/crates/http1/src/client/connection.rs
@@ -56,7 +56,7 @@
 /// A handle to the task that owns a connection. Dropping it closes the connection.
 #[derive(Debug)]
 pub struct Connection {
-    orders: mpsc::Sender<Order>,
+    commands: mpsc::Sender<ExchangeCommand>,
     /// When the peer last proved that the connection works.
     pub proved: Instant,
     /// Whether it has carried an exchange.
@@ -64,7 +64,7 @@
 }
 
 #[derive(Debug)]
-struct Order {
+struct ExchangeCommand {
     request: http::Request<BodyStream>,
     reply: oneshot::Sender<Result<http::Response<AnswerBody>, ExchangeError>>,
     finished: oneshot::Sender<()>,
@@ -73,9 +73,9 @@
 /// Opens a connection and starts its task.
 ///
 /// # Errors
-/// [`OpenError`] when the peer cannot be reached within `patience`.
-pub async fn open(address: SocketAddr, patience: Duration) -> Result<Connection, OpenError> {
-    let connecting = time::timeout(patience, TcpStream::connect(address));
+/// [`OpenError`] when the peer cannot be reached within `timeout`.
+pub async fn open(address: SocketAddr, timeout: Duration) -> Result<Connection, OpenError> {
+    let connecting = time::timeout(timeout, TcpStream::connect(address));
     let stream = connecting
         .await
         .map_err(|_| OpenError::TimedOut)?
@@ -87,10 +87,10 @@
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| OpenError::Failed(io::Error::other(error)))?;
-    let (orders, inbox) = mpsc::channel(1);
+    let (commands, inbox) = mpsc::channel(1);
     tokio::spawn(run(sender, connection, inbox));
     Ok(Connection {
-        orders,
+        commands,
         proved: Instant::now(),
         used: false,
     })
@@ -99,7 +99,7 @@
 impl Connection {
     /// Whether its task has ended.
     pub fn is_closed(&self) -> bool {
-        self.orders.is_closed()
+        self.commands.is_closed()
     }
 
     /// Sends a request and waits for the head of its answer.
@@ -122,13 +122,13 @@
     > {
         let (reply, answer) = oneshot::channel();
         let (finished, done) = oneshot::channel();
-        let order = Order {
+        let command = ExchangeCommand {
             request,
             reply,
             finished,
         };
-        self.orders
-            .send(order)
+        self.commands
+            .send(command)
             .await
             .map_err(|_| ExchangeError::NotSent)?;
         let response = answer.await.unwrap_or(Err(ExchangeError::Broken))?;
@@ -145,39 +145,43 @@
 type Sender = http1::SendRequest<BodyStream>;
 type Driver = http1::Connection<TokioIo<TcpStream>, BodyStream>;
 
-/// Drives the connection and serves orders until either side closes.
-async fn run(mut sender: Sender, driver: Driver, mut inbox: mpsc::Receiver<Order>) {
+/// Drives the connection and serves commands until either side closes.
+async fn run(mut sender: Sender, driver: Driver, mut inbox: mpsc::Receiver<ExchangeCommand>) {
     let mut driver = pin!(driver);
     loop {
-        let order = tokio::select! {
+        let command = tokio::select! {
             biased;
-            order = inbox.recv() => order,
+            command = inbox.recv() => command,
             _ = &mut driver => None,
         };
-        let Some(order) = order else {
+        let Some(command) = command else {
             return refuse_waiting(&mut inbox);
         };
-        if !serve(&mut sender, driver.as_mut(), order).await {
+        if !serve(&mut sender, driver.as_mut(), command).await {
             return;
         }
     }
 }
 
-/// Answers an order that arrived while the connection closed.
-fn refuse_waiting(inbox: &mut mpsc::Receiver<Order>) {
+/// Answers an command that arrived while the connection closed.
+fn refuse_waiting(inbox: &mut mpsc::Receiver<ExchangeCommand>) {
     inbox.close();
-    while let Ok(order) = inbox.try_recv() {
-        let _ = order.reply.send(Err(ExchangeError::NotSent));
+    while let Ok(command) = inbox.try_recv() {
+        let _ = command.reply.send(Err(ExchangeError::NotSent));
     }
 }
 
 /// Makes one exchange; returns whether the connection can take another.
-async fn serve(sender: &mut Sender, mut driver: Pin<&mut Driver>, order: Order) -> bool {
-    let Order {
+async fn serve(
+    sender: &mut Sender,
+    mut driver: Pin<&mut Driver>,
+    command: ExchangeCommand,
+) -> bool {
+    let ExchangeCommand {
         request,
         mut reply,
         finished,
-    } = order;
+    } = command;
     let mut pending = pin!(sender.try_send_request(request));
     let mut driving = true;
     let result = loop {
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -27,7 +27,7 @@
     /// The most headers of a request.
     pub headers: usize,
     /// How long a head may take to arrive.
-    pub head_patience: Duration,
+    pub head_timeout: Duration,
 }
 
 impl Default for ServeLimits {
@@ -35,7 +35,7 @@
         Self {
             head_bytes: 32 * 1024,
             headers: 100,
-            head_patience: Duration::from_secs(15),
+            head_timeout: Duration::from_secs(15),
         }
     }
 }
@@ -65,7 +65,7 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.head_patience)
+        .header_read_timeout(limits.head_timeout)
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
         .max_headers(limits.headers)
         .serve_connection(TokioIo::new(stream), service);
--- a/crates/model/src/call/mod.rs
+++ b/crates/model/src/call/mod.rs
@@ -34,7 +34,7 @@
     /// The key under which the request may run at most once.
     pub key: Option<Arc<str>>,
     /// How long the caller waits, when it said so.
-    pub patience: Option<Duration>,
+    pub timeout: Option<Duration>,
 }
 
 impl CallHead {
--- a/crates/node/src/claims/client.rs
+++ b/crates/node/src/claims/client.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use model::error::{ErrorKind, FleetError};
-use policy::claim::{ClaimKey, ClaimOrder, ClaimVerdict, Settlement, ShardId, shard_of};
+use policy::claim::{ClaimAttempt, ClaimKey, ClaimVerdict, Settlement, ShardId, shard_of};
 use policy::membership::Member;
 use tokio::sync::mpsc;
 use tokio::time::{self, Instant};
@@ -16,7 +16,7 @@
 use crate::wire::{NodeReply, NodeRequest};
 
 /// How long a batcher may take.
-const CLAIM_PATIENCE: Duration = Duration::from_secs(2);
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(2);
 /// Batchers that are tried for one claim.
 const BATCHERS_MAX: usize = 3;
 /// How long outcomes wait so that they travel together.
@@ -54,16 +54,16 @@
     ///
     /// # Errors
     /// `ClaimUnavailable` when no batcher could decide.
-    pub async fn claim(&self, order: ClaimOrder) -> Result<ClaimVerdict, FleetError> {
-        let shard = shard_of(&order.key);
+    pub async fn claim(&self, attempt: ClaimAttempt) -> Result<ClaimVerdict, FleetError> {
+        let shard = shard_of(&attempt.key);
         let table = self.members.table();
         let batchers = table.batchers(Instant::now(), shard);
         for member in batchers.into_iter().take(BATCHERS_MAX) {
             if member.node == table.own().node {
-                return self.shards.claim(order).await;
+                return self.shards.claim(attempt).await;
             }
-            let request = NodeRequest::Claim(order.clone());
-            match self.peers.ask(&member, &request, CLAIM_PATIENCE).await {
+            let request = NodeRequest::Claim(attempt.clone());
+            match self.peers.ask(&member, &request, CLAIM_TIMEOUT).await {
                 Ok(NodeReply::Claim(verdict)) => return Ok(verdict),
                 Ok(NodeReply::Unable(why)) => return Err(unavailable(&why)),
                 Ok(_) => return Err(unavailable("the batcher's reply makes no sense")),
@@ -121,7 +121,7 @@
             return true;
         }
         let request = NodeRequest::Settle(settlements.to_vec());
-        let reply = self.peers.ask(member, &request, CLAIM_PATIENCE).await;
+        let reply = self.peers.ask(member, &request, CLAIM_TIMEOUT).await;
         matches!(reply, Ok(NodeReply::Done))
     }
 }
--- a/crates/node/src/claims/task.rs
+++ b/crates/node/src/claims/task.rs
@@ -8,14 +8,14 @@
 use model::sizes::ObjectVersion;
 use platform::{PlatformClient, records};
 use policy::claim::{
-    BatchWrite, ClaimKey, ClaimOrder, ClaimToken, ClaimVerdict, Decided, Settlement, ShardBatcher,
-    ShardId, StoredSegment, shard_of,
+    BatchWrite, ClaimAttempt, ClaimKey, ClaimToken, ClaimVerdict, Decided, Settlement,
+    ShardBatcher, ShardId, StoredSegment, shard_of,
 };
 use tokio::sync::{mpsc, oneshot};
 use tokio::time;
 
 /// Claims that wait for the task; further ones are refused at once.
-const ORDERS_MAX: usize = 4096;
+const COMMANDS_MAX: usize = 4096;
 /// How often lapsed claims and expired segments are looked at.
 const TIDY_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -37,8 +37,8 @@
 type ClaimReply = oneshot::Sender<Result<ClaimVerdict, FleetError>>;
 
 #[derive(Debug)]
-enum ShardOrder {
-    Claim(ClaimOrder, ClaimReply),
+enum ShardCommand {
+    Claim(ClaimAttempt, ClaimReply),
     Settle(Vec<(ClaimKey, Settlement)>),
     Loaded(ShardId, Result<Vec<StoredSegment>, FleetError>),
     Written(ShardId, Result<ObjectVersion, FleetError>),
@@ -48,32 +48,32 @@
 /// A handle to the shards' task.
 #[derive(Debug, Clone)]
 pub struct ClaimShards {
-    orders: mpsc::Sender<ShardOrder>,
+    commands: mpsc::Sender<ShardCommand>,
 }
 
 impl ClaimShards {
     /// Starts the task.
     pub fn start(platform: PlatformClient, clock: clock::WallClock, pace: BatchPace) -> Self {
-        let (orders, inbox) = mpsc::channel(ORDERS_MAX);
+        let (commands, inbox) = mpsc::channel(COMMANDS_MAX);
         let task = ShardTask {
             platform,
             clock,
             pace,
-            orders: orders.clone(),
+            commands: commands.clone(),
             shards: BTreeMap::new(),
         };
         tokio::spawn(task.run(inbox));
-        Self { orders }
+        Self { commands }
     }
 
     /// Claims a key at this node.
     ///
     /// # Errors
     /// `ClaimUnavailable` when the platform does not answer or too many claims wait.
-    pub async fn claim(&self, order: ClaimOrder) -> Result<ClaimVerdict, FleetError> {
+    pub async fn claim(&self, command: ClaimAttempt) -> Result<ClaimVerdict, FleetError> {
         let (reply, answer) = oneshot::channel();
-        self.orders
-            .try_send(ShardOrder::Claim(order, reply))
+        self.commands
+            .try_send(ShardCommand::Claim(command, reply))
             .map_err(|_| unavailable("too many claims wait"))?;
         answer
             .await
@@ -82,7 +82,7 @@
 
     /// Stores what became of claimed requests with a later batch.
     pub async fn settle(&self, settlements: Vec<(ClaimKey, Settlement)>) {
-        let _ = self.orders.send(ShardOrder::Settle(settlements)).await;
+        let _ = self.commands.send(ShardCommand::Settle(settlements)).await;
     }
 }
 
@@ -100,67 +100,67 @@
     platform: PlatformClient,
     clock: clock::WallClock,
     pace: BatchPace,
-    orders: mpsc::Sender<ShardOrder>,
+    commands: mpsc::Sender<ShardCommand>,
     shards: BTreeMap<ShardId, Shard>,
 }
 
 impl ShardTask {
-    async fn run(mut self, mut inbox: mpsc::Receiver<ShardOrder>) {
+    async fn run(mut self, mut inbox: mpsc::Receiver<ShardCommand>) {
         let mut ticks = time::interval(TIDY_INTERVAL);
         ticks.set_missed_tick_behavior(time::MissedTickBehavior::Skip);
         loop {
             tokio::select! {
-                order = inbox.recv() => {
-                    let Some(order) = order else { return };
-                    self.take(order);
+                command = inbox.recv() => {
+                    let Some(command) = command else { return };
+                    self.take(command);
                 }
                 _ = ticks.tick() => self.tidy(),
             }
         }
     }
 
-    fn take(&mut self, order: ShardOrder) {
+    fn take(&mut self, command: ShardCommand) {
         let now = self.clock.now();
-        match order {
-            ShardOrder::Claim(order, reply) => {
-                let id = shard_of(&order.key);
+        match command {
+            ShardCommand::Claim(command, reply) => {
+                let id = shard_of(&command.key);
                 let shard = self.shard(id);
                 shard
                     .waiting
-                    .insert(order.token.clone(), (order.key.clone(), reply));
-                let decided = shard.batcher.claim(now, order);
+                    .insert(command.token.clone(), (command.key.clone(), reply));
+                let decided = shard.batcher.claim(now, command);
                 shard.answer(decided);
                 self.work(id);
             }
-            ShardOrder::Settle(settlements) => {
+            ShardCommand::Settle(settlements) => {
                 for (key, settlement) in settlements {
                     let id = shard_of(&key);
                     self.shard(id).batcher.settle(key, settlement);
                     self.work(id);
                 }
             }
-            ShardOrder::Loaded(id, Ok(segments)) => {
+            ShardCommand::Loaded(id, Ok(segments)) => {
                 let shard = self.shard(id);
                 let decided = shard.batcher.load(now, segments);
                 shard.answer(decided);
                 self.rest(id, Duration::ZERO);
             }
-            ShardOrder::Loaded(id, Err(error)) => {
+            ShardCommand::Loaded(id, Err(error)) => {
                 self.shard(id).refuse_all(&error);
                 self.rest(id, TIDY_INTERVAL);
             }
-            ShardOrder::Written(id, Ok(version)) => {
+            ShardCommand::Written(id, Ok(version)) => {
                 let shard = self.shard(id);
                 let decided = shard.batcher.written(now, version);
                 shard.answer(decided);
                 self.rest(id, self.pace.interval);
             }
-            ShardOrder::Written(id, Err(error)) => {
+            ShardCommand::Written(id, Err(error)) => {
                 log::info!(target: "claims", "Shard {id} is read again: {error}.");
                 self.shard(id).batcher.unsure();
                 self.rest(id, self.pace.interval);
             }
-            ShardOrder::Ready(id) => {
+            ShardCommand::Ready(id) => {
                 self.shard(id).busy = false;
                 self.work(id);
             }
@@ -193,28 +193,30 @@
 
     fn load(&self, id: ShardId) {
         let platform = self.platform.clone();
-        let orders = self.orders.clone();
+        let commands = self.commands.clone();
         tokio::spawn(async move {
             let segments = records::read_segments(&platform, id).await;
-            let _ = orders.send(ShardOrder::Loaded(id, segments)).await;
+            let _ = commands.send(ShardCommand::Loaded(id, segments)).await;
         });
     }
 
     fn write(&self, write: BatchWrite) {
         let platform = self.platform.clone();
-        let orders = self.orders.clone();
+        let commands = self.commands.clone();
         tokio::spawn(async move {
             let written = records::write_batch(&platform, &write).await;
-            let _ = orders.send(ShardOrder::Written(write.shard, written)).await;
+            let _ = commands
+                .send(ShardCommand::Written(write.shard, written))
+                .await;
         });
     }
 
     /// Lets a shard rest before its next call.
     fn rest(&self, id: ShardId, pause: Duration) {
-        let orders = self.orders.clone();
+        let commands = self.commands.clone();
         tokio::spawn(async move {
             time::sleep(pause).await;
-            let _ = orders.send(ShardOrder::Ready(id)).await;
+            let _ = commands.send(ShardCommand::Ready(id)).await;
         });
     }
 
--- a/crates/node/src/collector/seats.rs
+++ b/crates/node/src/collector/assignment.rs
@@ -9,30 +9,30 @@
 use policy::rendezvous;
 use tokio::time::Instant;
 
-/// How long the seats hold when the members do not change.
-const SEATS_SPAN: Duration = Duration::from_secs(10);
+/// How long the assignment hold when the members do not change.
+const ASSIGNMENT_SPAN: Duration = Duration::from_secs(10);
 
 /// The collectors of every service.
 #[derive(Debug)]
-pub(super) struct Seats {
+pub(super) struct CollectorAssignment {
     table: Arc<MemberTable>,
     drawn: Instant,
     generation: u64,
-    by_service: BTreeMap<ids::ServiceId, ServiceSeats>,
+    by_service: BTreeMap<ids::ServiceId, ServiceCollectors>,
 }
 
 /// The collectors of one service.
 #[derive(Debug, Default, Clone)]
-pub(super) struct ServiceSeats {
+pub(super) struct ServiceCollectors {
     /// The collector of this node's data centre.
     pub(super) near: Option<Arc<Member>>,
     /// The collectors of the other data centres.
     pub(super) far: Vec<Arc<Member>>,
-    /// The place of this data centre in the order in which ejections are proposed.
+    /// The place of this data centre in the command in which ejections are proposed.
     pub(super) rank: u32,
 }
 
-impl Seats {
+impl CollectorAssignment {
     pub(super) fn draw(now: Instant, table: Arc<MemberTable>, fleet: &config::FleetConfig) -> Self {
         let mut able = AbleByCentre::new();
         for member in table.able(now) {
@@ -40,10 +40,12 @@
                 .or_default()
                 .push(member);
         }
-        let by_service = fleet
-            .services
-            .keys()
-            .map(|service| (service.clone(), ServiceSeats::draw(&table, &able, service)));
+        let by_service = fleet.services.keys().map(|service| {
+            (
+                service.clone(),
+                ServiceCollectors::draw(&table, &able, service),
+            )
+        });
         let by_service = by_service.collect();
         Self {
             table,
@@ -53,7 +55,7 @@
         }
     }
 
-    /// Whether the seats must be drawn again.
+    /// Whether the assignment must be drawn again.
     pub(super) fn is_stale(
         &self,
         now: Instant,
@@ -62,18 +64,18 @@
     ) -> bool {
         !Arc::ptr_eq(&self.table, table)
             || self.generation != fleet.generation.get()
-            || now.duration_since(self.drawn) >= SEATS_SPAN
+            || now.duration_since(self.drawn) >= ASSIGNMENT_SPAN
     }
 
-    pub(super) fn of(&self, service: &ids::ServiceId) -> ServiceSeats {
+    pub(super) fn of(&self, service: &ids::ServiceId) -> ServiceCollectors {
         self.by_service.get(service).cloned().unwrap_or_default()
     }
 
     /// Services for which this node collects.
     pub(super) fn own(&self) -> impl Iterator<Item = &ids::ServiceId> {
         let node = &self.table.own().node;
-        let own = self.by_service.iter().filter(move |(_, seats)| {
-            seats
+        let own = self.by_service.iter().filter(move |(_, assignment)| {
+            assignment
                 .near
                 .as_ref()
                 .is_some_and(|member| member.node == *node)
@@ -85,8 +87,8 @@
 /// Members that can do jobs, by data centre.
 type AbleByCentre = BTreeMap<ids::DataCentreId, Vec<Arc<Member>>>;
 
-impl ServiceSeats {
-    /// Draws the seats of one service. Only its own collector needs to know the
+impl ServiceCollectors {
+    /// Draws the assignment of one service. Only its own collector needs to know the
     /// collectors of the other data centres.
     fn draw(table: &MemberTable, able: &AbleByCentre, service: &ids::ServiceId) -> Self {
         let own = table.own();
--- a/crates/node/src/collector/eject.rs
+++ b/crates/node/src/collector/eject.rs
@@ -10,7 +10,7 @@
 
 use crate::wire::VersionedRecord;
 
-/// Everything that a proposal rests on, taken out of the judge.
+/// Everything that a proposal rests on, taken out of the detector.
 pub(super) struct Proposal {
     pub(super) service: Arc<config::Service>,
     pub(super) generation: sizes::Generation,
--- a/crates/node/src/collector/mod.rs
+++ b/crates/node/src/collector/mod.rs
@@ -2,11 +2,11 @@
 //!
 //! A node sends its counts to the collector of the service in its own data
 //! centre. That collector sums them and exchanges the sums with the collectors
-//! of the other data centres, so every collector judges the same evidence.
+//! of the other data centres, so every collector detectors the same evidence.
 
+mod assignment;
 mod eject;
-mod seats;
 mod task;
 
 pub(crate) use task::CollectorParts;
-pub use task::{Collector, CollectorNews, NewsSink};
+pub use task::{Collector, CollectorUpdate, UpdateSink};
--- a/crates/node/src/collector/task.rs
+++ b/crates/node/src/collector/task.rs
@@ -1,4 +1,4 @@
-//! The task that routes evidence and judges the services that this node collects for.
+//! The task that routes evidence and detectors the services that this node collects for.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -7,14 +7,14 @@
 use model::{clock, ids};
 use platform::PlatformClient;
 use policy::detection::{
-    EvidenceCount, EvidenceReport, ServiceJudge, ServiceTempo, Verdict, VerdictChange,
+    EvidenceCount, EvidenceReport, OutlierDetector, ServiceLatency, Verdict, VerdictChange,
 };
 use policy::membership::{Member, MemberTable};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{self, Instant};
 
+use super::assignment::CollectorAssignment;
 use super::eject::Proposal;
-use super::seats::Seats;
 use crate::follow::{FleetSnapshot, Follower};
 use crate::link::PeerSet;
 use crate::members::MemberSet;
@@ -31,30 +31,30 @@
 /// How long each further data centre waits before it proposes an ejection.
 const RANK_PAUSE: Duration = Duration::from_secs(2);
 /// How long a message to another node may take.
-const SEND_PATIENCE: Duration = Duration::from_secs(2);
+const SEND_TIMEOUT: Duration = Duration::from_secs(2);
 /// Reports that wait for the task; further ones are dropped, since evidence is soft.
-const ORDERS_MAX: usize = 4096;
+const COMMANDS_MAX: usize = 4096;
 
 /// What a collector tells the services of its data centre.
 #[derive(Debug, Clone)]
-pub enum CollectorNews {
+pub enum CollectorUpdate {
     /// A verdict on an upstream.
     Verdict(VerdictChange),
     /// The usual latency of a service.
-    Tempo(ServiceTempo),
+    Estimate(ServiceLatency),
 }
 
-/// Takes news for this node's own services.
-pub type NewsSink = Arc<dyn Fn(CollectorNews) + Send + Sync>;
+/// Takes update for this node's own services.
+pub type UpdateSink = Arc<dyn Fn(CollectorUpdate) + Send + Sync>;
 
 /// A handle to the collector's task.
 #[derive(Debug, Clone)]
 pub struct Collector {
-    orders: mpsc::Sender<CollectOrder>,
+    commands: mpsc::Sender<CollectCommand>,
 }
 
 #[derive(Debug)]
-enum CollectOrder {
+enum CollectCommand {
     Own(EvidenceReport),
     Sent(Vec<EvidenceReport>),
 }
@@ -65,24 +65,24 @@
     pub(crate) peers: PeerSet,
     pub(crate) members: MemberSet,
     pub(crate) follower: Follower,
-    pub(crate) news: NewsSink,
+    pub(crate) update: UpdateSink,
     pub(crate) clock: clock::WallClock,
 }
 
 impl Collector {
     pub(crate) fn start(parts: CollectorParts) -> Self {
-        let (orders, inbox) = mpsc::channel(ORDERS_MAX);
+        let (commands, inbox) = mpsc::channel(COMMANDS_MAX);
         let snapshots = parts.follower.watch();
         let now = Instant::now();
-        let seats = Seats::draw(
+        let assignment = CollectorAssignment::draw(
             now,
             parts.members.table(),
             &parts.follower.snapshot().config,
         );
         let task = CollectTask {
             parts,
-            seats,
-            judges: BTreeMap::new(),
+            assignment,
+            detectors: BTreeMap::new(),
             outbox: BTreeMap::new(),
             sums: BTreeMap::new(),
             urgent: BTreeSet::new(),
@@ -93,19 +93,19 @@
             records: Arc::new(BTreeMap::new()),
         };
         tokio::spawn(task.run(inbox, snapshots));
-        Self { orders }
+        Self { commands }
     }
 
     /// Takes evidence of this node's own services; drops it when too much waits.
     pub fn report(&self, report: EvidenceReport) {
-        if self.orders.try_send(CollectOrder::Own(report)).is_err() {
+        if self.commands.try_send(CollectCommand::Own(report)).is_err() {
             log::warn!(target: "collector", "Dropped a report, too many wait.");
         }
     }
 
     /// Takes evidence that other nodes sent.
     pub fn take(&self, reports: Vec<EvidenceReport>) {
-        let _ = self.orders.try_send(CollectOrder::Sent(reports));
+        let _ = self.commands.try_send(CollectCommand::Sent(reports));
     }
 }
 
@@ -118,8 +118,8 @@
 
 struct CollectTask {
     parts: CollectorParts,
-    seats: Seats,
-    judges: BTreeMap<ids::ServiceId, ServiceJudge>,
+    assignment: CollectorAssignment,
+    detectors: BTreeMap<ids::ServiceId, OutlierDetector>,
     outbox: BTreeMap<ids::NodeId, Vec<EvidenceReport>>,
     sums: BTreeMap<ids::ServiceId, ServiceSum>,
     urgent: BTreeSet<ids::ServiceId>,
@@ -133,16 +133,16 @@
 impl CollectTask {
     async fn run(
         mut self,
-        mut inbox: mpsc::Receiver<CollectOrder>,
+        mut inbox: mpsc::Receiver<CollectCommand>,
         mut snapshots: watch::Receiver<FleetSnapshot>,
     ) {
         let mut ticks = time::interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(time::MissedTickBehavior::Skip);
         loop {
             tokio::select! {
-                order = inbox.recv() => match order {
-                    Some(CollectOrder::Own(report)) => self.route(report),
-                    Some(CollectOrder::Sent(reports)) => {
+                command = inbox.recv() => match command {
+                    Some(CollectCommand::Own(report)) => self.route(report),
+                    Some(CollectCommand::Sent(reports)) => {
                         for report in reports {
                             self.collect(&report);
                         }
@@ -163,7 +163,7 @@
 
     /// Sends a report of this node to the collector in its data centre.
     fn route(&mut self, report: EvidenceReport) {
-        let near = self.seats.of(&report.service).near;
+        let near = self.assignment.of(&report.service).near;
         let own = &self.parts.members.table().own().node.clone();
         match near {
             Some(member) if member.node != *own => {
@@ -188,11 +188,11 @@
             return;
         };
         let observers = table.centres().len();
-        let judge = self
-            .judges
+        let detector = self
+            .detectors
             .entry(report.service.clone())
-            .or_insert_with(|| ServiceJudge::new(now, Arc::clone(service), observers));
-        judge.observe(now, report);
+            .or_insert_with(|| OutlierDetector::new(now, Arc::clone(service), observers));
+        detector.observe(now, report);
     }
 
     fn add_to_sums(&mut self, report: &EvidenceReport) {
@@ -215,24 +215,24 @@
         if now.duration_since(self.refreshed) >= REFRESH_INTERVAL {
             self.refreshed = now;
             let standing = self
-                .judges
+                .detectors
                 .values()
-                .flat_map(ServiceJudge::standing)
+                .flat_map(OutlierDetector::standing)
                 .collect();
             self.tell(standing);
-            let tempos = self
-                .judges
+            let estimates = self
+                .detectors
                 .values()
-                .filter_map(ServiceJudge::tempo)
+                .filter_map(OutlierDetector::estimate)
                 .collect();
-            self.tell_tempos(tempos);
+            self.tell_estimates(estimates);
         } else {
             let changed = self
-                .judges
+                .detectors
                 .values_mut()
-                .filter_map(ServiceJudge::take_tempo)
+                .filter_map(OutlierDetector::take_estimate)
                 .collect();
-            self.tell_tempos(changed);
+            self.tell_estimates(changed);
         }
         if now.duration_since(self.reviewed) >= REVIEW_INTERVAL {
             self.reviewed = now;
@@ -243,12 +243,12 @@
     fn redraw(&mut self, now: Instant) {
         let table = self.parts.members.table();
         let config = self.parts.follower.snapshot().config;
-        if !self.seats.is_stale(now, &table, &config) {
+        if !self.assignment.is_stale(now, &table, &config) {
             return;
         }
-        self.seats = Seats::draw(now, table, &config);
-        let own: BTreeSet<_> = self.seats.own().cloned().collect();
-        self.judges.retain(|service, _| own.contains(service));
+        self.assignment = CollectorAssignment::draw(now, table, &config);
+        let own: BTreeSet<_> = self.assignment.own().cloned().collect();
+        self.detectors.retain(|service, _| own.contains(service));
     }
 
     fn send_outbox(&mut self) {
@@ -277,7 +277,7 @@
             let Some(sum) = self.sums.remove(&service) else {
                 continue;
             };
-            for member in self.seats.of(&service).far {
+            for member in self.assignment.of(&service).far {
                 let report = EvidenceReport {
                     service: service.clone(),
                     observer: observer.clone(),
@@ -304,9 +304,9 @@
 
     fn decide(&mut self, now: Instant) {
         let changes: Vec<_> = self
-            .judges
+            .detectors
             .values_mut()
-            .flat_map(|judge| judge.decide(now))
+            .flat_map(|detector| detector.decide(now))
             .collect();
         if changes.is_empty() {
             return;
@@ -336,7 +336,7 @@
             return;
         }
         for change in &changes {
-            (self.parts.news)(CollectorNews::Verdict(change.clone()));
+            (self.parts.update)(CollectorUpdate::Verdict(change.clone()));
         }
         let request = NodeRequest::Verdicts(changes);
         for member in self.parts.members.table().neighbours() {
@@ -345,14 +345,14 @@
     }
 
     /// Tells the usual latency of services to this node and to its neighbours.
-    fn tell_tempos(&self, tempos: Vec<ServiceTempo>) {
-        if tempos.is_empty() {
+    fn tell_estimates(&self, estimates: Vec<ServiceLatency>) {
+        if estimates.is_empty() {
             return;
         }
-        for tempo in &tempos {
-            (self.parts.news)(CollectorNews::Tempo(tempo.clone()));
+        for estimate in &estimates {
+            (self.parts.update)(CollectorUpdate::Estimate(estimate.clone()));
         }
-        let request = NodeRequest::Tempo(tempos);
+        let request = NodeRequest::Estimate(estimates);
         for member in self.parts.members.table().neighbours() {
             self.send(member, request.clone());
         }
@@ -361,16 +361,16 @@
     /// Proposes changes to the records of services that need one.
     fn propose(&self, now: Instant) {
         let snapshot = self.parts.follower.snapshot();
-        for (id, judge) in &self.judges {
+        for (id, detector) in &self.detectors {
             let Some(service) = snapshot.config.services.get(id) else {
                 continue;
             };
-            let rank = self.seats.of(id).rank;
+            let rank = self.assignment.of(id).rank;
             let accused: Vec<_> = service
                 .upstreams
                 .iter()
                 .map(|up| up.id.clone())
-                .filter(|upstream| self.is_ripe(now, upstream, judge, rank))
+                .filter(|upstream| self.is_ripe(now, upstream, detector, rank))
                 .collect();
             let record = self.records.get(id);
             let ejected = record.is_some_and(|record| !record.record.ejected.is_empty());
@@ -385,9 +385,9 @@
                 accused,
                 proven: ids
                     .clone()
-                    .map(|id| (id.clone(), judge.is_proven(now, &id)))
+                    .map(|id| (id.clone(), detector.is_proven(now, &id)))
                     .collect(),
-                scores: ids.map(|id| (id.clone(), judge.score(&id))).collect(),
+                scores: ids.map(|id| (id.clone(), detector.score(&id))).collect(),
             };
             let platform = self.parts.platform.clone();
             let follower = self.parts.follower.clone();
@@ -404,26 +404,26 @@
         &self,
         now: Instant,
         upstream: &ids::UpstreamId,
-        judge: &ServiceJudge,
+        detector: &OutlierDetector,
         rank: u32,
     ) -> bool {
         let since = self.accused_since.get(upstream);
         let waited = since.is_some_and(|at| now.duration_since(*at) >= RANK_PAUSE * rank);
-        waited && judge.verdict(upstream) == Verdict::Eject
+        waited && detector.verdict(upstream) == Verdict::Eject
     }
 
     /// Takes a new configuration or new records.
     fn follow(&mut self, snapshot: &FleetSnapshot) {
         let now = Instant::now();
         let table: Arc<MemberTable> = self.parts.members.table();
-        for (id, judge) in &mut self.judges {
+        for (id, detector) in &mut self.detectors {
             if let Some(service) = snapshot.config.services.get(id) {
-                judge.configure(now, Arc::clone(service), table.centres().len());
+                detector.configure(now, Arc::clone(service), table.centres().len());
             }
         }
         let before = std::mem::replace(&mut self.records, Arc::clone(&snapshot.records));
         for (id, old) in before.iter() {
-            let Some(judge) = self.judges.get_mut(id) else {
+            let Some(detector) = self.detectors.get_mut(id) else {
                 continue;
             };
             let new = snapshot.records.get(id);
@@ -431,7 +431,7 @@
                 new.is_some_and(|record| !record.record.ejected.contains_key(upstream))
             });
             for upstream in back {
-                judge.reinstate(now, upstream);
+                detector.reinstate(now, upstream);
             }
         }
     }
@@ -439,7 +439,7 @@
     fn send(&self, member: Arc<Member>, request: NodeRequest) {
         let peers = self.parts.peers.clone();
         tokio::spawn(async move {
-            let _ = peers.ask(&member, &request, SEND_PATIENCE).await;
+            let _ = peers.ask(&member, &request, SEND_TIMEOUT).await;
         });
     }
 }
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -12,7 +12,7 @@
 use quinn::Endpoint;
 
 use crate::claims::{BatchPace, ClaimClient, ClaimShards};
-use crate::collector::{Collector, CollectorNews, NewsSink};
+use crate::collector::{Collector, CollectorUpdate, UpdateSink};
 use crate::follow::Follower;
 use crate::keys::NodeKeys;
 use crate::link::{self, PeerSet, RequestHandler, SentObserver};
@@ -20,9 +20,9 @@
 use crate::wire::{NodeReply, NodeRequest};
 
 /// How long a message to another node may take.
-const SEND_PATIENCE: Duration = Duration::from_secs(2);
+const SEND_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Takes news of a drain that another node saw.
+/// Takes update of a drain that another node saw.
 pub type DrainedSink = Arc<dyn Fn(ids::ServiceId, ids::UpstreamId) + Send + Sync>;
 
 /// What a node's part in the fleet is started from.
@@ -37,9 +37,9 @@
     pub platform: PlatformClient,
     /// How fast claims are written.
     pub pace: BatchPace,
-    /// Takes news from collectors.
-    pub news: NewsSink,
-    /// Takes news of drains.
+    /// Takes update from collectors.
+    pub update: UpdateSink,
+    /// Takes update of drains.
     pub drained: DrainedSink,
     /// Is told of bytes sent to other nodes.
     pub sent: SentObserver,
@@ -74,7 +74,7 @@
             keys,
             platform,
             pace,
-            news,
+            update,
             drained,
             sent,
         } = settings;
@@ -90,22 +90,22 @@
             peers: peers.clone(),
             members: members.clone(),
             follower: follower.clone(),
-            news: Arc::clone(&news),
+            update: Arc::clone(&update),
             clock,
         });
         let shards = ClaimShards::start(platform, clock, pace);
         let claims = ClaimClient::start(shards.clone(), peers.clone(), members.clone());
-        let desk = Desk {
+        let responder = NodeResponder {
             members: members.clone(),
             follower: follower.clone(),
             collector: collector.clone(),
             shards,
-            news,
+            update,
             drained,
         };
         let handler: RequestHandler = Arc::new(move |request| {
-            let desk = desk.clone();
-            Box::pin(async move { desk.answer(request).await })
+            let responder = responder.clone();
+            Box::pin(async move { responder.answer(request).await })
         });
         tokio::spawn(link::accept(endpoint.clone(), handler));
         Ok(Self {
@@ -135,7 +135,7 @@
             let peers = self.peers.clone();
             let request = request.clone();
             let member = Arc::clone(member);
-            tokio::spawn(async move { peers.ask(&member, &request, SEND_PATIENCE).await });
+            tokio::spawn(async move { peers.ask(&member, &request, SEND_TIMEOUT).await });
         }
     }
 
@@ -147,23 +147,23 @@
 
 /// Answers other nodes.
 #[derive(Clone)]
-struct Desk {
+struct NodeResponder {
     members: MemberSet,
     follower: Follower,
     collector: Collector,
     shards: ClaimShards,
-    news: NewsSink,
+    update: UpdateSink,
     drained: DrainedSink,
 }
 
-impl Desk {
+impl NodeResponder {
     async fn answer(&self, request: NodeRequest) -> NodeReply {
         match request {
             NodeRequest::Evidence(reports) => self.collector.take(reports),
             NodeRequest::Verdicts(changes) => self.take_verdicts(changes),
-            NodeRequest::Tempo(tempos) => {
-                for tempo in tempos {
-                    (self.news)(CollectorNews::Tempo(tempo));
+            NodeRequest::Estimate(estimates) => {
+                for estimate in estimates {
+                    (self.update)(CollectorUpdate::Estimate(estimate));
                 }
             }
             NodeRequest::Drained { service, upstream } => (self.drained)(service, upstream),
@@ -182,8 +182,8 @@
                 return NodeReply::Records(records.values().cloned().collect());
             }
             NodeRequest::PutRecords(records) => self.follower.put_records(records).await,
-            NodeRequest::Claim(order) => {
-                return match self.shards.claim(order).await {
+            NodeRequest::Claim(command) => {
+                return match self.shards.claim(command).await {
                     Ok(verdict) => NodeReply::Claim(verdict),
                     Err(error) => NodeReply::Unable(error.detail().to_owned()),
                 };
@@ -195,7 +195,7 @@
 
     fn take_verdicts(&self, changes: Vec<VerdictChange>) {
         for change in changes {
-            (self.news)(CollectorNews::Verdict(change));
+            (self.update)(CollectorUpdate::Verdict(change));
         }
     }
 }
--- a/crates/node/src/follow/fetch.rs
+++ b/crates/node/src/follow/fetch.rs
@@ -16,7 +16,7 @@
 use crate::wire::{NodeReply, NodeRequest, VersionedRecord};
 
 /// How long a node may take to send what it is asked for.
-const FETCH_PATIENCE: Duration = Duration::from_secs(3);
+const FETCH_TIMEOUT: Duration = Duration::from_secs(3);
 /// Chunks that are asked of a node at once.
 const CHUNKS_PER_MESSAGE: usize = 64;
 
@@ -105,7 +105,7 @@
             FetchFrom::Node(member) => {
                 let reply = self
                     .peers
-                    .ask(member, &NodeRequest::Root, FETCH_PATIENCE)
+                    .ask(member, &NodeRequest::Root, FETCH_TIMEOUT)
                     .await
                     .ok()?;
                 let NodeReply::Root(bytes) = reply else {
@@ -124,7 +124,7 @@
     ) {
         for hashes in missing.chunks(CHUNKS_PER_MESSAGE) {
             let request = NodeRequest::Chunks(hashes.to_vec());
-            let reply = self.peers.ask(member, &request, FETCH_PATIENCE).await;
+            let reply = self.peers.ask(member, &request, FETCH_TIMEOUT).await;
             let Ok(NodeReply::Chunks(found)) = reply else {
                 return;
             };
@@ -140,7 +140,7 @@
 /// Asks a node for its ejection records.
 pub(super) async fn records(peers: &PeerSet, member: &Arc<Member>) -> Option<Vec<VersionedRecord>> {
     match peers
-        .ask(member, &NodeRequest::Records, FETCH_PATIENCE)
+        .ask(member, &NodeRequest::Records, FETCH_TIMEOUT)
         .await
     {
         Ok(NodeReply::Records(records)) => Some(records),
--- a/crates/node/src/follow/task.rs
+++ b/crates/node/src/follow/task.rs
@@ -23,9 +23,9 @@
 /// How often a node compares what it knows with others.
 const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
 /// How long a comparison may take.
-const COMPARE_PATIENCE: Duration = Duration::from_secs(2);
+const COMPARE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Orders that wait for the task; senders wait when it is full.
-const ORDERS_MAX: usize = 256;
+const COMMANDS_MAX: usize = 256;
 /// Fetches from other nodes that run at once; the next comparison starts another.
 const NODE_FETCHES_MAX: usize = 2;
 
@@ -39,7 +39,7 @@
 }
 
 #[derive(Debug)]
-pub(super) enum FollowOrder {
+pub(super) enum FollowCommand {
     Heard {
         mark: StateMark,
         from: Arc<Member>,
@@ -61,7 +61,7 @@
 /// A handle to the follower's task.
 #[derive(Debug, Clone)]
 pub struct Follower {
-    pub(super) orders: mpsc::Sender<FollowOrder>,
+    pub(super) commands: mpsc::Sender<FollowCommand>,
     snapshot: watch::Receiver<FleetSnapshot>,
 }
 
@@ -73,16 +73,16 @@
             records: Arc::new(BTreeMap::new()),
         };
         let (publish, snapshot) = watch::channel(empty);
-        let (orders, inbox) = mpsc::channel(ORDERS_MAX);
+        let (commands, inbox) = mpsc::channel(COMMANDS_MAX);
         let follower = Self {
-            orders: orders.clone(),
+            commands: commands.clone(),
             snapshot,
         };
         let task = FollowTask {
             platform: platform.clone(),
             peers: peers.clone(),
             members: members.clone(),
-            orders,
+            commands,
             publish,
             root: ConfigRoot::empty(),
             root_bytes: Bytes::new(),
@@ -112,7 +112,7 @@
     /// What this node knows, in brief.
     pub async fn mark(&self) -> StateMark {
         let (reply, answer) = oneshot::channel();
-        let _ = self.orders.send(FollowOrder::Mark(reply)).await;
+        let _ = self.commands.send(FollowCommand::Mark(reply)).await;
         let nothing = StateMark {
             generation: sizes::Generation::new(0),
             records: 0,
@@ -123,7 +123,7 @@
     /// The bytes of the root in force.
     pub async fn root(&self) -> Bytes {
         let (reply, answer) = oneshot::channel();
-        let _ = self.orders.send(FollowOrder::Root(reply)).await;
+        let _ = self.commands.send(FollowCommand::Root(reply)).await;
         answer.await.unwrap_or_default()
     }
 
@@ -133,18 +133,24 @@
         hashes: Vec<digest::ContentHash>,
     ) -> BTreeMap<digest::ContentHash, Vec<u8>> {
         let (reply, answer) = oneshot::channel();
-        let _ = self.orders.send(FollowOrder::Chunks(hashes, reply)).await;
+        let _ = self
+            .commands
+            .send(FollowCommand::Chunks(hashes, reply))
+            .await;
         answer.await.unwrap_or_default()
     }
 
     /// Takes ejection records.
     pub async fn put_records(&self, records: Vec<VersionedRecord>) {
-        let _ = self.orders.send(FollowOrder::Records(records)).await;
+        let _ = self.commands.send(FollowCommand::Records(records)).await;
     }
 
     /// Takes what another node knows.
     pub async fn heard(&self, mark: StateMark, from: Arc<Member>) {
-        let _ = self.orders.send(FollowOrder::Heard { mark, from }).await;
+        let _ = self
+            .commands
+            .send(FollowCommand::Heard { mark, from })
+            .await;
     }
 }
 
@@ -152,7 +158,7 @@
     platform: PlatformClient,
     peers: PeerSet,
     members: MemberSet,
-    orders: mpsc::Sender<FollowOrder>,
+    commands: mpsc::Sender<FollowCommand>,
     publish: watch::Sender<FleetSnapshot>,
     root: ConfigRoot,
     root_bytes: Bytes,
@@ -167,26 +173,26 @@
 }
 
 impl FollowTask {
-    async fn run(mut self, mut inbox: mpsc::Receiver<FollowOrder>) {
-        while let Some(order) = inbox.recv().await {
-            self.take(order);
+    async fn run(mut self, mut inbox: mpsc::Receiver<FollowCommand>) {
+        while let Some(command) = inbox.recv().await {
+            self.take(command);
         }
     }
 
-    fn take(&mut self, order: FollowOrder) {
-        match order {
-            FollowOrder::Heard { mark, from } => self.hear(mark, from),
-            FollowOrder::PlatformRoot => self.fetch(FetchFrom::Platform),
-            FollowOrder::Fetched(fetched) => self.apply(*fetched),
-            FollowOrder::FetchEnded { platform } => self.end_fetch(platform),
-            FollowOrder::Records(records) => self.take_records(records),
-            FollowOrder::Mark(reply) => {
+    fn take(&mut self, command: FollowCommand) {
+        match command {
+            FollowCommand::Heard { mark, from } => self.hear(mark, from),
+            FollowCommand::PlatformRoot => self.fetch(FetchFrom::Platform),
+            FollowCommand::Fetched(fetched) => self.apply(*fetched),
+            FollowCommand::FetchEnded { platform } => self.end_fetch(platform),
+            FollowCommand::Records(records) => self.take_records(records),
+            FollowCommand::Mark(reply) => {
                 let _ = reply.send(self.mark());
             }
-            FollowOrder::Root(reply) => {
+            FollowCommand::Root(reply) => {
                 let _ = reply.send(self.root_bytes.clone());
             }
-            FollowOrder::Chunks(hashes, reply) => {
+            FollowCommand::Chunks(hashes, reply) => {
                 let have = hashes.into_iter().filter_map(|hash| {
                     let bytes = self.bytes.get(&hash)?.to_vec();
                     Some((hash, bytes))
@@ -203,10 +209,10 @@
         }
         if mark.records != own.records {
             let peers = self.peers.clone();
-            let orders = self.orders.clone();
+            let commands = self.commands.clone();
             tokio::spawn(async move {
                 if let Some(records) = fetch::records(&peers, &from).await {
-                    let _ = orders.send(FollowOrder::Records(records)).await;
+                    let _ = commands.send(FollowCommand::Records(records)).await;
                 }
             });
         }
@@ -233,12 +239,14 @@
             cache: self.cache.clone(),
             generation: self.root.generation,
         };
-        let orders = self.orders.clone();
+        let commands = self.commands.clone();
         tokio::spawn(async move {
             if let Some(fetched) = job.run().await {
-                let _ = orders.send(FollowOrder::Fetched(Box::new(fetched))).await;
+                let _ = commands
+                    .send(FollowCommand::Fetched(Box::new(fetched)))
+                    .await;
             }
-            let _ = orders.send(FollowOrder::FetchEnded { platform }).await;
+            let _ = commands.send(FollowCommand::FetchEnded { platform }).await;
         });
     }
 
@@ -297,7 +305,7 @@
         for member in table.neighbours() {
             let peers = self.peers.clone();
             let request = request.clone();
-            tokio::spawn(async move { peers.ask(&member, &request, COMPARE_PATIENCE).await });
+            tokio::spawn(async move { peers.ask(&member, &request, COMPARE_TIMEOUT).await });
         }
     }
 
@@ -346,7 +354,7 @@
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Skip);
     loop {
         ticks.tick().await;
-        if follower.orders.is_closed() {
+        if follower.commands.is_closed() {
             return;
         }
         let table = members.table();
@@ -360,7 +368,7 @@
             let request = request.clone();
             let follower = follower.clone();
             tokio::spawn(async move {
-                let reply = peers.ask(&member, &request, COMPARE_PATIENCE).await;
+                let reply = peers.ask(&member, &request, COMPARE_TIMEOUT).await;
                 if let Ok(NodeReply::Mark(mark)) = reply {
                     follower.heard(mark, member).await;
                 }
--- a/crates/node/src/follow/watcher.rs
+++ b/crates/node/src/follow/watcher.rs
@@ -6,7 +6,7 @@
 use platform::{PlatformClient, names, records};
 use tokio::time::{self, Instant};
 
-use super::task::{FollowOrder, Follower};
+use super::task::{FollowCommand, Follower};
 use crate::members::MemberSet;
 use crate::wire::VersionedRecord;
 
@@ -17,13 +17,13 @@
 /// How often a node that does not relay looks whether it should.
 const STANDBY_PAUSE: Duration = Duration::from_secs(1);
 /// How long a starting node waits for others before it asks the platform itself.
-const START_PATIENCE: Duration = Duration::from_millis(200);
+const START_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Watches while this node relays, or has no configuration yet.
 pub(super) async fn run(platform: PlatformClient, members: MemberSet, follower: Follower) {
-    time::sleep(START_PATIENCE).await;
+    time::sleep(START_TIMEOUT).await;
     let mut revision = 0;
-    while !follower.orders.is_closed() {
+    while !follower.commands.is_closed() {
         let started = follower.snapshot().config.generation.get() > 0;
         if started && !members.table().relays(Instant::now()) {
             revision = 0;
@@ -56,7 +56,7 @@
     let root = names::config_root();
     for change in changes {
         if *change.name == *root.as_str() {
-            let _ = follower.orders.send(FollowOrder::PlatformRoot).await;
+            let _ = follower.commands.send(FollowCommand::PlatformRoot).await;
             continue;
         }
         let service = change
--- a/crates/node/src/link/acceptor.rs
+++ b/crates/node/src/link/acceptor.rs
@@ -10,7 +10,7 @@
 use crate::wire::{self, MESSAGE_BYTES_MAX, NodeReply, NodeRequest};
 
 /// How long a message may take to arrive.
-const READ_PATIENCE: Duration = Duration::from_secs(5);
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A reply under way.
 pub type ReplyFuture = Pin<Box<dyn Future<Output = NodeReply> + Send>>;
@@ -40,7 +40,7 @@
 }
 
 async fn serve_stream(mut sender: SendStream, mut receiver: RecvStream, handler: RequestHandler) {
-    let reading = time::timeout(READ_PATIENCE, receiver.read_to_end(MESSAGE_BYTES_MAX));
+    let reading = time::timeout(READ_TIMEOUT, receiver.read_to_end(MESSAGE_BYTES_MAX));
     let Ok(Ok(bytes)) = reading.await else { return };
     let reply = match wire::decode::<NodeRequest>(&bytes) {
         Ok(request) => handler(request).await,
--- a/crates/node/src/link/peers.rs
+++ b/crates/node/src/link/peers.rs
@@ -17,11 +17,11 @@
 use crate::wire::{self, MESSAGE_BYTES_MAX, NodeReply, NodeRequest};
 
 /// How long a connection may take to open.
-const CONNECT_PATIENCE: Duration = Duration::from_millis(1500);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Messages that wait for a peer; further ones fail at once.
-const PEER_ORDERS_MAX: usize = 256;
+const PEER_COMMANDS_MAX: usize = 256;
 /// Messages that wait for the set; senders wait when it is full.
-const SET_ORDERS_MAX: usize = 1024;
+const SET_COMMANDS_MAX: usize = 1024;
 /// How long a peer's task is kept without messages.
 const PEER_IDLE: Duration = Duration::from_mins(2);
 
@@ -29,30 +29,30 @@
 pub type SentObserver = Arc<dyn Fn(usize) + Send + Sync>;
 
 #[derive(Debug)]
-struct PeerOrder {
+struct PeerCommand {
     bytes: Vec<u8>,
-    patience: Duration,
+    timeout: Duration,
     reply: oneshot::Sender<Result<NodeReply, FleetError>>,
 }
 
 #[derive(Debug)]
-struct SetOrder {
+struct SetCommand {
     member: Arc<Member>,
-    order: PeerOrder,
+    command: PeerCommand,
 }
 
 /// A handle to the tasks that keep connections to other nodes.
 #[derive(Debug, Clone)]
 pub struct PeerSet {
-    orders: mpsc::Sender<SetOrder>,
+    commands: mpsc::Sender<SetCommand>,
 }
 
 impl PeerSet {
     /// Starts the set.
     pub fn start(endpoint: Endpoint, members: MemberSet, sent: SentObserver) -> Self {
-        let (orders, inbox) = mpsc::channel(SET_ORDERS_MAX);
+        let (commands, inbox) = mpsc::channel(SET_COMMANDS_MAX);
         tokio::spawn(run_set(endpoint, members, sent, inbox));
-        Self { orders }
+        Self { commands }
     }
 
     /// Asks a node and waits for its reply.
@@ -63,22 +63,22 @@
         &self,
         member: &Arc<Member>,
         request: &NodeRequest,
-        patience: Duration,
+        timeout: Duration,
     ) -> Result<NodeReply, FleetError> {
         let bytes = wire::encode(request)
             .map_err(|why| FleetError::new(ErrorKind::Invalid, why.to_string()))?;
         let (reply, answer) = oneshot::channel();
-        let order = PeerOrder {
+        let command = PeerCommand {
             bytes,
-            patience,
+            timeout,
             reply,
         };
-        let order = SetOrder {
+        let command = SetCommand {
             member: Arc::clone(member),
-            order,
+            command,
         };
-        self.orders
-            .send(order)
+        self.commands
+            .send(command)
             .await
             .map_err(|_| away(&member.node, "the node stops"))?;
         answer
@@ -98,26 +98,26 @@
     endpoint: Endpoint,
     members: MemberSet,
     sent: SentObserver,
-    mut inbox: mpsc::Receiver<SetOrder>,
+    mut inbox: mpsc::Receiver<SetCommand>,
 ) {
-    let mut peers: HashMap<(ids::NodeId, SocketAddr), mpsc::Sender<PeerOrder>> = HashMap::new();
-    while let Some(SetOrder { member, order }) = inbox.recv().await {
-        sent(order.bytes.len());
+    let mut peers: HashMap<(ids::NodeId, SocketAddr), mpsc::Sender<PeerCommand>> = HashMap::new();
+    while let Some(SetCommand { member, command }) = inbox.recv().await {
+        sent(command.bytes.len());
         peers.retain(|_, peer| !peer.is_closed());
         let key = (member.node.clone(), member.address);
         let peer = peers.entry(key).or_insert_with(|| {
-            let (orders, inbox) = mpsc::channel(PEER_ORDERS_MAX);
+            let (commands, inbox) = mpsc::channel(PEER_COMMANDS_MAX);
             let peer = Peer {
                 member: Arc::clone(&member),
                 endpoint: endpoint.clone(),
                 members: members.clone(),
             };
             tokio::spawn(peer.run(inbox));
-            orders
+            commands
         });
-        if let Err(refused) = peer.try_send(order) {
-            let order = refused.into_inner();
-            let _ = order
+        if let Err(refused) = peer.try_send(command) {
+            let command = refused.into_inner();
+            let _ = command
                 .reply
                 .send(Err(away(&member.node, "too many messages wait")));
         }
@@ -132,9 +132,9 @@
 }
 
 impl Peer {
-    async fn run(self, mut inbox: mpsc::Receiver<PeerOrder>) {
+    async fn run(self, mut inbox: mpsc::Receiver<PeerCommand>) {
         let mut connection: Option<Connection> = None;
-        while let Ok(Some(order)) = time::timeout(PEER_IDLE, inbox.recv()).await {
+        while let Ok(Some(command)) = time::timeout(PEER_IDLE, inbox.recv()).await {
             let open = connection
                 .take()
                 .filter(|open| open.close_reason().is_none());
@@ -146,13 +146,13 @@
                 Ok(open) => {
                     connection = Some(open.clone());
                     let members = self.members.clone();
-                    tokio::spawn(exchange(open, order, Arc::clone(&self.member), members));
+                    tokio::spawn(exchange(open, command, Arc::clone(&self.member), members));
                 }
                 Err(error) => {
                     self.members.suspect(&self.member.node).await;
-                    let _ = order.reply.send(Err(error.clone()));
-                    while let Ok(order) = inbox.try_recv() {
-                        let _ = order.reply.send(Err(error.clone()));
+                    let _ = command.reply.send(Err(error.clone()));
+                    while let Ok(command) = inbox.try_recv() {
+                        let _ = command.reply.send(Err(error.clone()));
                     }
                 }
             }
@@ -165,7 +165,7 @@
             .endpoint
             .connect(self.member.address, SERVER_NAME)
             .map_err(|error| away(node, &error.to_string()))?;
-        let connected = time::timeout(CONNECT_PATIENCE, connecting).await;
+        let connected = time::timeout(CONNECT_TIMEOUT, connecting).await;
         connected
             .map_err(|_| away(node, "connect timed out"))?
             .map_err(|error| away(node, &error.to_string()))
@@ -174,16 +174,16 @@
 
 async fn exchange(
     connection: Connection,
-    order: PeerOrder,
+    command: PeerCommand,
     member: Arc<Member>,
     members: MemberSet,
 ) {
-    let PeerOrder {
+    let PeerCommand {
         bytes,
-        patience,
+        timeout,
         reply,
-    } = order;
-    let exchanged = time::timeout(patience, send_and_read(&connection, &bytes)).await;
+    } = command;
+    let exchanged = time::timeout(timeout, send_and_read(&connection, &bytes)).await;
     let result = match exchanged {
         Ok(Ok(reply)) => Ok(reply),
         Ok(Err(why)) => Err(away(&member.node, &why)),
--- a/crates/node/src/members/task.rs
+++ b/crates/node/src/members/task.rs
@@ -15,10 +15,10 @@
 /// Nodes above which the list is read less often.
 const SMALL_FLEET: usize = 48;
 /// Orders that wait for the task.
-const ORDERS_MAX: usize = 256;
+const COMMANDS_MAX: usize = 256;
 
 #[derive(Debug)]
-enum MemberOrder {
+enum MemberCommand {
     Suspect(ids::NodeId),
     Introduce(Member),
     Leave,
@@ -27,7 +27,7 @@
 /// A handle to the members' task.
 #[derive(Debug, Clone)]
 pub struct MemberSet {
-    orders: mpsc::Sender<MemberOrder>,
+    commands: mpsc::Sender<MemberCommand>,
     table: watch::Receiver<Arc<MemberTable>>,
 }
 
@@ -37,7 +37,7 @@
         let mut table = MemberTable::new(own);
         table.replace(seeds);
         let (publish, watched) = watch::channel(Arc::new(table.clone()));
-        let (orders, inbox) = mpsc::channel(ORDERS_MAX);
+        let (commands, inbox) = mpsc::channel(COMMANDS_MAX);
         let task = MemberTask {
             table,
             publish,
@@ -45,7 +45,7 @@
         };
         tokio::spawn(task.run(inbox));
         Self {
-            orders,
+            commands,
             table: watched,
         }
     }
@@ -62,19 +62,22 @@
 
     /// Notes that a node did not answer.
     pub async fn suspect(&self, node: &ids::NodeId) {
-        let _ = self.orders.send(MemberOrder::Suspect(node.clone())).await;
+        let _ = self
+            .commands
+            .send(MemberCommand::Suspect(node.clone()))
+            .await;
     }
 
     /// Takes a node that presented itself.
     pub async fn introduce(&self, member: Member) {
         if self.table().find(&member.node).is_none() {
-            let _ = self.orders.send(MemberOrder::Introduce(member)).await;
+            let _ = self.commands.send(MemberCommand::Introduce(member)).await;
         }
     }
 
     /// Hands this node's jobs on.
     pub async fn leave(&self) {
-        let _ = self.orders.send(MemberOrder::Leave).await;
+        let _ = self.commands.send(MemberCommand::Leave).await;
     }
 }
 
@@ -85,13 +88,13 @@
 }
 
 impl MemberTask {
-    async fn run(mut self, mut inbox: mpsc::Receiver<MemberOrder>) {
+    async fn run(mut self, mut inbox: mpsc::Receiver<MemberCommand>) {
         let mut next = Instant::now();
         loop {
             tokio::select! {
-                order = inbox.recv() => {
-                    let Some(order) = order else { return };
-                    self.take(order);
+                command = inbox.recv() => {
+                    let Some(command) = command else { return };
+                    self.take(command);
                 }
                 () = time::sleep_until(next) => {
                     self.poll().await;
@@ -107,17 +110,17 @@
         POLL_INTERVAL * u32::try_from(share).unwrap_or(u32::MAX)
     }
 
-    fn take(&mut self, order: MemberOrder) {
-        match order {
-            MemberOrder::Suspect(node) => {
+    fn take(&mut self, command: MemberCommand) {
+        match command {
+            MemberCommand::Suspect(node) => {
                 log::info!(target: "members", "Node {node} does not answer.");
                 self.table.suspect(Instant::now(), &node);
             }
-            MemberOrder::Introduce(member) => {
+            MemberCommand::Introduce(member) => {
                 log::info!(target: "members", "Node {} presented itself.", member.node);
                 self.table.introduce(member);
             }
-            MemberOrder::Leave => self.table.leave(),
+            MemberCommand::Leave => self.table.leave(),
         }
         self.publish();
     }
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use model::{digest, ids, sizes};
-use policy::claim::{ClaimKey, ClaimOrder, ClaimVerdict, Settlement};
-use policy::detection::{EvidenceReport, ServiceTempo, VerdictChange};
+use policy::claim::{ClaimAttempt, ClaimKey, ClaimVerdict, Settlement};
+use policy::detection::{EvidenceReport, ServiceLatency, VerdictChange};
 use policy::ejection::EjectionRecord;
 use policy::membership::Member;
 use quick_error::quick_error;
@@ -38,8 +38,8 @@
         /// Take verdicts.
         Verdicts(Vec<VerdictChange>),
         /// Take the usual latency of services.
-        Tempo(Vec<ServiceTempo>),
-        /// Take the news that an upstream drains.
+        Estimate(Vec<ServiceLatency>),
+        /// Take the update that an upstream drains.
         Drained {
             /// The service.
             service: ids::ServiceId,
@@ -62,7 +62,7 @@
         /// Take ejection records.
         PutRecords(Vec<VersionedRecord>),
         /// Claim a key.
-        Claim(ClaimOrder),
+        Claim(ClaimAttempt),
         /// Store what became of claimed requests.
         Settle(Vec<(ClaimKey, Settlement)>),
     }
--- a/crates/operator/src/api/desk.rs
+++ b/crates/operator/src/api/calls.rs
@@ -12,7 +12,7 @@
 };
 use crate::audit;
 use crate::change::ConfigStep;
-use crate::commit::{Accepted, ChangeOrder, Committer};
+use crate::commit::{Accepted, ChangeRequest, Committer};
 use crate::tokens::{self, Caller, Role};
 
 /// Audit entries that one call returns at most.
@@ -23,7 +23,7 @@
 
 /// Serves operators.
 #[derive(Debug, Clone)]
-pub struct AdminDesk {
+pub struct AdminApi {
     committer: Committer,
 }
 
@@ -42,8 +42,8 @@
     pub large_share: bool,
 }
 
-impl AdminDesk {
-    /// A desk that makes changes through a committer.
+impl AdminApi {
+    /// A api that makes changes through a committer.
     pub const fn new(committer: Committer) -> Self {
         Self { committer }
     }
@@ -84,12 +84,12 @@
             );
             return Err(FleetError::new(ErrorKind::Invalid, detail));
         }
-        let order = ChangeOrder {
+        let request = ChangeRequest {
             operator: call.caller.operator,
             step: call.step,
             expected: call.expected.or(Some(before.generation)),
         };
-        Ok(answer(self.committer.commit(&order).await?, share))
+        Ok(answer(self.committer.commit(&request).await?, share))
     }
 
     /// The configuration in force.
--- a/crates/operator/src/api/http.rs
+++ b/crates/operator/src/api/http.rs
@@ -10,8 +10,8 @@
 use rouille::{Request, Response};
 use tokio::runtime::Handle;
 
+use super::calls::{AdminApi, ChangeCall};
 use super::description;
-use super::desk::{AdminDesk, ChangeCall};
 use super::wire::{ErrorAnswer, StateBody, TokenBody};
 use crate::change::ConfigStep;
 use crate::sheet::{self, SheetFault};
@@ -38,8 +38,8 @@
     ///
     /// # Errors
     /// When the address cannot be bound.
-    pub fn bind(address: SocketAddr, desk: AdminDesk, handle: Handle) -> io::Result<Self> {
-        let answer: Answer = Box::new(move |request| handle.block_on(serve(&desk, request)));
+    pub fn bind(address: SocketAddr, api: AdminApi, handle: Handle) -> io::Result<Self> {
+        let answer: Answer = Box::new(move |request| handle.block_on(serve(&api, request)));
         let server = rouille::Server::new(address, answer).map_err(io::Error::other)?;
         let server = server.pool_size(THREADS);
         Ok(Self {
@@ -74,13 +74,13 @@
 
 type Reply = Result<Response, Refusal>;
 
-async fn serve(desk: &AdminDesk, request: &Request) -> Response {
-    answer(desk, request)
+async fn serve(api: &AdminApi, request: &Request) -> Response {
+    answer(api, request)
         .await
         .unwrap_or_else(|refusal| refuse(&refusal))
 }
 
-async fn answer(desk: &AdminDesk, request: &Request) -> Reply {
+async fn answer(api: &AdminApi, request: &Request) -> Reply {
     let path = request.url();
     let parts: Vec<&str> = path.split('/').filter(|part| !part.is_empty()).collect();
     if let ["healthz"] = parts[..] {
@@ -89,34 +89,34 @@
     let token = request
         .header("authorization")
         .and_then(|text| text.strip_prefix("Bearer "));
-    let caller = desk.authenticate(token).await?;
+    let caller = api.authenticate(token).await?;
     caller.require(Role::Viewer)?;
     match (request.method(), &parts[..]) {
         ("GET", ["v1", "openapi.json"]) => Ok(Response::json(&description::openapi())),
-        ("GET", ["v1", "status"]) => Ok(Response::json(&desk.status().await?)),
+        ("GET", ["v1", "status"]) => Ok(Response::json(&api.status().await?)),
         ("GET", ["v1", "audit"]) => {
             let most = request.get_param("most").and_then(|text| text.parse().ok());
             Ok(Response::json(
-                &desk.audit(most.unwrap_or(AUDIT_DEFAULT)).await?,
+                &api.audit(most.unwrap_or(AUDIT_DEFAULT)).await?,
             ))
         }
         ("GET", ["v1", part]) => {
-            let listing = desk.list(part).await?;
+            let listing = api.list(part).await?;
             Ok(tagged(Response::json(&listing), listing.generation))
         }
         ("POST", ["v1", "tokens"]) => {
             let body: TokenBody = read_json(request)?;
-            Ok(Response::json(&desk.issue_token(&caller, body).await?).with_status_code(201))
+            Ok(Response::json(&api.issue_token(&caller, body).await?).with_status_code(201))
         }
         ("DELETE", ["v1", "tokens", operator]) => {
-            desk.revoke_token(&caller, &parse(operator)?).await?;
+            api.revoke_token(&caller, &parse(operator)?).await?;
             Ok(Response::empty_204())
         }
-        _ => change(desk, request, caller, &parts).await,
+        _ => change(api, request, caller, &parts).await,
     }
 }
 
-async fn change(desk: &AdminDesk, request: &Request, caller: Caller, parts: &[&str]) -> Reply {
+async fn change(api: &AdminApi, request: &Request, caller: Caller, parts: &[&str]) -> Reply {
     let step = read_step(request, parts)?;
     let flag = |name: &str| request.get_param(name).is_some_and(|value| value == "true");
     let call = ChangeCall {
@@ -126,7 +126,7 @@
         plan_only: flag("plan"),
         large_share: flag("large-share"),
     };
-    let answer = desk.change(call).await?;
+    let answer = api.change(call).await?;
     Ok(tagged(Response::json(&answer), answer.generation))
 }
 
--- a/crates/operator/src/commit.rs
+++ b/crates/operator/src/commit.rs
@@ -34,7 +34,7 @@
 
 /// A change that an operator asks for.
 #[derive(Debug, Clone)]
-pub struct ChangeOrder {
+pub struct ChangeRequest {
     /// Who asks.
     pub operator: ids::OperatorId,
     /// What is asked for.
@@ -108,10 +108,11 @@
     /// # Errors
     /// `Conflict` names the other change, `Invalid` the faults, `UnderFloor` the figures;
     /// `WriteUnknown` when the change may or may not have been accepted.
-    pub async fn commit(&self, order: &ChangeOrder) -> Result<Accepted, FleetError> {
+    pub async fn commit(&self, request: &ChangeRequest) -> Result<Accepted, FleetError> {
         for _ in 0..TRIES_MAX {
-            match self.try_commit(order).await {
-                Err(error) if error.kind() == ErrorKind::Conflict && order.expected.is_none() => {}
+            match self.try_commit(request).await {
+                Err(error) if error.kind() == ErrorKind::Conflict && request.expected.is_none() => {
+                }
                 result => return result,
             }
         }
@@ -121,15 +122,15 @@
         ))
     }
 
-    async fn try_commit(&self, order: &ChangeOrder) -> Result<Accepted, FleetError> {
+    async fn try_commit(&self, request: &ChangeRequest) -> Result<Accepted, FleetError> {
         let (stored, before) = self.read_stored().await?;
-        if order
+        if request
             .expected
             .is_some_and(|expected| expected != before.generation)
         {
             return Err(self.conflict(&stored.root).await);
         }
-        let mut after = order.step.apply(&before)?;
+        let mut after = request.step.apply(&before)?;
         refuse_faults(&after)?;
         let differences = change::compare(&before, &after);
         if differences.is_empty() {
@@ -141,7 +142,7 @@
         after.generation = before.generation.next();
         self.reserve(&before, &after).await?;
         let (mut root, pieces) = after.split();
-        let entry = self.audit_entry(order, &stored.root, after.generation, &differences);
+        let entry = self.audit_entry(request, &stored.root, after.generation, &differences);
         let entry = Chunk::Audit(entry).seal();
         root.audit = Some(entry.hash.clone());
         self.write_new_chunks(&stored.root, &pieces, &entry).await?;
@@ -159,7 +160,7 @@
 
     fn audit_entry(
         &self,
-        order: &ChangeOrder,
+        request: &ChangeRequest,
         root: &ConfigRoot,
         generation: sizes::Generation,
         differences: &[Difference],
@@ -170,11 +171,11 @@
             .collect();
         AuditEntry {
             generation,
-            operator: order.operator.clone(),
+            operator: request.operator.clone(),
             at: self.clock.now(),
             nonce: format!("{:032x}", rand::random::<u128>()).into(),
             summary: ChangeSummary {
-                action: order.step.describe().into(),
+                action: request.step.describe().into(),
                 lines,
             },
             previous: root.audit.clone(),
--- a/crates/operator/src/sheet/mod.rs
+++ b/crates/operator/src/sheet/mod.rs
@@ -1,7 +1,7 @@
 //! The planners' sheet: comma- or semicolon-separated rows as a spreadsheet exports them.
 //!
 //! Each row states one thing, named by the column `kind`: a `service`, an
-//! `upstream`, a `route`, a `rule` or a `floor`. Columns may stand in any order.
+//! `upstream`, a `route`, a `rule` or a `floor`. Columns may stand in any request.
 //!
 //! | kind | name | service | other columns |
 //! | --- | --- | --- | --- |
--- a/crates/operator/tests/administration.rs
+++ b/crates/operator/tests/administration.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use gooseberrydyke_operator::api::desk::{AdminDesk, ChangeCall};
+use gooseberrydyke_operator::api::calls::{AdminApi, ChangeCall};
 use gooseberrydyke_operator::api::wire::TokenBody;
 use gooseberrydyke_operator::change::ConfigStep;
 use gooseberrydyke_operator::commit::Committer;
@@ -11,15 +11,17 @@
 use model::error::ErrorKind;
 use model::ids::{OperatorId, UpstreamId};
 use platform::PlatformClient;
-use scene::stage::name;
-use scene::{Scene, ScenePlan, ServicePlan};
+use testbed::fleet::name;
+use testbed::{ServicePlan, Testbed, TestbedPlan};
 
-async fn desk() -> (Scene, AdminDesk) {
+async fn api() -> (Testbed, AdminApi) {
     let mut view = ServicePlan::lookups("view", "/view", 6);
     view.floor = 20;
-    let scene = Scene::start(ScenePlan::small(vec![view])).await.unwrap();
-    let platform = PlatformClient::start(scene.platform.address(), Arc::new(|_| {}));
-    (scene, AdminDesk::new(Committer::new(platform)))
+    let testbed = Testbed::start(TestbedPlan::small(vec![view]))
+        .await
+        .unwrap();
+    let platform = PlatformClient::start(testbed.platform.address(), Arc::new(|_| {}));
+    (testbed, AdminApi::new(Committer::new(platform)))
 }
 
 fn drain(caller: &Caller, upstream: &str) -> ChangeCall {
@@ -45,47 +47,47 @@
 
 #[tokio::test]
 async fn only_valid_tokens_are_let_in_and_only_as_far_as_their_role_goes() {
-    let (_scene, desk) = desk().await;
-    let refused = desk.authenticate(None).await.unwrap_err();
+    let (_scene, api) = api().await;
+    let refused = api.authenticate(None).await.unwrap_err();
     assert_eq!(refused.kind(), ErrorKind::Unauthenticated);
-    desk.adopt_token(name("root"), "a-long-root-token")
+    api.adopt_token(name("root"), "a-long-root-token")
         .await
         .unwrap();
-    let root = desk.authenticate(Some("a-long-root-token")).await.unwrap();
+    let root = api.authenticate(Some("a-long-root-token")).await.unwrap();
     assert_eq!(root.role, Role::Admin);
     let body = TokenBody {
         operator: name("lagos"),
         role: Role::Viewer,
     };
-    let issued = desk.issue_token(&root, body).await.unwrap();
-    let viewer = desk.authenticate(Some(&issued.token)).await.unwrap();
-    let error = desk.change(drain(&viewer, "view-0")).await.unwrap_err();
+    let issued = api.issue_token(&root, body).await.unwrap();
+    let viewer = api.authenticate(Some(&issued.token)).await.unwrap();
+    let error = api.change(drain(&viewer, "view-0")).await.unwrap_err();
     assert_eq!(error.kind(), ErrorKind::Forbidden);
     let plan = ChangeCall {
         plan_only: true,
         ..drain(&viewer, "view-0")
     };
-    assert_eq!(desk.change(plan).await.unwrap().differences.len(), 1);
-    desk.revoke_token(&root, &name("lagos")).await.unwrap();
-    assert!(desk.authenticate(Some(&issued.token)).await.is_err());
+    assert_eq!(api.change(plan).await.unwrap().differences.len(), 1);
+    api.revoke_token(&root, &name("lagos")).await.unwrap();
+    assert!(api.authenticate(Some(&issued.token)).await.is_err());
 }
 
 #[tokio::test]
 async fn a_change_on_top_of_another_one_is_told_which() {
-    let (_scene, desk) = desk().await;
-    let seen = desk.config().await.unwrap().generation;
+    let (_scene, api) = api().await;
+    let seen = api.config().await.unwrap().generation;
     let kano = caller("kano", Role::Operator);
     let lagos = caller("lagos", Role::Operator);
     let call = ChangeCall {
         expected: Some(seen),
         ..drain(&kano, "view-0")
     };
-    desk.change(call).await.unwrap();
+    api.change(call).await.unwrap();
     let late = ChangeCall {
         expected: Some(seen),
         ..drain(&lagos, "view-1")
     };
-    let error = desk.change(late).await.unwrap_err();
+    let error = api.change(late).await.unwrap_err();
     assert_eq!(error.kind(), ErrorKind::Conflict);
     assert!(
         error.detail().contains("kano") && error.detail().contains("view-0"),
@@ -95,22 +97,22 @@
 
 #[tokio::test]
 async fn a_drain_under_the_floor_is_refused_with_the_figures_and_changes_nothing() {
-    let (_scene, desk) = desk().await;
+    let (_scene, api) = api().await;
     let operator = caller("kano", Role::Operator);
-    desk.change(drain(&operator, "view-0")).await.unwrap();
-    let before = desk.config().await.unwrap();
-    let error = desk.change(drain(&operator, "view-1")).await.unwrap_err();
+    api.change(drain(&operator, "view-0")).await.unwrap();
+    let before = api.config().await.unwrap();
+    let error = api.change(drain(&operator, "view-1")).await.unwrap_err();
     assert!(
         [ErrorKind::UnderFloor, ErrorKind::Invalid].contains(&error.kind()),
         "{error}"
     );
     assert!(error.detail().contains("20"), "{error}");
-    assert_eq!(desk.config().await.unwrap(), before);
+    assert_eq!(api.config().await.unwrap(), before);
 }
 
 #[tokio::test]
 async fn many_upstreams_leave_at_once_only_with_the_flag() {
-    let (_scene, desk) = desk().await;
+    let (_scene, api) = api().await;
     let operator = caller("kano", Role::Operator);
     let step = ConfigStep::ApplySheet {
         services: Vec::new(),
@@ -120,9 +122,9 @@
         step,
         ..drain(&operator, "view-0")
     };
-    let error = desk.change(call.clone()).await.unwrap_err();
+    let error = api.change(call.clone()).await.unwrap_err();
     assert!(error.detail().contains("100%"), "{error}");
-    desk.change(ChangeCall {
+    api.change(ChangeCall {
         large_share: true,
         ..call
     })
@@ -132,16 +134,16 @@
 
 #[tokio::test]
 async fn every_accepted_change_has_an_entry_chained_to_the_one_before() {
-    let (scene, desk) = desk().await;
+    let (testbed, api) = api().await;
     let operator = caller("kano", Role::Operator);
-    desk.change(drain(&operator, "view-3")).await.unwrap();
-    let entries = desk.audit(100).await.unwrap().entries;
+    api.change(drain(&operator, "view-3")).await.unwrap();
+    let entries = api.audit(100).await.unwrap().entries;
     let generations: Vec<_> = entries.iter().map(|entry| entry.generation.get()).collect();
     assert_eq!(generations, [3, 2, 1]);
     assert_eq!(entries[0].operator, name("kano"));
     assert!(entries[0].summary.lines[0].contains("view-3"));
     assert_eq!(entries[2].previous, None);
-    let status = desk.status().await.unwrap();
+    let status = api.status().await.unwrap();
     assert_eq!(status.services[0].healthy_slots.get(), 20);
-    assert_eq!(scene.committer.read().await.unwrap().generation.get(), 3);
+    assert_eq!(testbed.committer.read().await.unwrap().generation.get(), 3);
 }
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -17,9 +17,9 @@
 use crate::wire::{self, WholeAnswer};
 
 /// How long a connection may take to open.
-const CONNECT_PATIENCE: Duration = Duration::from_secs(1);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long a call may take.
-const CALL_PATIENCE: Duration = Duration::from_secs(3);
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 /// Longest idle time after which a connection is used again.
 const IDLE_MAX: Duration = Duration::from_secs(5);
 /// Calls that wait for the task.
@@ -33,14 +33,14 @@
 /// Asks the platform task to make calls.
 #[derive(Debug, Clone)]
 pub struct PlatformClient {
-    orders: mpsc::Sender<Order>,
+    commands: mpsc::Sender<CallCommand>,
 }
 
 #[derive(Debug)]
-struct Order {
+struct CallCommand {
     operation: &'static str,
     request: http::Request<BodyStream>,
-    patience: Duration,
+    timeout: Duration,
     reply: oneshot::Sender<Result<WholeAnswer, CallError>>,
 }
 
@@ -53,26 +53,26 @@
 impl PlatformClient {
     /// Starts the task that owns the connections to the platform.
     pub fn start(address: SocketAddr, observer: CallObserver) -> Self {
-        let (orders, inbox) = mpsc::channel(CALLS_MAX);
+        let (commands, inbox) = mpsc::channel(CALLS_MAX);
         tokio::spawn(run(address, observer, inbox));
-        Self { orders }
+        Self { commands }
     }
 
     async fn call(
         &self,
         operation: &'static str,
         request: http::Request<BodyStream>,
-        patience: Duration,
+        timeout: Duration,
     ) -> Result<WholeAnswer, CallError> {
         let (reply, answer) = oneshot::channel();
-        let order = Order {
+        let command = CallCommand {
             operation,
             request,
-            patience,
+            timeout,
             reply,
         };
-        self.orders
-            .send(order)
+        self.commands
+            .send(command)
             .await
             .map_err(|_| CallError::NotSent)?;
         answer.await.unwrap_or(Err(CallError::Lost))
@@ -82,9 +82,9 @@
         &self,
         operation: &'static str,
         request: http::Request<BodyStream>,
-        patience: Duration,
+        timeout: Duration,
     ) -> Result<WholeAnswer, error::FleetError> {
-        self.call(operation, request, patience).await.map_err(|_| {
+        self.call(operation, request, timeout).await.map_err(|_| {
             error::FleetError::new(
                 error::ErrorKind::PlatformAway,
                 "the platform did not answer",
@@ -97,7 +97,7 @@
     /// # Errors
     /// `PlatformAway` when there is no readable answer.
     pub async fn get(&self, name: &ObjectName) -> Result<Option<StoredObject>, error::FleetError> {
-        let answer = self.read("get", wire::get(name)?, CALL_PATIENCE).await?;
+        let answer = self.read("get", wire::get(name)?, CALL_TIMEOUT).await?;
         wire::read_object(name, answer)
     }
 
@@ -113,7 +113,7 @@
         condition: Condition,
     ) -> Result<sizes::ObjectVersion, error::FleetError> {
         let answer = self
-            .call("put", wire::put(name, body, condition)?, CALL_PATIENCE)
+            .call("put", wire::put(name, body, condition)?, CALL_TIMEOUT)
             .await;
         match answer {
             Ok(answer) => wire::read_written(&answer),
@@ -170,7 +170,7 @@
         version: sizes::ObjectVersion,
     ) -> Result<(), error::FleetError> {
         let answer = self
-            .read("delete", wire::delete(name, version)?, CALL_PATIENCE)
+            .read("delete", wire::delete(name, version)?, CALL_TIMEOUT)
             .await?;
         wire::read_deleted(&answer)
     }
@@ -184,7 +184,7 @@
         loop {
             let after = objects.last().map_or("", |object| object.name.as_str());
             let answer = self
-                .read("list", wire::list(prefix, after)?, CALL_PATIENCE)
+                .read("list", wire::list(prefix, after)?, CALL_TIMEOUT)
                 .await?;
             let ObjectPage {
                 objects: page,
@@ -209,7 +209,7 @@
         wait: Duration,
     ) -> Result<WatchAnswer, error::FleetError> {
         let request = wire::watch(prefix, since, wait)?;
-        let answer = self.read("watch", request, wait + CALL_PATIENCE).await?;
+        let answer = self.read("watch", request, wait + CALL_TIMEOUT).await?;
         wire::read_watch(&answer)
     }
 
@@ -218,22 +218,22 @@
     /// # Errors
     /// `PlatformAway` when there is no readable answer.
     pub async fn vms(&self) -> Result<Vec<Vm>, error::FleetError> {
-        let answer = self.read("vms", wire::vms()?, CALL_PATIENCE).await?;
+        let answer = self.read("vms", wire::vms()?, CALL_TIMEOUT).await?;
         wire::read_json(&answer)
     }
 }
 
 /// Hands idle connections to calls and takes them back.
-async fn run(address: SocketAddr, observer: CallObserver, mut inbox: mpsc::Receiver<Order>) {
+async fn run(address: SocketAddr, observer: CallObserver, mut inbox: mpsc::Receiver<CallCommand>) {
     let (give_back, mut returned) = mpsc::channel::<Connection>(CALLS_MAX);
     let mut idle: Vec<Connection> = Vec::new();
     loop {
         tokio::select! {
-            order = inbox.recv() => {
-                let Some(order) = order else { return };
-                observer(order.operation);
+            command = inbox.recv() => {
+                let Some(command) = command else { return };
+                observer(command.operation);
                 let connection = take_fresh(&mut idle);
-                tokio::spawn(make(address, connection, order, give_back.clone()));
+                tokio::spawn(make(address, connection, command, give_back.clone()));
             }
             connection = returned.recv() => {
                 let kept = connection.filter(|_| idle.len() < IDLE_CONNECTIONS_MAX);
@@ -251,16 +251,16 @@
 async fn make(
     address: SocketAddr,
     connection: Option<Connection>,
-    order: Order,
+    command: CallCommand,
     give_back: mpsc::Sender<Connection>,
 ) {
-    let Order {
+    let CallCommand {
         request,
-        patience,
+        timeout,
         mut reply,
         ..
-    } = order;
-    let deadline = Instant::now() + patience;
+    } = command;
+    let deadline = Instant::now() + timeout;
     let result = tokio::select! {
         () = reply.closed() => return,
         result = exchange(address, connection, request, deadline) => result,
@@ -282,7 +282,7 @@
 ) -> Result<(WholeAnswer, Option<Connection>), CallError> {
     let connection = match connection {
         Some(connection) => connection,
-        None => client::open(address, CONNECT_PATIENCE)
+        None => client::open(address, CONNECT_TIMEOUT)
             .await
             .map_err(|_| CallError::NotSent)?,
     };
--- a/crates/policy/src/claim/batch.rs
+++ b/crates/policy/src/claim/batch.rs
@@ -17,7 +17,7 @@
 model::record! {
     /// A request to claim a key.
     #[derive(Eq)]
-    pub struct ClaimOrder {
+    pub struct ClaimAttempt {
         /// The key.
         pub key: ClaimKey,
         /// Who claims it.
@@ -89,7 +89,7 @@
     shard: ShardId,
     known: HashMap<ClaimKey, ClaimRecord>,
     open: Option<OpenSegment>,
-    orders: BTreeMap<ClaimKey, Vec<ClaimOrder>>,
+    attempts: BTreeMap<ClaimKey, Vec<ClaimAttempt>>,
     settlements: BTreeMap<ClaimKey, Settlement>,
     writing: Option<BatchWrite>,
     sealed: BTreeMap<SegmentNumber, (sizes::ObjectVersion, Option<clock::UnixMillis>)>,
@@ -102,7 +102,7 @@
             shard,
             known: HashMap::new(),
             open: None,
-            orders: BTreeMap::new(),
+            attempts: BTreeMap::new(),
             settlements: BTreeMap::new(),
             writing: None,
             sealed: BTreeMap::new(),
@@ -169,11 +169,11 @@
     }
 
     /// Takes a claim; decides it at once when the key is already known.
-    pub fn claim(&mut self, now: clock::UnixMillis, order: ClaimOrder) -> Vec<Decided> {
-        self.orders
-            .entry(order.key.clone())
+    pub fn claim(&mut self, now: clock::UnixMillis, attempt: ClaimAttempt) -> Vec<Decided> {
+        self.attempts
+            .entry(attempt.key.clone())
             .or_default()
-            .push(order);
+            .push(attempt);
         if self.needs_load() {
             return Vec::new();
         }
@@ -187,10 +187,10 @@
 
     /// Withdraws the claims that nobody waits for any more.
     pub fn withdraw(&mut self, key: &ClaimKey, token: &ClaimToken) {
-        if let Some(orders) = self.orders.get_mut(key) {
-            orders.retain(|order| order.token != *token);
-            if orders.is_empty() {
-                self.orders.remove(key);
+        if let Some(attempts) = self.attempts.get_mut(key) {
+            attempts.retain(|attempt| attempt.token != *token);
+            if attempts.is_empty() {
+                self.attempts.remove(key);
             }
         }
     }
@@ -199,20 +199,22 @@
     fn decide_known(&mut self, now: clock::UnixMillis) -> Vec<Decided> {
         let mut decided = Vec::new();
         let known = &self.known;
-        self.orders.retain(|key, orders| {
-            orders.retain(|order| {
-                let verdict = known.get(key).and_then(|claim| judge(claim, order, now));
+        self.attempts.retain(|key, attempts| {
+            attempts.retain(|attempt| {
+                let verdict = known
+                    .get(key)
+                    .and_then(|claim| verdict_of(claim, attempt, now));
                 let Some(verdict) = verdict else {
                     return true;
                 };
                 decided.push(Decided {
                     key: key.clone(),
-                    token: order.token.clone(),
+                    token: attempt.token.clone(),
                     verdict,
                 });
                 false
             });
-            !orders.is_empty()
+            !attempts.is_empty()
         });
         decided
     }
@@ -220,7 +222,7 @@
     /// The next update, unless one is under way or nothing waits.
     pub fn next_write(&mut self, now: clock::UnixMillis) -> Option<BatchWrite> {
         self.drop_late(now);
-        let waits = !self.orders.is_empty() || !self.settlements.is_empty();
+        let waits = !self.attempts.is_empty() || !self.settlements.is_empty();
         if self.writing.is_some() || !waits {
             return None;
         }
@@ -244,9 +246,9 @@
 
     /// Drops claims whose requests can no longer be sent.
     fn drop_late(&mut self, now: clock::UnixMillis) {
-        self.orders.retain(|_, orders| {
-            orders.retain(|order| order.settled_by > now);
-            !orders.is_empty()
+        self.attempts.retain(|_, attempts| {
+            attempts.retain(|attempt| attempt.settled_by > now);
+            !attempts.is_empty()
         });
     }
 
@@ -254,22 +256,22 @@
         for (key, settlement) in &self.settlements {
             segment.settled.insert(key.clone(), settlement.clone());
         }
-        for (key, orders) in &self.orders {
-            let Some(order) = orders.first() else {
+        for (key, attempts) in &self.attempts {
+            let Some(attempt) = attempts.first() else {
                 continue;
             };
-            segment.claims.insert(key.clone(), record_of(order));
+            segment.claims.insert(key.clone(), record_of(attempt));
             let outdated = segment
                 .settled
                 .get(key)
-                .is_some_and(|s| s.token != order.token);
+                .is_some_and(|s| s.token != attempt.token);
             if outdated {
                 segment.settled.remove(key);
             }
         }
     }
 
-    /// Takes the news that the update took effect and gave the object this version.
+    /// Takes the update that the update took effect and gave the object this version.
     pub fn written(
         &mut self,
         now: clock::UnixMillis,
@@ -291,7 +293,7 @@
         self.decide_known(now)
     }
 
-    /// Takes the news that the update failed or that its answer was lost.
+    /// Takes the update that the update failed or that its answer was lost.
     pub fn unsure(&mut self) {
         self.writing = None;
         self.open = None;
@@ -314,7 +316,7 @@
 
     /// Claims and outcomes that wait for an update.
     pub fn waiting(&self) -> usize {
-        self.orders.len() + self.settlements.len()
+        self.attempts.len() + self.settlements.len()
     }
 
     /// Claims held in memory.
@@ -323,15 +325,19 @@
     }
 }
 
-/// What a committed claim means for an order; `None` when the key may be claimed again.
-fn judge(claim: &ClaimRecord, order: &ClaimOrder, now: clock::UnixMillis) -> Option<ClaimVerdict> {
-    if claim.token == order.token {
+/// What a committed claim means for an attempt; `None` when the key may be claimed again.
+fn verdict_of(
+    claim: &ClaimRecord,
+    attempt: &ClaimAttempt,
+    now: clock::UnixMillis,
+) -> Option<ClaimVerdict> {
+    if claim.token == attempt.token {
         return Some(ClaimVerdict::Granted);
     }
     if claim.expires <= now || claim.state == ClaimState::NotRun {
         return None;
     }
-    if claim.request != order.request {
+    if claim.request != attempt.request {
         return Some(ClaimVerdict::Mismatch);
     }
     let lost = claim.state == ClaimState::Claimed && claim.settled_by <= now;
@@ -342,12 +348,12 @@
     }))
 }
 
-fn record_of(order: &ClaimOrder) -> ClaimRecord {
+fn record_of(attempt: &ClaimAttempt) -> ClaimRecord {
     ClaimRecord {
-        token: order.token.clone(),
-        request: order.request,
+        token: attempt.token.clone(),
+        request: attempt.request,
         state: ClaimState::Claimed,
-        expires: order.expires,
-        settled_by: order.settled_by,
+        expires: attempt.expires,
+        settled_by: attempt.settled_by,
     }
 }
--- a/crates/policy/src/claim/mod.rs
+++ b/crates/policy/src/claim/mod.rs
@@ -10,7 +10,7 @@
 mod segment;
 mod shard;
 
-pub use batch::{BatchWrite, ClaimOrder, ClaimVerdict, Decided, ShardBatcher, WriteCondition};
+pub use batch::{BatchWrite, ClaimAttempt, ClaimVerdict, Decided, ShardBatcher, WriteCondition};
 pub use segment::{
     ClaimKey, ClaimRecord, ClaimState, ClaimToken, Segment, SegmentNumber, Settlement,
     StoredSegment,
--- a/crates/policy/src/detection/judge.rs
+++ b/crates/policy/src/detection/detector.rs
@@ -1,4 +1,4 @@
-//! The judge of one service: which upstreams to avoid and which to eject.
+//! The detector of one service: which upstreams to avoid and which to eject.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -7,10 +7,10 @@
 use model::{config, ids};
 use tokio::time::Instant;
 
-use super::docket::{Docket, earlier};
-use super::evidence::{EvidenceReport, ServiceTempo};
+use super::estimate::LatencyEstimate;
+use super::evidence::{EvidenceReport, ServiceLatency};
 use super::sequential::TestCosts;
-use super::tempo::LatencyTempo;
+use super::upstream_evidence::{UpstreamEvidence, earlier};
 use super::window::OutcomeWindow;
 
 /// Failure share of the other upstreams at which a service fails as a whole.
@@ -23,9 +23,9 @@
 /// The newest past, in which a service that fails as a whole shows at once.
 const COMPARE_NEWEST: Duration = Duration::from_millis(1500);
 /// How long a comparison waits for them.
-const COMPARE_PATIENCE: Duration = Duration::from_secs(2);
+const COMPARE_TIMEOUT: Duration = Duration::from_secs(2);
 /// The part of the median by which it must change to be told again.
-const TEMPO_CHANGE_DIVISOR: u32 = 5;
+const ESTIMATE_CHANGE_DIVISOR: u32 = 5;
 /// How long an upstream is avoided before its ejection is proposed: avoiding is
 /// enough for the moment, and the others may turn out to fail as well.
 const EJECT_DWELL: Duration = Duration::from_secs(2);
@@ -72,8 +72,8 @@
 }
 
 #[derive(Debug)]
-struct Case {
-    docket: Docket,
+struct UpstreamRecord {
+    evidence: UpstreamEvidence,
     home: ids::DataCentreId,
     verdict: Verdict,
     since: Instant,
@@ -83,30 +83,30 @@
 
 /// Judges the upstreams of one service against each other.
 #[derive(Debug)]
-pub struct ServiceJudge {
+pub struct OutlierDetector {
     service: Arc<config::Service>,
     costs: TestCosts,
     observers: usize,
-    cases: BTreeMap<ids::UpstreamId, Case>,
-    tempo: LatencyTempo,
+    records: BTreeMap<ids::UpstreamId, UpstreamRecord>,
+    estimate: LatencyEstimate,
     /// The median last told, in microseconds.
     told_micros: u32,
 }
 
-impl ServiceJudge {
-    /// A judge without evidence; `observers` data centres hold nodes.
+impl OutlierDetector {
+    /// A detector without evidence; `observers` data centres hold nodes.
     pub fn new(now: Instant, service: Arc<config::Service>, observers: usize) -> Self {
         let costs = TestCosts::of(service.profile);
-        let mut judge = Self {
+        let mut detector = Self {
             service,
             costs,
             observers,
-            cases: BTreeMap::new(),
-            tempo: LatencyTempo::default(),
+            records: BTreeMap::new(),
+            estimate: LatencyEstimate::default(),
             told_micros: 0,
         };
-        judge.sync_cases(now);
-        judge
+        detector.sync_records(now);
+        detector
     }
 
     /// Takes new settings of the service; what is known of its upstreams stays.
@@ -114,50 +114,54 @@
         self.costs = TestCosts::of(service.profile);
         self.service = service;
         self.observers = observers;
-        self.sync_cases(now);
+        self.sync_records(now);
     }
 
-    fn sync_cases(&mut self, now: Instant) {
+    fn sync_records(&mut self, now: Instant) {
         let upstreams = &self.service.upstreams;
-        self.cases
+        self.records
             .retain(|id, _| upstreams.iter().any(|up| up.id == *id));
         for up in upstreams {
-            self.cases.entry(up.id.clone()).or_insert_with(|| Case {
-                docket: Docket::new(now, self.costs),
-                home: up.data_centre.clone(),
-                verdict: Verdict::Clear,
-                since: now,
-                avoided: None,
-                flaps: 0,
-            });
+            self.records
+                .entry(up.id.clone())
+                .or_insert_with(|| UpstreamRecord {
+                    evidence: UpstreamEvidence::new(now, self.costs),
+                    home: up.data_centre.clone(),
+                    verdict: Verdict::Clear,
+                    since: now,
+                    avoided: None,
+                    flaps: 0,
+                });
         }
     }
 
     /// Takes the counts of one data centre.
     pub fn observe(&mut self, now: Instant, report: &EvidenceReport) {
         if let Some(micros) = report.latency_micros {
-            self.tempo.observe(Duration::from_micros(u64::from(micros)));
+            self.estimate
+                .observe(Duration::from_micros(u64::from(micros)));
         }
         for (id, count) in &report.counts {
             let base = self.failure_share(now, id, earlier(now, OutcomeWindow::SPAN));
-            let Some(case) = self.cases.get_mut(id) else {
+            let Some(record) = self.records.get_mut(id) else {
                 continue;
             };
-            case.docket
+            record
+                .evidence
                 .observe(now, &report.observer, *count, base.unwrap_or(0.0));
         }
     }
 
     /// Judges every upstream and returns the verdicts that changed.
     pub fn decide(&mut self, now: Instant) -> Vec<VerdictChange> {
-        let ids: Vec<_> = self.cases.keys().cloned().collect();
+        let ids: Vec<_> = self.records.keys().cloned().collect();
         let mut changes = Vec::new();
         for id in ids {
-            let Some(verdict) = self.judge(now, &id) else {
+            let Some(verdict) = self.evaluate(now, &id) else {
                 continue;
             };
-            if let Some(case) = self.cases.get_mut(&id) {
-                case.change(now, &verdict);
+            if let Some(record) = self.records.get_mut(&id) {
+                record.change(now, &verdict);
             }
             let service = self.service.id.clone();
             changes.push(VerdictChange {
@@ -170,21 +174,21 @@
     }
 
     /// The usual latency, when it differs much from what was told last.
-    pub fn take_tempo(&mut self) -> Option<ServiceTempo> {
-        let median = self.tempo.median()?;
+    pub fn take_estimate(&mut self) -> Option<ServiceLatency> {
+        let median = self.estimate.median()?;
         let micros = u32::try_from(median.as_micros()).unwrap_or(u32::MAX);
-        let near = micros.abs_diff(self.told_micros) <= self.told_micros / TEMPO_CHANGE_DIVISOR;
+        let near = micros.abs_diff(self.told_micros) <= self.told_micros / ESTIMATE_CHANGE_DIVISOR;
         if near {
             return None;
         }
         self.told_micros = micros;
-        self.tempo()
+        self.estimate()
     }
 
     /// The usual latency as told last.
-    pub fn tempo(&self) -> Option<ServiceTempo> {
+    pub fn estimate(&self) -> Option<ServiceLatency> {
         let service = self.service.id.clone();
-        let told = ServiceTempo {
+        let told = ServiceLatency {
             service,
             median_micros: self.told_micros,
         };
@@ -193,30 +197,30 @@
 
     /// Starts the probation of an upstream that was ejected: it must prove itself in trials.
     pub fn reinstate(&mut self, now: Instant, upstream: &ids::UpstreamId) {
-        if let Some(case) = self.cases.get_mut(upstream) {
-            case.docket.set_scores(self.costs.avoid);
-            case.verdict = Verdict::Avoid(VerdictScope::Fleet);
-            case.since = now;
+        if let Some(record) = self.records.get_mut(upstream) {
+            record.evidence.set_scores(self.costs.avoid);
+            record.verdict = Verdict::Avoid(VerdictScope::Fleet);
+            record.since = now;
         }
     }
 
     /// The verdict in force.
     pub fn verdict(&self, upstream: &ids::UpstreamId) -> Verdict {
-        self.cases
+        self.records
             .get(upstream)
-            .map_or(Verdict::Clear, |case| case.verdict.clone())
+            .map_or(Verdict::Clear, |record| record.verdict.clone())
     }
 
     /// Every verdict other than clear, to be told again to nodes that missed it.
     pub fn standing(&self) -> Vec<VerdictChange> {
-        let accused = self
-            .cases
+        let failing = self
+            .records
             .iter()
-            .filter(|(_, case)| case.verdict != Verdict::Clear);
-        let told = accused.map(|(id, case)| VerdictChange {
+            .filter(|(_, record)| record.verdict != Verdict::Clear);
+        let told = failing.map(|(id, record)| VerdictChange {
             service: self.service.id.clone(),
             upstream: id.clone(),
-            verdict: case.verdict.clone(),
+            verdict: record.verdict.clone(),
         });
         told.collect()
     }
@@ -224,91 +228,96 @@
     /// Whether an upstream answered well of late.
     pub fn is_proven(&self, now: Instant, upstream: &ids::UpstreamId) -> bool {
         let from = earlier(now, OutcomeWindow::SPAN);
-        let case = self.cases.get(upstream);
-        case.is_some_and(|case| {
-            let (good, bad) = case.docket.window.since(now, from);
+        let record = self.records.get(upstream);
+        record.is_some_and(|record| {
+            let (good, bad) = record.evidence.window.since(now, from);
             good > bad
         })
     }
 
     /// How bad an upstream looks, to compare ejected upstreams with each other.
     pub fn score(&self, upstream: &ids::UpstreamId) -> f64 {
-        self.cases
+        self.records
             .get(upstream)
-            .map_or(0.0, |case| case.docket.pooled.score())
+            .map_or(0.0, |record| record.evidence.pooled.score())
     }
 
-    fn judge(&self, now: Instant, id: &ids::UpstreamId) -> Option<Verdict> {
-        let case = self.cases.get(id)?;
-        let verdict = match case.verdict {
-            Verdict::Clear => self.accuse(now, id, case),
-            Verdict::Avoid(_) | Verdict::Eject => self.review(now, id, case),
+    fn evaluate(&self, now: Instant, id: &ids::UpstreamId) -> Option<Verdict> {
+        let record = self.records.get(id)?;
+        let verdict = match record.verdict {
+            Verdict::Clear => self.check_clear(now, id, record),
+            Verdict::Avoid(_) | Verdict::Eject => self.review(now, id, record),
         };
-        (verdict != case.verdict).then_some(verdict)
+        (verdict != record.verdict).then_some(verdict)
     }
 
-    fn accuse(&self, now: Instant, id: &ids::UpstreamId, case: &Case) -> Verdict {
-        let Some(scope) = self.scope(now, case) else {
+    fn check_clear(&self, now: Instant, id: &ids::UpstreamId, record: &UpstreamRecord) -> Verdict {
+        let Some(scope) = self.scope(now, record) else {
             return Verdict::Clear;
         };
-        if self.service_failing(now, id, case) {
+        if self.service_failing(now, id, record) {
             return Verdict::Clear;
         }
         Verdict::Avoid(scope)
     }
 
-    fn review(&self, now: Instant, id: &ids::UpstreamId, case: &Case) -> Verdict {
-        let held = now.saturating_duration_since(case.since) >= case.hold();
-        let quiet =
-            case.docket.pooled.score() <= 0.0 && case.docket.accusers(f64::MIN_POSITIVE).is_empty();
+    fn review(&self, now: Instant, id: &ids::UpstreamId, record: &UpstreamRecord) -> Verdict {
+        let held = now.saturating_duration_since(record.since) >= record.hold();
+        let quiet = record.evidence.pooled.score() <= 0.0
+            && record
+                .evidence
+                .failing_observers(f64::MIN_POSITIVE)
+                .is_empty();
         if held && quiet {
             return Verdict::Clear;
         }
-        let stands = case.verdict == Verdict::Eject || self.service_failing(now, id, case);
+        let stands = record.verdict == Verdict::Eject || self.service_failing(now, id, record);
         if stands {
-            return case.verdict.clone();
+            return record.verdict.clone();
         }
-        let Some(scope) = self.scope(now, case) else {
-            return case.verdict.clone();
+        let Some(scope) = self.scope(now, record) else {
+            return record.verdict.clone();
         };
-        if scope == VerdictScope::Fleet && self.ejectable(now, case) {
+        if scope == VerdictScope::Fleet && self.ejectable(now, record) {
             return Verdict::Eject;
         }
         Verdict::Avoid(scope)
     }
 
     /// Who should avoid the upstream, judged by who sees it fail and who sees it work.
-    fn scope(&self, now: Instant, case: &Case) -> Option<VerdictScope> {
-        let accusers = case.docket.accusers(self.costs.avoid);
-        let defended = case.docket.defended(now, &accusers);
-        if accusers.is_empty() {
-            let pooled = case.docket.pooled.score() >= self.costs.avoid;
-            return (pooled && !defended).then_some(VerdictScope::Fleet);
+    fn scope(&self, now: Instant, record: &UpstreamRecord) -> Option<VerdictScope> {
+        let failing_observers = record.evidence.failing_observers(self.costs.avoid);
+        let reachable_elsewhere = record.evidence.reachable_elsewhere(now, &failing_observers);
+        if failing_observers.is_empty() {
+            let pooled = record.evidence.pooled.score() >= self.costs.avoid;
+            return (pooled && !reachable_elsewhere).then_some(VerdictScope::Fleet);
         }
-        let near_home = accusers.contains(&case.home) || accusers.len() > 1;
-        if near_home && !defended {
+        let near_home = failing_observers.contains(&record.home) || failing_observers.len() > 1;
+        if near_home && !reachable_elsewhere {
             return Some(VerdictScope::Fleet);
         }
-        Some(VerdictScope::DataCentres(accusers.into_iter().collect()))
+        Some(VerdictScope::DataCentres(
+            failing_observers.into_iter().collect(),
+        ))
     }
 
-    fn ejectable(&self, now: Instant, case: &Case) -> bool {
-        if now.saturating_duration_since(case.since) < EJECT_DWELL {
+    fn ejectable(&self, now: Instant, record: &UpstreamRecord) -> bool {
+        if now.saturating_duration_since(record.since) < EJECT_DWELL {
             return false;
         }
-        let sure = case.docket.pooled.score() >= self.costs.eject;
+        let sure = record.evidence.pooled.score() >= self.costs.eject;
         let wanted = self.observers.clamp(1, 2);
-        sure && case.docket.supporters(now) >= wanted
+        sure && record.evidence.confirming_observers(now) >= wanted
     }
 
     /// Whether the other upstreams fail as well, since this one began to.
-    fn service_failing(&self, now: Instant, id: &ids::UpstreamId, case: &Case) -> bool {
-        let from = case.docket.onset;
+    fn service_failing(&self, now: Instant, id: &ids::UpstreamId, record: &UpstreamRecord) -> bool {
+        let from = record.evidence.onset;
         let seen = self
             .others(id)
-            .map(|other| other.docket.window.since(now, from));
+            .map(|other| other.evidence.window.since(now, from));
         let outcomes: u32 = seen.map(|(good, bad)| good + bad).sum();
-        let early = now.saturating_duration_since(from) < COMPARE_PATIENCE;
+        let early = now.saturating_duration_since(from) < COMPARE_TIMEOUT;
         if outcomes < COMPARE_OUTCOMES && early && self.others(id).next().is_some() {
             return true;
         }
@@ -320,19 +329,19 @@
         })
     }
 
-    fn others<'a>(&'a self, id: &'a ids::UpstreamId) -> impl Iterator<Item = &'a Case> {
+    fn others<'a>(&'a self, id: &'a ids::UpstreamId) -> impl Iterator<Item = &'a UpstreamRecord> {
         let others = self
-            .cases
+            .records
             .iter()
-            .filter(move |(other, case)| *other != id && case.in_service());
-        others.map(|(_, case)| case)
+            .filter(move |(other, record)| *other != id && record.in_service());
+        others.map(|(_, record)| record)
     }
 
     /// The median failure share of the other upstreams, weighted by their outcomes.
     fn failure_share(&self, now: Instant, id: &ids::UpstreamId, from: Instant) -> Option<f64> {
         let mut shares: Vec<(f64, u32)> = self
             .others(id)
-            .map(|case| case.docket.window.since(now, from))
+            .map(|record| record.evidence.window.since(now, from))
             .filter(|(good, bad)| good + bad > 0)
             .map(|(good, bad)| {
                 let share = f64::from(bad) / f64::from(good + bad);
@@ -349,7 +358,7 @@
     }
 }
 
-impl Case {
+impl UpstreamRecord {
     fn in_service(&self) -> bool {
         !matches!(self.verdict, Verdict::Eject)
     }
--- a/crates/policy/src/detection/tempo.rs
+++ b/crates/policy/src/detection/estimate.rs
@@ -17,12 +17,12 @@
 
 /// A fading histogram of latencies on a logarithmic scale.
 #[derive(Debug, Clone)]
-pub struct LatencyTempo {
+pub struct LatencyEstimate {
     weights: Box<[f64; BUCKETS]>,
     total: f64,
 }
 
-impl Default for LatencyTempo {
+impl Default for LatencyEstimate {
     fn default() -> Self {
         Self {
             weights: Box::new([0.0; BUCKETS]),
@@ -31,7 +31,7 @@
     }
 }
 
-impl LatencyTempo {
+impl LatencyEstimate {
     /// Adds the latency of one finished request.
     pub fn observe(&mut self, latency: Duration) {
         self.weights[bucket(latency)] += 1.0;
--- a/crates/policy/src/detection/evidence.rs
+++ b/crates/policy/src/detection/evidence.rs
@@ -39,7 +39,7 @@
 
     /// The usual latency of a service, as its collector knows it.
     #[derive(Eq)]
-    pub struct ServiceTempo {
+    pub struct ServiceLatency {
         /// The service.
         pub service: ids::ServiceId,
         /// The median latency, in microseconds.
@@ -66,15 +66,15 @@
 ///
 /// A failure makes the report due at once; good outcomes alone wait longer.
 #[derive(Debug)]
-pub struct EvidenceLedger {
+pub struct EvidenceBuffer {
     counts: BTreeMap<ids::UpstreamId, EvidenceCount>,
     urgent: bool,
     reported: Instant,
     quiet_interval: Duration,
 }
 
-impl EvidenceLedger {
-    /// An empty ledger.
+impl EvidenceBuffer {
+    /// An empty buffer.
     pub const fn new(now: Instant) -> Self {
         Self {
             counts: BTreeMap::new(),
--- a/crates/policy/src/detection/mod.rs
+++ b/crates/policy/src/detection/mod.rs
@@ -2,17 +2,17 @@
 //!
 //! Nodes count good and bad outcomes. The collector of a service in each data
 //! centre sums the counts of its nodes and exchanges the sums with the
-//! collectors of the other data centres. Every collector runs the same judge.
+//! collectors of the other data centres. Every collector runs the same detector.
 
-mod docket;
+mod detector;
+mod estimate;
 mod evidence;
-mod judge;
 mod sequential;
-mod tempo;
+mod upstream_evidence;
 mod window;
 
-pub use evidence::{EvidenceCount, EvidenceLedger, EvidenceReport, ServiceTempo};
-pub use judge::{ServiceJudge, Verdict, VerdictChange, VerdictScope};
+pub use detector::{OutlierDetector, Verdict, VerdictChange, VerdictScope};
+pub use estimate::{LatencyEstimate, overdue_bound};
+pub use evidence::{EvidenceBuffer, EvidenceCount, EvidenceReport, ServiceLatency};
 pub use sequential::{SequentialTest, TestCosts};
-pub use tempo::{LatencyTempo, overdue_bound};
 pub use window::OutcomeWindow;
--- a/crates/policy/src/detection/docket.rs
+++ b/crates/policy/src/detection/upstream_evidence.rs
@@ -39,13 +39,13 @@
         add(&mut self.window, now, count);
     }
 
-    fn defends(&self, now: Instant, from: Instant) -> bool {
+    fn sees_success(&self, now: Instant, from: Instant) -> bool {
         let (good, bad) = self.window.since(now, from);
         let total = good + bad;
         total >= DEFENCE_OUTCOMES && f64::from(bad) <= f64::from(total) * DEFENCE_SHARE
     }
 
-    fn supports(&self, now: Instant, from: Instant) -> bool {
+    fn confirms(&self, now: Instant, from: Instant) -> bool {
         let (good, bad) = self.window.since(now, from);
         bad >= SUPPORT_FAILURES && bad >= good
     }
@@ -53,7 +53,7 @@
 
 /// Everything known of one upstream.
 #[derive(Debug)]
-pub(super) struct Docket {
+pub(super) struct UpstreamEvidence {
     cap: f64,
     /// The test over all data centres.
     pub(super) pooled: SequentialTest,
@@ -64,7 +64,7 @@
     views: BTreeMap<ids::DataCentreId, ObserverView>,
 }
 
-impl Docket {
+impl UpstreamEvidence {
     pub(super) fn new(now: Instant, costs: TestCosts) -> Self {
         let cap = costs.eject + costs.avoid;
         Self {
@@ -98,7 +98,7 @@
     }
 
     /// Data centres whose own evidence reaches a score.
-    pub(super) fn accusers(&self, score: f64) -> Vec<ids::DataCentreId> {
+    pub(super) fn failing_observers(&self, score: f64) -> Vec<ids::DataCentreId> {
         let over = self
             .views
             .iter()
@@ -107,21 +107,21 @@
     }
 
     /// Whether a data centre other than those given reaches the upstream well.
-    pub(super) fn defended(&self, now: Instant, except: &[ids::DataCentreId]) -> bool {
+    pub(super) fn reachable_elsewhere(&self, now: Instant, except: &[ids::DataCentreId]) -> bool {
         let others = self
             .views
             .iter()
             .filter(|(observer, _)| !except.contains(observer));
         others
             .into_iter()
-            .any(|(_, view)| view.defends(now, self.onset))
+            .any(|(_, view)| view.sees_success(now, self.onset))
     }
 
     /// Data centres that saw the upstream fail.
-    pub(super) fn supporters(&self, now: Instant) -> usize {
+    pub(super) fn confirming_observers(&self, now: Instant) -> usize {
         self.views
             .values()
-            .filter(|view| view.supports(now, self.onset))
+            .filter(|view| view.confirms(now, self.onset))
             .count()
     }
 
--- a/crates/policy/src/ejection/plan.rs
+++ b/crates/policy/src/ejection/plan.rs
@@ -12,7 +12,7 @@
     pub generation: sizes::Generation,
     /// The present time.
     pub now: clock::UnixMillis,
-    /// Upstreams whose ejection the judge proposes.
+    /// Upstreams whose ejection the detector proposes.
     pub accused: &'a [ids::UpstreamId],
     /// Whether an upstream answered of late.
     pub proven: &'a dyn Fn(&ids::UpstreamId) -> bool,
--- a/crates/policy/src/limit/gauge.rs
+++ b/crates/policy/src/limit/counter.rs
@@ -6,11 +6,11 @@
 
 /// Counts the requests of each workspace that has any.
 #[derive(Debug, Default)]
-pub struct WorkspaceGauge {
+pub struct WorkspaceCounter {
     in_flight: HashMap<ids::WorkspaceId, u32>,
 }
 
-impl WorkspaceGauge {
+impl WorkspaceCounter {
     /// Counts one more request unless the workspace is at its limit.
     pub fn enter(&mut self, workspace: &ids::WorkspaceId, limit: sizes::RequestCount) -> bool {
         let count = self.in_flight.entry(workspace.clone()).or_default();
--- a/crates/policy/src/limit/mod.rs
+++ b/crates/policy/src/limit/mod.rs
@@ -1,9 +1,9 @@
 //! Limits: how much work goes to an upstream, waits, or belongs to one workspace.
 
 mod adaptive;
-mod gauge;
-mod waiting;
+mod counter;
+mod queue;
 
 pub use adaptive::AdaptiveLimit;
-pub use gauge::WorkspaceGauge;
-pub use waiting::{Released, WaitingLine};
+pub use counter::WorkspaceCounter;
+pub use queue::{Released, RequestQueue};
--- a/crates/policy/src/limit/waiting.rs
+++ b/crates/policy/src/limit/queue.rs
@@ -1,18 +1,18 @@
-//! A bounded line of requests that wait for room at an upstream.
+//! A bounded queue of requests that wait for room at an upstream.
 
 use std::collections::VecDeque;
 
 use model::sizes;
 use tokio::time::Instant;
 
-/// Requests in the order of their arrival, each with its deadline.
+/// Requests in the command of their arrival, each with its deadline.
 #[derive(Debug)]
-pub struct WaitingLine<T> {
+pub struct RequestQueue<T> {
     waiters: VecDeque<(Instant, T)>,
     bound: usize,
 }
 
-/// What left the line.
+/// What left the queue.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Released<T> {
     /// The waiter whose turn it is.
@@ -21,8 +21,8 @@
     pub expired: Vec<T>,
 }
 
-impl<T> WaitingLine<T> {
-    /// An empty line.
+impl<T> RequestQueue<T> {
+    /// An empty queue.
     pub fn new(bound: sizes::RequestCount) -> Self {
         Self {
             waiters: VecDeque::new(),
@@ -30,7 +30,7 @@
         }
     }
 
-    /// Adds a waiter; a full line drops the one with the earliest deadline.
+    /// Adds a waiter; a full queue drops the one with the earliest deadline.
     pub fn push(&mut self, deadline: Instant, waiter: T) -> Option<T> {
         self.waiters.push_back((deadline, waiter));
         if self.waiters.len() <= self.bound {
@@ -78,7 +78,7 @@
         expired.into_iter().map(|(_, waiter)| waiter).collect()
     }
 
-    /// Waiters in the line.
+    /// Waiters in the queue.
     pub fn len(&self) -> usize {
         self.waiters.len()
     }
--- a/crates/policy/src/service/board/mod.rs
+++ b/crates/policy/src/service/balancer/mod.rs
@@ -1,6 +1,6 @@
-//! The board: admits requests, takes their ends, and gathers evidence.
+//! The balancer: admits requests, takes their ends, and gathers evidence.
 
-mod news;
+mod updates;
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use super::choose;
-use super::member::{Member, MemberView, Standing};
+use super::member::{Member, MemberView, UpstreamStatus};
 use crate::detection::{self, TestCosts};
 use crate::invariant;
 use crate::limit;
@@ -63,7 +63,7 @@
 /// Leave to send one attempt.
 #[derive(Debug, Clone)]
 pub struct Grant {
-    /// The attempt's name at the board.
+    /// The attempt's name at the balancer.
     pub ticket: TicketKey,
     /// Where it goes.
     pub upstream: Arc<config::Upstream>,
@@ -71,7 +71,7 @@
     pub trial: bool,
 }
 
-/// What the board says to a request.
+/// What the balancer says to a request.
 #[derive(Debug)]
 pub enum Admission {
     /// Send it there.
@@ -88,7 +88,7 @@
     started: Instant,
     /// Time until the head of the answer, once it is there.
     latency: Option<Duration>,
-    blamed: bool,
+    counted: bool,
     /// Whether silence may be the connection's fault.
     suspect: bool,
     in_flight_before: u32,
@@ -96,14 +96,14 @@
 
 impl Ticket {
     fn is_overdue(&self, now: Instant, bound: Duration) -> bool {
-        let waits = self.latency.is_none() && !self.blamed && !self.suspect;
+        let waits = self.latency.is_none() && !self.counted && !self.suspect;
         waits && now.saturating_duration_since(self.started) > bound
     }
 }
 
 /// The state of one service at one node.
 #[derive(Debug)]
-pub struct ServiceBoard {
+pub struct ServiceBalancer {
     service: Arc<config::Service>,
     home: ids::DataCentreId,
     costs: TestCosts,
@@ -111,26 +111,26 @@
     by_id: HashMap<ids::UpstreamId, MemberKey>,
     tickets: SlotMap<TicketKey, Ticket>,
     budget: retry::RetryBudget,
-    tempo: detection::LatencyTempo,
+    estimate: detection::LatencyEstimate,
     /// The median that the service's collector told.
     told_median: Option<Duration>,
     /// A latency for the next report.
     sample: Option<Duration>,
-    ledger: detection::EvidenceLedger,
-    gauge: limit::WorkspaceGauge,
+    buffer: detection::EvidenceBuffer,
+    counter: limit::WorkspaceCounter,
     trial_interval: Duration,
     rng: SmallRng,
 }
 
-impl ServiceBoard {
-    /// A board without requests.
+impl ServiceBalancer {
+    /// A balancer without requests.
     pub fn new(
         now: Instant,
         service: Arc<config::Service>,
         home: ids::DataCentreId,
         seed: u64,
     ) -> Self {
-        let mut board = Self {
+        let mut balancer = Self {
             costs: TestCosts::of(service.profile),
             service: Arc::clone(&service),
             home,
@@ -138,16 +138,16 @@
             by_id: HashMap::new(),
             tickets: SlotMap::with_key(),
             budget: retry::RetryBudget::default(),
-            tempo: detection::LatencyTempo::default(),
+            estimate: detection::LatencyEstimate::default(),
             told_median: None,
             sample: None,
-            ledger: detection::EvidenceLedger::new(now),
-            gauge: limit::WorkspaceGauge::default(),
+            buffer: detection::EvidenceBuffer::new(now),
+            counter: limit::WorkspaceCounter::default(),
             trial_interval: TRIAL_INTERVAL_MIN,
             rng: SmallRng::seed_from_u64(seed),
         };
-        board.configure(now, service);
-        board
+        balancer.configure(now, service);
+        balancer
     }
 
     /// The service as configured.
@@ -162,12 +162,12 @@
         own_limit: Option<sizes::RequestCount>,
     ) -> bool {
         let limit = own_limit.unwrap_or(self.service.workspace_limit);
-        self.gauge.enter(workspace, limit)
+        self.counter.enter(workspace, limit)
     }
 
     /// Counts a request of a workspace as done.
     pub fn leave_workspace(&mut self, workspace: &ids::WorkspaceId) {
-        self.gauge.leave(workspace);
+        self.counter.leave(workspace);
     }
 
     /// Finds an upstream for an attempt.
@@ -197,8 +197,8 @@
 
     fn turn_away(&self, ask: &Ask) -> Admission {
         let could_serve = self.members.values().any(|member| {
-            let standing = member.standing();
-            let serves = matches!(standing, Standing::Healthy | Standing::Avoided);
+            let status = member.status();
+            let serves = matches!(status, UpstreamStatus::Healthy | UpstreamStatus::Avoided);
             serves && !ask.exclude.contains(&member.upstream.id)
         });
         if could_serve && ask.purpose != Purpose::Hedge {
@@ -209,10 +209,10 @@
 
     fn grant(&mut self, now: Instant, key: MemberKey) -> Grant {
         let member = &mut self.members[key];
-        let standing = member.standing();
+        let status = member.status();
         invariant::check(
             invariant::Invariant::DrainRespected,
-            standing != Standing::Draining,
+            status != UpstreamStatus::Draining,
             || format!("{} drains and was chosen", member.upstream.id),
         );
         let in_flight_before = member.in_flight;
@@ -222,11 +222,11 @@
             member: key,
             started: now,
             latency: None,
-            blamed: false,
+            counted: false,
             suspect: false,
             in_flight_before,
         };
-        let trial = standing == Standing::Avoided;
+        let trial = status == UpstreamStatus::Avoided;
         Grant {
             ticket: self.tickets.insert(ticket),
             upstream,
@@ -264,7 +264,7 @@
             AttemptEnd::Answered => {
                 member.limit.on_success(ticket.in_flight_before);
                 self.budget.deposit();
-                self.tempo.observe(latency);
+                self.estimate.observe(latency);
                 self.sample = Some(latency);
             }
             AttemptEnd::Shed | AttemptEnd::ConnectFailed | AttemptEnd::TimedOut => {
@@ -275,15 +275,15 @@
         let good = end
             .speaks_for()
             .map(|good| good && (!overdue || ticket.suspect));
-        if let Some(good) = good.filter(|_| !ticket.blamed) {
-            self.witness(now, ticket.member, good);
+        if let Some(good) = good.filter(|_| !ticket.counted) {
+            self.count_outcome(now, ticket.member, good);
         }
     }
 
-    fn witness(&mut self, now: Instant, key: MemberKey, good: bool) {
+    fn count_outcome(&mut self, now: Instant, key: MemberKey, good: bool) {
         let member = &mut self.members[key];
         let (goods, bads) = if good { (1, 0) } else { (0, 1) };
-        self.ledger.add(&member.upstream.id, goods, bads);
+        self.buffer.add(&member.upstream.id, goods, bads);
         member.own.observe(goods, bads, 0.0);
         if member.own.score() >= self.costs.avoid {
             let jitter = self
@@ -296,17 +296,17 @@
         }
     }
 
-    /// Whether anything here changes with time alone; an idle board needs no ticks.
+    /// Whether anything here changes with time alone; an idle balancer needs no ticks.
     pub fn needs_tick(&self) -> bool {
-        let busy = !self.tickets.is_empty() || !self.ledger.is_empty();
+        let busy = !self.tickets.is_empty() || !self.buffer.is_empty();
         busy || self.members.values().any(Member::lapses)
     }
 
     /// Looks at requests in flight and takes a report when one is due.
     pub fn tick(&mut self, now: Instant) -> Option<detection::EvidenceReport> {
-        self.blame_overdue(now);
+        self.count_overdue(now);
         self.lapse(now);
-        let counts = self.ledger.take_due(now)?;
+        let counts = self.buffer.take_due(now)?;
         Some(detection::EvidenceReport {
             service: self.service.id.clone(),
             observer: self.home.clone(),
@@ -318,20 +318,20 @@
         })
     }
 
-    fn blame_overdue(&mut self, now: Instant) {
+    fn count_overdue(&mut self, now: Instant) {
         let bound = self.overdue_bound();
         let overdue: Vec<_> = self
             .tickets
             .iter_mut()
             .filter(|(_, ticket)| ticket.is_overdue(now, bound))
             .map(|(_, ticket)| {
-                ticket.blamed = true;
+                ticket.counted = true;
                 ticket.member
             })
             .collect();
         for key in overdue {
             if self.members.contains_key(key) {
-                self.witness(now, key, false);
+                self.count_outcome(now, key, false);
             }
         }
     }
@@ -345,7 +345,7 @@
     /// The bound from this node's own median, else from the collector's, else from the deadline.
     pub fn overdue_bound(&self) -> Duration {
         let fallback = self.service.deadline.get().mul_f64(OVERDUE_DEADLINE_SHARE);
-        let median = self.tempo.median().or(self.told_median);
+        let median = self.estimate.median().or(self.told_median);
         median.map_or(fallback, |median| {
             detection::overdue_bound(median).min(fallback)
         })
@@ -353,13 +353,16 @@
 
     /// Time that a request must have left to be worth sending.
     pub fn time_needed(&self) -> Duration {
-        let slow = self.tempo.rough_quantile(SLOW_QUANTILE).unwrap_or_default();
+        let slow = self
+            .estimate
+            .rough_quantile(SLOW_QUANTILE)
+            .unwrap_or_default();
         slow.mul_f64(SLOW_MARGIN)
     }
 
     /// How long a repeatable request waits before a hedge, once that is known.
     pub fn hedge_delay(&self) -> Option<Duration> {
-        self.tempo
+        self.estimate
             .quantile(SLOW_QUANTILE)
             .map(|slow| slow.mul_f64(SLOW_MARGIN))
     }
@@ -373,9 +376,9 @@
     }
 
     /// Adds the outcome of a probe or of a body that broke off late.
-    pub fn take_witness(&mut self, now: Instant, upstream: &ids::UpstreamId, good: bool) {
+    pub fn take_outcome(&mut self, now: Instant, upstream: &ids::UpstreamId, good: bool) {
         if let Some(key) = self.by_id.get(upstream).copied() {
-            self.witness(now, key, good);
+            self.count_outcome(now, key, good);
         }
     }
 
--- a/crates/policy/src/service/board/news.rs
+++ b/crates/policy/src/service/balancer/updates.rs
@@ -1,4 +1,4 @@
-//! What the board learns from outside: settings, verdicts, records, drains, loads.
+//! What the balancer learns from outside: settings, verdicts, records, drains, loads.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -7,12 +7,12 @@
 use model::{config, ids};
 use tokio::time::Instant;
 
-use super::{FLEET_TRIALS_PER_SECOND, ServiceBoard, TRIAL_INTERVAL_MIN};
+use super::{FLEET_TRIALS_PER_SECOND, ServiceBalancer, TRIAL_INTERVAL_MIN};
 use crate::detection::{self, TestCosts};
 use crate::ejection;
-use crate::service::member::{Member, Standing};
+use crate::service::member::{Member, UpstreamStatus};
 
-impl ServiceBoard {
+impl ServiceBalancer {
     /// Takes new settings; members that stay keep their state.
     pub fn configure(&mut self, now: Instant, service: Arc<config::Service>) {
         self.costs = TestCosts::of(service.profile);
@@ -57,7 +57,7 @@
     pub fn set_fleet_size(&mut self, nodes: u32) {
         let seconds = f64::from(nodes) / FLEET_TRIALS_PER_SECOND;
         self.trial_interval = Duration::from_secs_f64(seconds).max(TRIAL_INTERVAL_MIN);
-        self.ledger.set_fleet_size(nodes);
+        self.buffer.set_fleet_size(nodes);
     }
 
     /// Sets the upstreams that this node uses first.
@@ -68,8 +68,8 @@
     }
 
     /// Takes the usual latency from the service's collector.
-    pub fn take_tempo(&mut self, tempo: &detection::ServiceTempo) {
-        self.told_median = Some(Duration::from_micros(u64::from(tempo.median_micros)));
+    pub fn take_estimate(&mut self, estimate: &detection::ServiceLatency) {
+        self.told_median = Some(Duration::from_micros(u64::from(estimate.median_micros)));
     }
 
     /// Takes a collector's verdict.
@@ -116,15 +116,15 @@
         }
     }
 
-    /// Takes a sign that an upstream drains; returns whether it is news.
+    /// Takes a sign that an upstream drains; returns whether it is update.
     pub fn take_drain(&mut self, now: Instant, upstream: &ids::UpstreamId) -> bool {
         let Some(key) = self.by_id.get(upstream) else {
             return false;
         };
         let member = &mut self.members[*key];
-        let news = member.standing() != Standing::Draining;
+        let update = member.status() != UpstreamStatus::Draining;
         member.drain_seen = Some(now);
-        news
+        update
     }
 
     /// Takes the load that an upstream reports, from 0 to 1.
--- a/crates/policy/src/service/choose.rs
+++ b/crates/policy/src/service/choose.rs
@@ -4,17 +4,17 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use super::member::{Member, Standing};
+use super::member::{Member, UpstreamStatus};
 
 /// One repeatable request in this many goes to another data centre, to see its upstreams.
 const EXPLORE_ONE_IN: u32 = 32;
 
-/// Candidates in the order in which they are preferred.
+/// Candidates in the command in which they are preferred.
 const TIERS: [fn(&Member, &ids::DataCentreId) -> bool; 4] = [
     |member, home| healthy(member) && member.in_subset && near(member, home),
     |member, _| healthy(member) && member.in_subset,
     |member, _| healthy(member),
-    |member, _| member.standing() == Standing::Avoided,
+    |member, _| member.status() == UpstreamStatus::Avoided,
 ];
 
 /// Picks a member with room; `allowed` leaves out those already tried.
@@ -46,7 +46,7 @@
     now: Instant,
 ) -> Option<K> {
     let due = members.find(|(_, member)| {
-        member.standing() == Standing::Avoided && member.next_trial <= now && member.has_room()
+        member.status() == UpstreamStatus::Avoided && member.next_trial <= now && member.has_room()
     });
     due.map(|(key, _)| key)
 }
@@ -62,7 +62,7 @@
 }
 
 fn healthy(member: &Member) -> bool {
-    member.standing() == Standing::Healthy
+    member.status() == UpstreamStatus::Healthy
 }
 
 fn near(member: &Member, home: &ids::DataCentreId) -> bool {
--- a/crates/policy/src/service/member.rs
+++ b/crates/policy/src/service/member.rs
@@ -23,7 +23,7 @@
 
 model::choice! {
     /// How a node treats an upstream.
-    pub enum Standing {
+    pub enum UpstreamStatus {
         /// It takes its share.
         Healthy = "healthy",
         /// It goes last and gets trials.
@@ -41,7 +41,7 @@
     /// The upstream.
     pub upstream: ids::UpstreamId,
     /// How the node treats it.
-    pub standing: Standing,
+    pub status: UpstreamStatus,
     /// Requests in flight from this node.
     pub in_flight: u32,
     /// The most that this node keeps in flight.
@@ -89,16 +89,16 @@
         }
     }
 
-    pub(super) fn standing(&self) -> Standing {
+    pub(super) fn status(&self) -> UpstreamStatus {
         let drains = self.upstream.state == config::UpstreamState::Draining;
         if drains || self.stranger || self.drain_seen.is_some() {
-            Standing::Draining
+            UpstreamStatus::Draining
         } else if self.ejected {
-            Standing::Ejected
+            UpstreamStatus::Ejected
         } else if self.told_avoid.is_some() || self.own_avoid.is_some() {
-            Standing::Avoided
+            UpstreamStatus::Avoided
         } else {
-            Standing::Healthy
+            UpstreamStatus::Healthy
         }
     }
 
@@ -125,7 +125,7 @@
     }
 
     pub(super) fn has_room(&self) -> bool {
-        let trial_only = self.standing() == Standing::Avoided;
+        let trial_only = self.status() == UpstreamStatus::Avoided;
         self.limit.has_room(self.in_flight) && !(trial_only && self.in_flight > 0)
     }
 
@@ -152,7 +152,7 @@
     pub(super) fn view(&self) -> MemberView {
         MemberView {
             upstream: self.upstream.id.clone(),
-            standing: self.standing(),
+            status: self.status(),
             in_flight: self.in_flight,
             limit: self.limit.get(),
         }
--- a/crates/policy/src/service/mod.rs
+++ b/crates/policy/src/service/mod.rs
@@ -1,10 +1,10 @@
-//! The board of one service at one node: who is in flight where, and who may take more.
+//! The balancer of one service at one node: who is in flight where, and who may take more.
 
-mod board;
+mod balancer;
 mod choose;
 mod member;
 mod subset;
 
-pub use board::{Admission, Ask, Grant, Purpose, ServiceBoard, TicketKey};
-pub use member::{MemberView, Standing};
+pub use balancer::{Admission, Ask, Grant, Purpose, ServiceBalancer, TicketKey};
+pub use member::{MemberView, UpstreamStatus};
 pub use subset::choose_subset;
--- a/crates/policy/tests/board.rs
+++ b/crates/policy/tests/balancer.rs
@@ -1,4 +1,4 @@
-//! The board: who gets work, and who does not.
+//! The balancer: who gets work, and who does not.
 
 mod common;
 
@@ -10,7 +10,7 @@
 use gooseberrydyke_policy::ejection::{Ejection, EjectionRecord};
 use gooseberrydyke_policy::retry::{AttemptEnd, RetryCase, RetryPayer, RetryRefusal};
 use gooseberrydyke_policy::service::{
-    Admission, Ask, Grant, Purpose, ServiceBoard, Standing, choose_subset,
+    Admission, Ask, Grant, Purpose, ServiceBalancer, UpstreamStatus, choose_subset,
 };
 use model::clock::UnixMillis;
 use model::config::UpstreamState;
@@ -19,8 +19,8 @@
 use model::sizes::RequestCount;
 use tokio::time::{self, Instant};
 
-fn board(upstreams: usize) -> ServiceBoard {
-    ServiceBoard::new(Instant::now(), service(upstreams, 4, 4), name("ikeja"), 5)
+fn balancer(upstreams: usize) -> ServiceBalancer {
+    ServiceBalancer::new(Instant::now(), service(upstreams, 4, 4), name("ikeja"), 5)
 }
 
 fn ask(repeatable: bool) -> Ask {
@@ -31,22 +31,22 @@
     }
 }
 
-fn go(board: &mut ServiceBoard, repeatable: bool) -> Grant {
-    match board.admit(Instant::now(), &ask(repeatable)) {
+fn go(balancer: &mut ServiceBalancer, repeatable: bool) -> Grant {
+    match balancer.admit(Instant::now(), &ask(repeatable)) {
         Admission::Go(grant) => grant,
         other => panic!("no upstream: {other:?}"),
     }
 }
 
-fn finish(board: &mut ServiceBoard, grant: &Grant, end: AttemptEnd) {
-    board.finish(Instant::now(), grant.ticket, end);
+fn finish(balancer: &mut ServiceBalancer, grant: &Grant, end: AttemptEnd) {
+    balancer.finish(Instant::now(), grant.ticket, end);
 }
 
 /// Upstreams that take `count` requests, each finished well.
-fn spread(board: &mut ServiceBoard, count: usize, repeatable: bool) -> Vec<UpstreamId> {
+fn spread(balancer: &mut ServiceBalancer, count: usize, repeatable: bool) -> Vec<UpstreamId> {
     let taken = (0..count).map(|_| {
-        let grant = go(board, repeatable);
-        finish(board, &grant, AttemptEnd::Answered);
+        let grant = go(balancer, repeatable);
+        finish(balancer, &grant, AttemptEnd::Answered);
         grant.upstream.id.clone()
     });
     taken.collect()
@@ -54,73 +54,73 @@
 
 #[tokio::test(start_paused = true)]
 async fn the_own_data_centre_comes_first_and_overflow_goes_on() {
-    let mut board = board(6);
-    let near = spread(&mut board, 50, false);
+    let mut balancer = balancer(6);
+    let near = spread(&mut balancer, 50, false);
     assert!(
         near.iter()
             .all(|id| [name("up-0"), name("up-3")].contains(id)),
         "{near:?}"
     );
-    let grants: Vec<_> = (0..24).map(|_| go(&mut board, false)).collect();
+    let grants: Vec<_> = (0..24).map(|_| go(&mut balancer, false)).collect();
     let far = grants
         .iter()
         .filter(|grant| grant.upstream.data_centre.as_str() != "ikeja");
     assert_eq!(far.count(), 16);
     assert!(matches!(
-        board.admit(Instant::now(), &ask(false)),
+        balancer.admit(Instant::now(), &ask(false)),
         Admission::Wait
     ));
 }
 
 #[tokio::test(start_paused = true)]
 async fn a_draining_upstream_gets_no_new_work() {
-    let mut board = board(3);
-    assert!(board.take_drain(Instant::now(), &name("up-0")));
+    let mut balancer = balancer(3);
+    assert!(balancer.take_drain(Instant::now(), &name("up-0")));
     assert!(
-        !board.take_drain(Instant::now(), &name("up-0")),
+        !balancer.take_drain(Instant::now(), &name("up-0")),
         "told twice"
     );
-    let taken = spread(&mut board, 100, true);
+    let taken = spread(&mut balancer, 100, true);
     assert!(!taken.contains(&name("up-0")));
     let mut configured = service(3, 4, 4);
     Arc::make_mut(&mut configured).upstreams[1].state = UpstreamState::Draining;
-    board.configure(Instant::now(), configured);
-    assert!(!spread(&mut board, 100, true).contains(&name("up-1")));
+    balancer.configure(Instant::now(), configured);
+    assert!(!spread(&mut balancer, 100, true).contains(&name("up-1")));
 }
 
 #[tokio::test(start_paused = true)]
 async fn an_upstream_that_is_gone_from_the_configuration_finishes_its_work() {
-    let mut board = board(3);
-    let grant = go(&mut board, false);
+    let mut balancer = balancer(3);
+    let grant = go(&mut balancer, false);
     let mut configured = service(3, 4, 4);
     Arc::make_mut(&mut configured)
         .upstreams
         .retain(|up| up.id != grant.upstream.id);
-    board.configure(Instant::now(), configured);
-    assert!(!spread(&mut board, 100, true).contains(&grant.upstream.id));
-    finish(&mut board, &grant, AttemptEnd::Answered);
-    assert_eq!(board.in_flight(), 0);
+    balancer.configure(Instant::now(), configured);
+    assert!(!spread(&mut balancer, 100, true).contains(&grant.upstream.id));
+    finish(&mut balancer, &grant, AttemptEnd::Answered);
+    assert_eq!(balancer.in_flight(), 0);
 }
 
 #[tokio::test(start_paused = true)]
 async fn an_ejected_upstream_gets_nothing_and_an_avoided_one_only_trials() {
-    let mut board = board(3);
-    board.set_fleet_size(48);
+    let mut balancer = balancer(3);
+    balancer.set_fleet_size(48);
     let mut record = EjectionRecord::empty(name("stocklist"));
     let ejection = Ejection {
         at: UnixMillis::new(1),
         until: UnixMillis::new(2),
     };
     record.ejected.insert(name("up-1"), ejection);
-    board.take_record(Instant::now(), &record);
+    balancer.take_record(Instant::now(), &record);
     let avoid = Verdict::Avoid(VerdictScope::Fleet);
-    board.take_verdict(Instant::now(), &name("up-0"), &avoid);
-    let taken = spread(&mut board, 200, true);
+    balancer.take_verdict(Instant::now(), &name("up-0"), &avoid);
+    let taken = spread(&mut balancer, 200, true);
     assert!(!taken.contains(&name("up-1")));
     let trials = taken.iter().filter(|id| **id == name("up-0")).count();
     assert!(trials <= 1, "{trials} trials");
     assert_eq!(
-        spread(&mut board, 50, false)
+        spread(&mut balancer, 50, false)
             .iter()
             .filter(|id| **id == name("up-0"))
             .count(),
@@ -130,95 +130,101 @@
 
 #[tokio::test(start_paused = true)]
 async fn avoided_upstreams_serve_when_the_others_cannot() {
-    let mut board = board(2);
+    let mut balancer = balancer(2);
     for id in ["up-0", "up-1"] {
-        board.take_verdict(Instant::now(), &name(id), &Verdict::Eject);
+        balancer.take_verdict(Instant::now(), &name(id), &Verdict::Eject);
     }
-    go(&mut board, false);
-    go(&mut board, false);
+    go(&mut balancer, false);
+    go(&mut balancer, false);
     assert!(matches!(
-        board.admit(Instant::now(), &ask(false)),
+        balancer.admit(Instant::now(), &ask(false)),
         Admission::Wait
     ));
 }
 
 #[tokio::test(start_paused = true)]
 async fn a_verdict_that_is_not_repeated_lapses() {
-    let mut board = board(3);
-    board.take_verdict(Instant::now(), &name("up-0"), &Verdict::Eject);
-    assert_eq!(board.views()[&name("up-0")].standing, Standing::Avoided);
+    let mut balancer = balancer(3);
+    balancer.take_verdict(Instant::now(), &name("up-0"), &Verdict::Eject);
+    assert_eq!(
+        balancer.views()[&name("up-0")].status,
+        UpstreamStatus::Avoided
+    );
     time::advance(Duration::from_secs(11)).await;
-    board.tick(Instant::now());
-    assert_eq!(board.views()[&name("up-0")].standing, Standing::Healthy);
+    balancer.tick(Instant::now());
+    assert_eq!(
+        balancer.views()[&name("up-0")].status,
+        UpstreamStatus::Healthy
+    );
 }
 
 #[tokio::test(start_paused = true)]
 async fn a_request_that_takes_too_long_is_evidence_before_it_ends() {
-    let mut board = board(3);
+    let mut balancer = balancer(3);
     for _ in 0..30 {
-        let grant = go(&mut board, false);
+        let grant = go(&mut balancer, false);
         time::advance(Duration::from_millis(10)).await;
-        finish(&mut board, &grant, AttemptEnd::Answered);
+        finish(&mut balancer, &grant, AttemptEnd::Answered);
     }
-    board.tick(Instant::now());
-    let grant = go(&mut board, false);
+    balancer.tick(Instant::now());
+    let grant = go(&mut balancer, false);
     time::advance(Duration::from_millis(400)).await;
-    let report = board.tick(Instant::now()).expect("a report is due");
+    let report = balancer.tick(Instant::now()).expect("a report is due");
     assert_eq!(report.counts[&grant.upstream.id].bad, 1);
-    finish(&mut board, &grant, AttemptEnd::TimedOut);
+    finish(&mut balancer, &grant, AttemptEnd::TimedOut);
     time::advance(Duration::from_millis(400)).await;
-    assert!(board.tick(Instant::now()).is_none(), "blamed twice");
+    assert!(balancer.tick(Instant::now()).is_none(), "counted twice");
 }
 
 #[tokio::test(start_paused = true)]
 async fn silence_on_an_old_connection_and_callers_faults_are_no_evidence() {
-    let mut board = board(3);
+    let mut balancer = balancer(3);
     for end in [
         AttemptEnd::Silent,
         AttemptEnd::Withdrawn,
         AttemptEnd::NotSent,
         AttemptEnd::Shed,
     ] {
-        let grant = go(&mut board, false);
-        finish(&mut board, &grant, end);
+        let grant = go(&mut balancer, false);
+        finish(&mut balancer, &grant, end);
     }
-    let grant = go(&mut board, false);
-    board.suspect(grant.ticket);
+    let grant = go(&mut balancer, false);
+    balancer.suspect(grant.ticket);
     time::advance(Duration::from_secs(30)).await;
-    assert!(board.tick(Instant::now()).is_none());
+    assert!(balancer.tick(Instant::now()).is_none());
 }
 
 #[tokio::test(start_paused = true)]
 async fn a_slow_caller_of_a_long_body_is_no_evidence() {
-    let mut board = board(1);
+    let mut balancer = balancer(1);
     for _ in 0..30 {
-        spread(&mut board, 1, false);
+        spread(&mut balancer, 1, false);
     }
     time::advance(Duration::from_secs(1)).await;
-    board.tick(Instant::now());
-    let grant = go(&mut board, false);
-    board.head(Instant::now(), grant.ticket);
+    balancer.tick(Instant::now());
+    let grant = go(&mut balancer, false);
+    balancer.head(Instant::now(), grant.ticket);
     time::advance(Duration::from_mins(1)).await;
-    finish(&mut board, &grant, AttemptEnd::Answered);
-    let report = board.tick(Instant::now()).expect("a report is due");
+    finish(&mut balancer, &grant, AttemptEnd::Answered);
+    let report = balancer.tick(Instant::now()).expect("a report is due");
     assert_eq!(report.counts[&grant.upstream.id].bad, 0);
 }
 
 #[tokio::test(start_paused = true)]
 async fn one_workspace_cannot_take_the_room_of_the_others() {
-    let mut board = board(3);
+    let mut balancer = balancer(3);
     let limit = Some(RequestCount::new(2));
-    assert!(board.enter_workspace(&name("lagos"), limit));
-    assert!(board.enter_workspace(&name("lagos"), limit));
-    assert!(!board.enter_workspace(&name("lagos"), limit));
-    assert!(board.enter_workspace(&name("kano"), limit));
-    board.leave_workspace(&name("lagos"));
-    assert!(board.enter_workspace(&name("lagos"), limit));
+    assert!(balancer.enter_workspace(&name("lagos"), limit));
+    assert!(balancer.enter_workspace(&name("lagos"), limit));
+    assert!(!balancer.enter_workspace(&name("lagos"), limit));
+    assert!(balancer.enter_workspace(&name("kano"), limit));
+    balancer.leave_workspace(&name("lagos"));
+    assert!(balancer.enter_workspace(&name("lagos"), limit));
 }
 
 #[tokio::test(start_paused = true)]
 async fn retries_follow_the_rule_the_time_and_the_budget() {
-    let mut board = board(3);
+    let mut balancer = balancer(3);
     let case = RetryCase {
         end: AttemptEnd::TimedOut,
         repeatable: true,
@@ -232,46 +238,49 @@
         repeatable: false,
         ..case
     };
-    assert_eq!(board.decide_retry(&once_only), Err(RetryRefusal::Rule));
+    assert_eq!(balancer.decide_retry(&once_only), Err(RetryRefusal::Rule));
     for end in [
         AttemptEnd::ConnectFailed,
         AttemptEnd::NotSent,
         AttemptEnd::Shed,
     ] {
-        assert_eq!(board.decide_retry(&RetryCase { end, ..once_only }), Ok(()));
+        assert_eq!(
+            balancer.decide_retry(&RetryCase { end, ..once_only }),
+            Ok(())
+        );
     }
     let undeclared = RetryCase {
         end: AttemptEnd::Shed,
         shed_is_not_run: false,
         ..once_only
     };
-    assert_eq!(board.decide_retry(&undeclared), Err(RetryRefusal::Rule));
+    assert_eq!(balancer.decide_retry(&undeclared), Err(RetryRefusal::Rule));
     let late = RetryCase {
         left: Duration::ZERO,
         ..case
     };
-    assert_eq!(board.decide_retry(&late), Err(RetryRefusal::Time));
+    assert_eq!(balancer.decide_retry(&late), Err(RetryRefusal::Time));
     let many = RetryCase {
         attempts: 3,
         ..case
     };
-    assert_eq!(board.decide_retry(&many), Err(RetryRefusal::Attempts));
-    assert_eq!(board.decide_retry(&case), Err(RetryRefusal::Budget));
+    assert_eq!(balancer.decide_retry(&many), Err(RetryRefusal::Attempts));
+    assert_eq!(balancer.decide_retry(&case), Err(RetryRefusal::Budget));
     assert_eq!(
-        board.decide_retry(&RetryCase {
+        balancer.decide_retry(&RetryCase {
             payer: RetryPayer::Trial,
             ..case
         }),
         Ok(())
     );
-    spread(&mut board, 10, false);
-    assert_eq!(board.decide_retry(&case), Ok(()));
+    spread(&mut balancer, 10, false);
+    assert_eq!(balancer.decide_retry(&case), Ok(()));
 }
 
 #[tokio::test(start_paused = true)]
 async fn a_service_without_upstreams_refuses_at_once() {
-    let mut board = board(0);
-    let admission = board.admit(Instant::now(), &ask(true));
+    let mut balancer = balancer(0);
+    let admission = balancer.admit(Instant::now(), &ask(true));
     assert!(matches!(
         admission,
         Admission::Refuse(ErrorKind::NoUpstream)
--- a/crates/policy/tests/claims.rs
+++ b/crates/policy/tests/claims.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use gooseberrydyke_policy::claim::{
-    BatchWrite, ClaimKey, ClaimOrder, ClaimState, ClaimToken, ClaimVerdict, Decided, SegmentNumber,
-    Settlement, ShardBatcher, ShardId, StoredSegment, WriteCondition,
+    BatchWrite, ClaimAttempt, ClaimKey, ClaimState, ClaimToken, ClaimVerdict, Decided,
+    SegmentNumber, Settlement, ShardBatcher, ShardId, StoredSegment, WriteCondition,
 };
 use model::clock::UnixMillis;
 use model::sizes::ObjectVersion;
@@ -55,8 +55,8 @@
         .unwrap_or_else(|_| panic!("{text:?} is not a name"))
 }
 
-fn order(key: &str, token: &str) -> ClaimOrder {
-    ClaimOrder {
+fn attempt(key: &str, token: &str) -> ClaimAttempt {
+    ClaimAttempt {
         key: name(key),
         token: name(token),
         request: 1,
@@ -83,12 +83,12 @@
 fn nothing_is_granted_before_its_update_took_effect() {
     let mut platform = Platform::default();
     let mut batcher = loaded(&platform);
-    assert!(batcher.claim(NOW, order("k", "a")).is_empty());
+    assert!(batcher.claim(NOW, attempt("k", "a")).is_empty());
     let write = batcher.next_write(NOW).unwrap();
     let version = platform.apply(&write).unwrap();
     let decided = batcher.written(NOW, version);
     assert_eq!(verdict(&decided, "a"), Some(ClaimVerdict::Granted));
-    let again = batcher.claim(NOW, order("k", "b"));
+    let again = batcher.claim(NOW, attempt("k", "b"));
     assert_eq!(
         verdict(&again, "b"),
         Some(ClaimVerdict::Held(ClaimState::Claimed))
@@ -99,10 +99,10 @@
 fn a_batcher_that_wakes_up_late_loses() {
     let mut platform = Platform::default();
     let mut late = loaded(&platform);
-    late.claim(NOW, order("k", "late"));
+    late.claim(NOW, attempt("k", "late"));
     let late_write = late.next_write(NOW).unwrap();
     let mut other = loaded(&platform);
-    other.claim(NOW, order("k", "other"));
+    other.claim(NOW, attempt("k", "other"));
     let write = other.next_write(NOW).unwrap();
     let version = platform.apply(&write).unwrap();
     assert_eq!(
@@ -123,7 +123,7 @@
 fn a_lost_answer_is_read_back() {
     let mut platform = Platform::default();
     let mut batcher = loaded(&platform);
-    batcher.claim(NOW, order("k", "a"));
+    batcher.claim(NOW, attempt("k", "a"));
     let write = batcher.next_write(NOW).unwrap();
     platform.apply(&write).unwrap();
     batcher.unsure();
@@ -135,7 +135,7 @@
 fn a_repeated_key_gets_the_stored_outcome() {
     let mut platform = Platform::default();
     let mut batcher = loaded(&platform);
-    batcher.claim(NOW, order("k", "a"));
+    batcher.claim(NOW, attempt("k", "a"));
     let version = platform.apply(&batcher.next_write(NOW).unwrap()).unwrap();
     batcher.written(NOW, version);
     let ran = Settlement {
@@ -145,12 +145,12 @@
     batcher.settle(name("k"), ran);
     let version = platform.apply(&batcher.next_write(NOW).unwrap()).unwrap();
     batcher.written(NOW, version);
-    let decided = loaded(&platform).claim(NOW, order("k", "b"));
+    let decided = loaded(&platform).claim(NOW, attempt("k", "b"));
     assert_eq!(
         verdict(&decided, "b"),
         Some(ClaimVerdict::Held(ClaimState::Ran(201)))
     );
-    let mut other = order("k", "c");
+    let mut other = attempt("k", "c");
     other.request = 2;
     let decided = loaded(&platform).claim(NOW, other);
     assert_eq!(verdict(&decided, "c"), Some(ClaimVerdict::Mismatch));
@@ -162,15 +162,15 @@
     let mut batcher = loaded(&platform);
     batcher.claim(
         NOW,
-        ClaimOrder {
+        ClaimAttempt {
             settled_by: UnixMillis::new(2_000),
-            ..order("k", "a")
+            ..attempt("k", "a")
         },
     );
     let version = platform.apply(&batcher.next_write(NOW).unwrap()).unwrap();
     batcher.written(NOW, version);
     let after = UnixMillis::new(3_000);
-    let decided = batcher.claim(after, order("k", "b"));
+    let decided = batcher.claim(after, attempt("k", "b"));
     assert_eq!(
         verdict(&decided, "b"),
         Some(ClaimVerdict::Held(ClaimState::Unknown))
@@ -184,7 +184,7 @@
     );
     let version = platform.apply(&batcher.next_write(after).unwrap()).unwrap();
     batcher.written(after, version);
-    batcher.claim(after, order("k", "c"));
+    batcher.claim(after, attempt("k", "c"));
     let version = platform.apply(&batcher.next_write(after).unwrap()).unwrap();
     assert_eq!(
         verdict(&batcher.written(after, version), "c"),
@@ -198,9 +198,9 @@
     let mut batcher = loaded(&platform);
     batcher.claim(
         NOW,
-        ClaimOrder {
+        ClaimAttempt {
             settled_by: UnixMillis::new(2_000),
-            ..order("k", "a")
+            ..attempt("k", "a")
         },
     );
     assert!(batcher.next_write(UnixMillis::new(2_000)).is_none());
@@ -212,7 +212,7 @@
     let mut platform = Platform::default();
     let mut batcher = loaded(&platform);
     for number in 0..1_500 {
-        batcher.claim(NOW, order(&format!("k{number}"), &format!("t{number}")));
+        batcher.claim(NOW, attempt(&format!("k{number}"), &format!("t{number}")));
         let write = batcher.next_write(NOW).unwrap();
         let version = platform.apply(&write).unwrap();
         if verdict(&batcher.written(NOW, version), &format!("t{number}")).is_none() {
@@ -226,7 +226,7 @@
         }
     }
     assert_eq!(platform.objects.len(), 3);
-    let decided = loaded(&platform).claim(NOW, order("k0", "x"));
+    let decided = loaded(&platform).claim(NOW, attempt("k0", "x"));
     assert_eq!(
         verdict(&decided, "x"),
         Some(ClaimVerdict::Held(ClaimState::Claimed))
@@ -247,7 +247,7 @@
             let decided = match what % 6 {
                 0 | 1 => {
                     let key = format!("k{}", key % 5);
-                    batcher.claim(NOW, order(&key, &format!("t{number}")))
+                    batcher.claim(NOW, attempt(&key, &format!("t{number}")))
                 }
                 2 => {
                     if writes[index].is_none() {
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use common::{CENTRES, name, service};
-use gooseberrydyke_policy::limit::{AdaptiveLimit, WaitingLine};
+use gooseberrydyke_policy::limit::{AdaptiveLimit, RequestQueue};
 use gooseberrydyke_policy::membership::{Member, MemberTable};
 use gooseberrydyke_policy::retry::RetryBudget;
 use gooseberrydyke_policy::routing::RouteTable;
@@ -24,7 +24,7 @@
         headers: http::HeaderMap::new(),
         workspace: None,
         key: None,
-        patience: None,
+        timeout: None,
     }
 }
 
@@ -81,7 +81,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_full_line_drops_the_earliest_deadline_and_pops_in_order() {
-    let mut line = WaitingLine::new(RequestCount::new(2));
+    let mut line = RequestQueue::new(RequestCount::new(2));
     let at = |millis| Instant::now() + Duration::from_millis(millis);
     assert_eq!(line.push(at(300), "a"), None);
     assert_eq!(line.push(at(100), "b"), None);
--- a/crates/policy/tests/detection.rs
+++ b/crates/policy/tests/detection.rs
@@ -1,4 +1,4 @@
-//! The judge blames who is to blame, and nobody else.
+//! The detector blames who is to blame, and nobody else.
 
 mod common;
 
@@ -7,20 +7,24 @@
 
 use common::{CENTRES, name, service};
 use gooseberrydyke_policy::detection::{
-    EvidenceCount, EvidenceLedger, EvidenceReport, LatencyTempo, OutcomeWindow, SequentialTest,
-    ServiceJudge, Verdict, VerdictScope,
+    EvidenceBuffer, EvidenceCount, EvidenceReport, LatencyEstimate, OutcomeWindow, OutlierDetector,
+    SequentialTest, Verdict, VerdictScope,
 };
 use tokio::time::{self, Instant};
 
 struct Bench {
-    judge: ServiceJudge,
+    detector: OutlierDetector,
     upstreams: usize,
 }
 
 impl Bench {
     fn new(upstreams: usize) -> Self {
-        let judge = ServiceJudge::new(Instant::now(), service(upstreams, 4, 4), CENTRES.len());
-        Self { judge, upstreams }
+        let detector =
+            OutlierDetector::new(Instant::now(), service(upstreams, 4, 4), CENTRES.len());
+        Self {
+            detector,
+            upstreams,
+        }
     }
 
     /// Every data centre sees one outcome of every upstream, bad where `bad` says so.
@@ -48,9 +52,9 @@
                 counts: counts.collect::<BTreeMap<_, _>>(),
                 latency_micros: Some(20_000),
             };
-            self.judge.observe(now, &report);
+            self.detector.observe(now, &report);
         }
-        self.judge.decide(now);
+        self.detector.decide(now);
     }
 
     async fn steps(&mut self, count: usize, bad: impl Fn(&str, usize) -> bool) {
@@ -60,7 +64,7 @@
     }
 
     fn verdict(&self, upstream: usize) -> Verdict {
-        self.judge.verdict(&name(&format!("up-{upstream}")))
+        self.detector.verdict(&name(&format!("up-{upstream}")))
     }
 }
 
@@ -164,18 +168,18 @@
         counts: [(name("up-0"), count)].into(),
         latency_micros: None,
     };
-    bench.judge.observe(Instant::now(), &report);
+    bench.detector.observe(Instant::now(), &report);
     bench.steps(1, |_, upstream| upstream == 0).await;
     assert_ne!(bench.verdict(0), Verdict::Clear);
 }
 
 #[tokio::test(start_paused = true)]
 async fn good_counts_wait_and_a_failure_is_reported_at_once() {
-    let mut ledger = EvidenceLedger::new(Instant::now());
-    ledger.add(&name("up-0"), 1, 0);
-    assert!(ledger.take_due(Instant::now()).is_none());
-    ledger.add(&name("up-0"), 0, 1);
-    let counts = ledger.take_due(Instant::now()).unwrap();
+    let mut buffer = EvidenceBuffer::new(Instant::now());
+    buffer.add(&name("up-0"), 1, 0);
+    assert!(buffer.take_due(Instant::now()).is_none());
+    buffer.add(&name("up-0"), 0, 1);
+    let counts = buffer.take_due(Instant::now()).unwrap();
     assert_eq!(
         counts[&name("up-0")],
         EvidenceCount {
@@ -213,13 +217,13 @@
 
 #[test]
 fn the_usual_latency_needs_samples() {
-    let mut tempo = LatencyTempo::default();
+    let mut estimate = LatencyEstimate::default();
     for _ in 0..19 {
-        tempo.observe(Duration::from_millis(20));
+        estimate.observe(Duration::from_millis(20));
     }
-    assert_eq!(tempo.median(), None);
-    tempo.observe(Duration::from_millis(20));
-    let median = tempo.median().unwrap();
+    assert_eq!(estimate.median(), None);
+    estimate.observe(Duration::from_millis(20));
+    let median = estimate.median().unwrap();
     assert!(
         median > Duration::from_millis(15) && median < Duration::from_millis(25),
         "{median:?}"
