--- a/crates/upstream/src/dispatch/claim_gate.rs
+++ b/crates/upstream/src/dispatch/claim_gate.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use model::error::{ErrorKind, FleetError};
-use policy::claim::{ClaimKey, ClaimOrder, ClaimState, ClaimToken, ClaimVerdict, Settlement};
+use policy::claim::{ClaimAttempt, ClaimKey, ClaimState, ClaimToken, ClaimVerdict, Settlement};
 
 /// A claim under way.
 pub type ClaimFuture = Pin<Box<dyn Future<Output = Result<ClaimVerdict, FleetError>> + Send>>;
@@ -13,7 +13,7 @@
 #[derive(Clone)]
 pub struct ClaimGate {
     /// Claims a key.
-    pub claim: Arc<dyn Fn(ClaimOrder) -> ClaimFuture + Send + Sync>,
+    pub claim: Arc<dyn Fn(ClaimAttempt) -> ClaimFuture + Send + Sync>,
     /// Stores what became of a claimed request, some time later.
     pub settle: Arc<dyn Fn(ClaimKey, Settlement) + Send + Sync>,
 }
--- a/crates/upstream/src/dispatch/dispatcher.rs
+++ b/crates/upstream/src/dispatch/dispatcher.rs
@@ -8,7 +8,7 @@
 use model::call::{Call, CallAnswer, CallHead};
 use model::error::{ErrorKind, FleetError, Outcome};
 use model::{clock, config, digest, ids};
-use policy::claim::{ClaimKey, ClaimOrder, ClaimState, ClaimToken};
+use policy::claim::{ClaimAttempt, ClaimKey, ClaimState, ClaimToken};
 use policy::invariant::{self, Invariant};
 use policy::retry::{AttemptEnd, RetryCase, RetryPayer};
 use policy::routing::RouteMatch;
@@ -104,7 +104,7 @@
             return Err(FleetError::new(ErrorKind::NoUpstream, detail));
         };
         let workspace = find_workspace(&directory.config, &call.head)?;
-        let _pass = match workspace {
+        let _permit = match workspace {
             Some(workspace) => Some(handle.enter(workspace).await?),
             None => None,
         };
@@ -126,12 +126,12 @@
         call: Call,
     ) -> Result<CallAnswer, FleetError> {
         let service = Arc::clone(&found.service);
-        let patience = call
+        let timeout = call
             .head
-            .patience
+            .timeout
             .unwrap_or(Duration::MAX)
             .min(service.deadline.get());
-        let deadline = started + patience;
+        let deadline = started + timeout;
         let caller_broke = CallerBroke::default();
         let mut body = PlanBody::prepare(call.body, deadline, &caller_broke).await?;
         let request = request_hash(&call.head, &body);
@@ -186,14 +186,14 @@
             .parse()
             .map_err(|why| invalid(&why))?;
         let left = deadline.saturating_duration_since(Instant::now());
-        let order = ClaimOrder {
+        let attempt = ClaimAttempt {
             key: key.clone(),
             token: token.clone(),
             request,
             expires: self.clock.now().after(found.service.key_retention.get()),
             settled_by: self.clock.now().after(left + SETTLE_SLACK),
         };
-        let claiming = tokio::time::timeout_at(deadline, (self.gate.claim)(order));
+        let claiming = tokio::time::timeout_at(deadline, (self.gate.claim)(attempt));
         let verdict = claiming.await.unwrap_or_else(|_| {
             Err(FleetError::new(
                 ErrorKind::ClaimUnavailable,
--- a/crates/upstream/src/pool/task.rs
+++ b/crates/upstream/src/pool/task.rs
@@ -7,7 +7,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 /// How long a connection may take to open.
-const CONNECT_PATIENCE: Duration = Duration::from_secs(1);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest idle time after which a connection is used again.
 const IDLE_MAX: Duration = Duration::from_secs(15);
 /// Idle time up to which a connection counts as proven for once-only work.
@@ -38,7 +38,7 @@
 }
 
 #[derive(Debug)]
-enum PoolOrder {
+enum PoolCommand {
     Take(Freshness, oneshot::Sender<Option<Connection>>),
     GiveBack(Connection),
     Flush,
@@ -48,15 +48,15 @@
 #[derive(Debug, Clone)]
 pub struct ConnectionPool {
     address: SocketAddr,
-    orders: mpsc::Sender<PoolOrder>,
+    commands: mpsc::Sender<PoolCommand>,
 }
 
 impl ConnectionPool {
     /// Starts the task; it ends, and closes the connections, with the last handle.
     pub fn start(address: SocketAddr) -> Self {
-        let (orders, inbox) = mpsc::channel(MESSAGES_MAX);
+        let (commands, inbox) = mpsc::channel(MESSAGES_MAX);
         tokio::spawn(run(inbox));
-        Self { address, orders }
+        Self { address, commands }
     }
 
     /// Takes an idle connection or opens a new one.
@@ -71,7 +71,7 @@
                 suspect,
             });
         }
-        let connection = client::open(self.address, CONNECT_PATIENCE).await?;
+        let connection = client::open(self.address, CONNECT_TIMEOUT).await?;
         Ok(PooledConnection {
             connection,
             suspect: false,
@@ -80,8 +80,8 @@
 
     async fn take_idle(&self, freshness: Freshness) -> Option<Connection> {
         let (reply, answer) = oneshot::channel();
-        self.orders
-            .send(PoolOrder::Take(freshness, reply))
+        self.commands
+            .send(PoolCommand::Take(freshness, reply))
             .await
             .ok()?;
         answer.await.ok()?
@@ -89,30 +89,30 @@
 
     /// Gives a connection back after a whole exchange.
     pub async fn give_back(&self, connection: Connection) {
-        let _ = self.orders.send(PoolOrder::GiveBack(connection)).await;
+        let _ = self.commands.send(PoolCommand::GiveBack(connection)).await;
     }
 
     /// Closes every idle connection, after one of them fell silent.
     pub async fn flush(&self) {
-        let _ = self.orders.send(PoolOrder::Flush).await;
+        let _ = self.commands.send(PoolCommand::Flush).await;
     }
 }
 
-async fn run(mut inbox: mpsc::Receiver<PoolOrder>) {
+async fn run(mut inbox: mpsc::Receiver<PoolCommand>) {
     let mut idle: Vec<Connection> = Vec::new();
-    while let Some(order) = inbox.recv().await {
+    while let Some(command) = inbox.recv().await {
         idle.retain(|connection| is_usable(connection, IDLE_MAX));
-        match order {
-            PoolOrder::Take(freshness, reply) => {
+        match command {
+            PoolCommand::Take(freshness, reply) => {
                 let unclaimed = reply.send(take(&mut idle, freshness)).err().flatten();
                 idle.extend(unclaimed);
             }
-            PoolOrder::GiveBack(connection) => {
+            PoolCommand::GiveBack(connection) => {
                 if idle.len() < IDLE_CONNECTIONS_MAX {
                     idle.push(connection);
                 }
             }
-            PoolOrder::Flush => idle.clear(),
+            PoolCommand::Flush => idle.clear(),
         }
     }
 }
--- a/crates/upstream/src/probe.rs
+++ b/crates/upstream/src/probe.rs
@@ -16,7 +16,7 @@
 use crate::wire;
 
 /// How long a probe may take.
-const PROBE_PATIENCE: Duration = Duration::from_secs(2);
+const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// What a probe found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -35,10 +35,10 @@
     service: &config::Service,
     upstream: Arc<config::Upstream>,
 ) -> ProbeResult {
-    let probing = time::timeout(PROBE_PATIENCE, exchange(handle, service, &upstream));
+    let probing = time::timeout(PROBE_TIMEOUT, exchange(handle, service, &upstream));
     let result = probing.await.unwrap_or(ProbeResult::Silent);
     if result == ProbeResult::Unreachable {
-        handle.witness(upstream.id.clone(), false).await;
+        handle.outcome(upstream.id.clone(), false).await;
     }
     result
 }
@@ -48,7 +48,7 @@
     service: &config::Service,
     upstream: &config::Upstream,
 ) -> ProbeResult {
-    let Ok(connection) = client::open(upstream.address, PROBE_PATIENCE).await else {
+    let Ok(connection) = client::open(upstream.address, PROBE_TIMEOUT).await else {
         return ProbeResult::Unreachable;
     };
     let request = http::Request::get(service.probe_path.as_ref())
--- a/crates/upstream/src/service/handle.rs
+++ b/crates/upstream/src/service/handle.rs
@@ -6,7 +6,7 @@
 
 use model::error::{ErrorKind, FleetError};
 use model::{config, ids};
-use policy::detection::{ServiceTempo, Verdict};
+use policy::detection::{ServiceLatency, Verdict};
 use policy::ejection::EjectionRecord;
 use policy::retry::{AttemptEnd, RetryCase, RetryPayer, RetryRefusal};
 use policy::service::{Ask, Grant, MemberView};
@@ -17,7 +17,7 @@
 
 /// A message to the task that waits for room in the queue.
 #[derive(Debug)]
-pub(super) enum ServiceOrder {
+pub(super) enum ServiceCommand {
     Admit {
         ask: Ask,
         deadline: Instant,
@@ -35,14 +35,14 @@
         upstream: ids::UpstreamId,
         verdict: Verdict,
     },
-    Tempo(ServiceTempo),
+    Estimate(ServiceLatency),
     Record(Arc<EjectionRecord>),
     Drain(ids::UpstreamId),
     Load {
         upstream: ids::UpstreamId,
         load: f64,
     },
-    Witness {
+    Outcome {
         upstream: ids::UpstreamId,
         good: bool,
     },
@@ -56,7 +56,7 @@
 /// A message about a request in flight. Each request sends a fixed number of
 /// these, so the requests in flight bound the queue.
 #[derive(Debug)]
-pub(super) enum FlightNote {
+pub(super) enum FlightEvent {
     Suspect(policy::service::TicketKey),
     Head(policy::service::TicketKey),
     End(policy::service::TicketKey, AttemptEnd),
@@ -66,8 +66,8 @@
 /// A handle to a service's task.
 #[derive(Debug, Clone)]
 pub struct ServiceHandle {
-    pub(super) orders: mpsc::Sender<ServiceOrder>,
-    pub(super) notes: mpsc::UnboundedSender<FlightNote>,
+    pub(super) commands: mpsc::Sender<ServiceCommand>,
+    pub(super) events: mpsc::UnboundedSender<FlightEvent>,
 }
 
 impl ServiceHandle {
@@ -77,13 +77,13 @@
     /// The kind of refusal; the request was not sent.
     pub async fn admit(&self, ask: Ask, deadline: Instant) -> Result<AttemptLease, ErrorKind> {
         let (reply, answer) = oneshot::channel();
-        let order = ServiceOrder::Admit {
+        let command = ServiceCommand::Admit {
             ask,
             deadline,
             reply,
         };
-        self.orders
-            .send(order)
+        self.commands
+            .send(command)
             .await
             .map_err(|_| ErrorKind::NoUpstream)?;
         tokio::time::timeout_at(deadline, answer)
@@ -96,19 +96,19 @@
     ///
     /// # Errors
     /// `WorkspaceLimit` when the workspace has too many requests in flight.
-    pub async fn enter(&self, workspace: config::Workspace) -> Result<WorkspacePass, FleetError> {
+    pub async fn enter(&self, workspace: config::Workspace) -> Result<WorkspacePermit, FleetError> {
         let id = workspace.id.clone();
         let (reply, answer) = oneshot::channel();
-        let order = ServiceOrder::Enter { workspace, reply };
-        let sent = self.orders.send(order).await.is_ok();
+        let command = ServiceCommand::Enter { workspace, reply };
+        let sent = self.commands.send(command).await.is_ok();
         let entered = sent && answer.await.unwrap_or(false);
         if !entered {
             let detail = format!("workspace {id} is at its limit");
             return Err(FleetError::new(ErrorKind::WorkspaceLimit, detail));
         }
-        Ok(WorkspacePass {
+        Ok(WorkspacePermit {
             workspace: id,
-            notes: self.notes.clone(),
+            events: self.events.clone(),
         })
     }
 
@@ -118,7 +118,10 @@
     /// Why none is made.
     pub async fn decide_retry(&self, case: RetryCase) -> Result<(), RetryRefusal> {
         let (reply, answer) = oneshot::channel();
-        let sent = self.orders.send(ServiceOrder::Retry { case, reply }).await;
+        let sent = self
+            .commands
+            .send(ServiceCommand::Retry { case, reply })
+            .await;
         if sent.is_err() {
             return Err(RetryRefusal::Budget);
         }
@@ -127,68 +130,69 @@
 
     /// Passes a collector's verdict on.
     pub async fn verdict(&self, upstream: ids::UpstreamId, verdict: Verdict) {
-        self.tell(ServiceOrder::Verdict { upstream, verdict }).await;
+        self.tell(ServiceCommand::Verdict { upstream, verdict })
+            .await;
     }
 
     /// Passes the service's usual latency on.
-    pub async fn tempo(&self, tempo: ServiceTempo) {
-        self.tell(ServiceOrder::Tempo(tempo)).await;
+    pub async fn estimate(&self, estimate: ServiceLatency) {
+        self.tell(ServiceCommand::Estimate(estimate)).await;
     }
 
     /// Passes the record of what is ejected on.
     pub async fn record(&self, record: Arc<EjectionRecord>) {
-        self.tell(ServiceOrder::Record(record)).await;
+        self.tell(ServiceCommand::Record(record)).await;
     }
 
     /// Passes a sign of a drain on.
     pub async fn drain(&self, upstream: ids::UpstreamId) {
-        self.tell(ServiceOrder::Drain(upstream)).await;
+        self.tell(ServiceCommand::Drain(upstream)).await;
     }
 
     /// Passes a reported load on.
     pub async fn load(&self, upstream: ids::UpstreamId, load: f64) {
-        self.tell(ServiceOrder::Load { upstream, load }).await;
+        self.tell(ServiceCommand::Load { upstream, load }).await;
     }
 
     /// Passes the outcome of a probe on.
-    pub async fn witness(&self, upstream: ids::UpstreamId, good: bool) {
-        self.tell(ServiceOrder::Witness { upstream, good }).await;
+    pub async fn outcome(&self, upstream: ids::UpstreamId, good: bool) {
+        self.tell(ServiceCommand::Outcome { upstream, good }).await;
     }
 
     /// Passes new settings on.
     pub async fn configure(&self, service: Arc<config::Service>) {
-        self.tell(ServiceOrder::Configure(service)).await;
+        self.tell(ServiceCommand::Configure(service)).await;
     }
 
     /// Passes the number of nodes on.
     pub async fn fleet(&self, nodes: usize) {
-        self.tell(ServiceOrder::Fleet { nodes }).await;
+        self.tell(ServiceCommand::Fleet { nodes }).await;
     }
 
     /// Reads how this node sees each upstream.
     pub async fn views(&self) -> BTreeMap<ids::UpstreamId, MemberView> {
         let (reply, answer) = oneshot::channel();
-        self.tell(ServiceOrder::Views(reply)).await;
+        self.tell(ServiceCommand::Views(reply)).await;
         answer.await.unwrap_or_default()
     }
 
-    async fn tell(&self, order: ServiceOrder) {
-        let _ = self.orders.send(order).await;
+    async fn tell(&self, command: ServiceCommand) {
+        let _ = self.commands.send(command).await;
     }
 }
 
 /// A request's place in its workspace; dropping it leaves.
 #[derive(Debug)]
-pub struct WorkspacePass {
+pub struct WorkspacePermit {
     workspace: ids::WorkspaceId,
-    notes: mpsc::UnboundedSender<FlightNote>,
+    events: mpsc::UnboundedSender<FlightEvent>,
 }
 
-impl Drop for WorkspacePass {
+impl Drop for WorkspacePermit {
     fn drop(&mut self) {
         let _ = self
-            .notes
-            .send(FlightNote::LeaveWorkspace(self.workspace.clone()));
+            .events
+            .send(FlightEvent::LeaveWorkspace(self.workspace.clone()));
     }
 }
 
@@ -200,7 +204,7 @@
     pub(super) pool: ConnectionPool,
     pub(super) hedge_delay: Option<Duration>,
     pub(super) overdue: Duration,
-    pub(super) notes: mpsc::UnboundedSender<FlightNote>,
+    pub(super) events: mpsc::UnboundedSender<FlightEvent>,
     pub(super) ended: bool,
 }
 
@@ -241,12 +245,12 @@
 
     /// Notes that the connection may have fallen silent.
     pub fn suspect(&self) {
-        let _ = self.notes.send(FlightNote::Suspect(self.grant.ticket));
+        let _ = self.events.send(FlightEvent::Suspect(self.grant.ticket));
     }
 
     /// Notes that the head of the answer arrived.
     pub fn head(&self) {
-        let _ = self.notes.send(FlightNote::Head(self.grant.ticket));
+        let _ = self.events.send(FlightEvent::Head(self.grant.ticket));
     }
 
     /// Ends the attempt.
@@ -256,7 +260,7 @@
 
     fn send_end(&mut self, end: AttemptEnd) {
         self.ended = true;
-        let _ = self.notes.send(FlightNote::End(self.grant.ticket, end));
+        let _ = self.events.send(FlightEvent::End(self.grant.ticket, end));
     }
 }
 
--- a/crates/upstream/src/service/mod.rs
+++ b/crates/upstream/src/service/mod.rs
@@ -1,9 +1,9 @@
-//! A task for each service that owns its board.
+//! A task for each service that owns its balancer.
 
 mod directory;
 mod handle;
 mod task;
 
 pub use directory::{ServiceDirectory, ServiceSink};
-pub use handle::{AttemptLease, ServiceHandle, WorkspacePass};
+pub use handle::{AttemptLease, ServiceHandle, WorkspacePermit};
 pub use task::{DrainSink, ServiceSettings, start};
--- a/crates/upstream/src/service/task.rs
+++ b/crates/upstream/src/service/task.rs
@@ -1,4 +1,4 @@
-//! The task that owns the board of one service.
+//! The task that owns the balancer of one service.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -8,19 +8,19 @@
 use model::error::ErrorKind;
 use model::{config, ids};
 use policy::detection::EvidenceReport;
-use policy::limit::WaitingLine;
-use policy::service::{self, Admission, Ask, Grant, ServiceBoard};
+use policy::limit::RequestQueue;
+use policy::service::{self, Admission, Ask, Grant, ServiceBalancer};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{self, Instant};
 
-use super::handle::{AttemptLease, FlightNote, ServiceHandle, ServiceOrder};
+use super::handle::{AttemptLease, FlightEvent, ServiceCommand, ServiceHandle};
 use crate::pool::ConnectionPool;
 
 /// Orders that wait for the task; senders wait when it is full.
-const ORDERS_MAX: usize = 1024;
+const COMMANDS_MAX: usize = 1024;
 /// Notes that are taken in one go.
-const NOTES_BATCH: usize = 64;
-/// How often the board looks at requests in flight.
+const EVENTS_BATCH: usize = 64;
+/// How often the balancer looks at requests in flight.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Takes the name of a service and of its upstream that drains.
@@ -37,7 +37,7 @@
     pub seed: u64,
     /// Takes evidence that is due.
     pub evidence: Arc<dyn Fn(EvidenceReport) + Send + Sync>,
-    /// Takes news of a drain that this node saw first.
+    /// Takes update of a drain that this node saw first.
     pub drains: DrainSink,
 }
 
@@ -51,51 +51,51 @@
 
 struct ServiceTask {
     settings: ServiceSettings,
-    board: ServiceBoard,
-    line: WaitingLine<Waiter>,
+    balancer: ServiceBalancer,
+    queue: RequestQueue<Waiter>,
     pools: HashMap<SocketAddr, ConnectionPool>,
-    notes: mpsc::UnboundedSender<FlightNote>,
+    events: mpsc::UnboundedSender<FlightEvent>,
     nodes: usize,
 }
 
 /// Starts the task of a service; it ends with the last handle.
 pub fn start(settings: ServiceSettings, service: Arc<config::Service>) -> ServiceHandle {
-    let (orders, inbox) = mpsc::channel(ORDERS_MAX);
-    let (notes, note_inbox) = mpsc::unbounded_channel();
-    let line = WaitingLine::new(service.queue);
+    let (commands, inbox) = mpsc::channel(COMMANDS_MAX);
+    let (events, event_inbox) = mpsc::unbounded_channel();
+    let queue = RequestQueue::new(service.queue);
     let now = Instant::now();
-    let board = ServiceBoard::new(now, service, settings.home.clone(), settings.seed);
+    let balancer = ServiceBalancer::new(now, service, settings.home.clone(), settings.seed);
     let pools = HashMap::new();
     let mut task = ServiceTask {
         settings,
-        board,
-        line,
+        balancer,
+        queue,
         pools,
-        notes: notes.clone(),
+        events: events.clone(),
         nodes: 1,
     };
     task.sync_pools();
-    tokio::spawn(task.run(inbox, note_inbox));
-    ServiceHandle { orders, notes }
+    tokio::spawn(task.run(inbox, event_inbox));
+    ServiceHandle { commands, events }
 }
 
 impl ServiceTask {
     async fn run(
         mut self,
-        mut inbox: mpsc::Receiver<ServiceOrder>,
-        mut note_inbox: mpsc::UnboundedReceiver<FlightNote>,
+        mut inbox: mpsc::Receiver<ServiceCommand>,
+        mut event_inbox: mpsc::UnboundedReceiver<FlightEvent>,
     ) {
         let mut next_tick = Instant::now();
-        let mut notes = Vec::with_capacity(NOTES_BATCH);
+        let mut events = Vec::with_capacity(EVENTS_BATCH);
         loop {
             tokio::select! {
-                _ = note_inbox.recv_many(&mut notes, NOTES_BATCH) => {
-                    notes.drain(..).for_each(|note| self.take_note(note));
-                    self.serve_line();
+                _ = event_inbox.recv_many(&mut events, EVENTS_BATCH) => {
+                    events.drain(..).for_each(|event| self.take_event(event));
+                    self.serve_queue();
                 }
-                order = inbox.recv() => {
-                    let Some(order) = order else { return };
-                    self.take_order(order);
+                command = inbox.recv() => {
+                    let Some(command) = command else { return };
+                    self.take_command(command);
                 }
                 () = time::sleep_until(next_tick), if self.needs_tick() => {
                     self.tick();
@@ -107,34 +107,34 @@
 
     /// An idle service costs no wake-ups.
     fn needs_tick(&self) -> bool {
-        !self.line.is_empty() || self.board.needs_tick()
+        !self.queue.is_empty() || self.balancer.needs_tick()
     }
 
     fn tick(&mut self) {
         let now = Instant::now();
-        for waiter in self.line.expire(now + self.board.time_needed()) {
+        for waiter in self.queue.expire(now + self.balancer.time_needed()) {
             let _ = waiter.reply.send(Err(ErrorKind::DeadlineUnsent));
         }
-        if let Some(report) = self.board.tick(now) {
+        if let Some(report) = self.balancer.tick(now) {
             (self.settings.evidence)(report);
         }
-        self.serve_line();
+        self.serve_queue();
     }
 
-    fn take_note(&mut self, note: FlightNote) {
+    fn take_event(&mut self, event: FlightEvent) {
         let now = Instant::now();
-        match note {
-            FlightNote::Suspect(ticket) => self.board.suspect(ticket),
-            FlightNote::Head(ticket) => self.board.head(now, ticket),
-            FlightNote::End(ticket, end) => self.board.finish(now, ticket, end),
-            FlightNote::LeaveWorkspace(workspace) => self.board.leave_workspace(&workspace),
+        match event {
+            FlightEvent::Suspect(ticket) => self.balancer.suspect(ticket),
+            FlightEvent::Head(ticket) => self.balancer.head(now, ticket),
+            FlightEvent::End(ticket, end) => self.balancer.finish(now, ticket, end),
+            FlightEvent::LeaveWorkspace(workspace) => self.balancer.leave_workspace(&workspace),
         }
     }
 
-    fn take_order(&mut self, order: ServiceOrder) {
+    fn take_command(&mut self, command: ServiceCommand) {
         let now = Instant::now();
-        match order {
-            ServiceOrder::Admit {
+        match command {
+            ServiceCommand::Admit {
                 ask,
                 deadline,
                 reply,
@@ -148,52 +148,54 @@
                     },
                 );
             }
-            ServiceOrder::Enter { workspace, reply } => {
-                let entered = self.board.enter_workspace(&workspace.id, workspace.limit);
+            ServiceCommand::Enter { workspace, reply } => {
+                let entered = self
+                    .balancer
+                    .enter_workspace(&workspace.id, workspace.limit);
                 let unheard = reply.send(entered).is_err();
                 if unheard && entered {
-                    self.board.leave_workspace(&workspace.id);
+                    self.balancer.leave_workspace(&workspace.id);
                 }
             }
-            ServiceOrder::Retry { case, reply } => {
-                let _ = reply.send(self.board.decide_retry(&case));
+            ServiceCommand::Retry { case, reply } => {
+                let _ = reply.send(self.balancer.decide_retry(&case));
             }
-            ServiceOrder::Verdict { upstream, verdict } => {
-                self.board.take_verdict(now, &upstream, &verdict);
+            ServiceCommand::Verdict { upstream, verdict } => {
+                self.balancer.take_verdict(now, &upstream, &verdict);
             }
-            ServiceOrder::Tempo(tempo) => self.board.take_tempo(&tempo),
-            ServiceOrder::Record(record) => self.board.take_record(now, &record),
-            ServiceOrder::Drain(upstream) => self.take_drain(now, &upstream),
-            ServiceOrder::Load { upstream, load } => self.board.take_load(&upstream, load),
-            ServiceOrder::Witness { upstream, good } => {
-                self.board.take_witness(now, &upstream, good);
+            ServiceCommand::Estimate(estimate) => self.balancer.take_estimate(&estimate),
+            ServiceCommand::Record(record) => self.balancer.take_record(now, &record),
+            ServiceCommand::Drain(upstream) => self.take_drain(now, &upstream),
+            ServiceCommand::Load { upstream, load } => self.balancer.take_load(&upstream, load),
+            ServiceCommand::Outcome { upstream, good } => {
+                self.balancer.take_outcome(now, &upstream, good);
             }
-            ServiceOrder::Configure(service) => self.configure(now, service),
-            ServiceOrder::Fleet { nodes } => self.set_fleet(nodes),
-            ServiceOrder::Views(reply) => {
-                let _ = reply.send(self.board.views());
+            ServiceCommand::Configure(service) => self.configure(now, service),
+            ServiceCommand::Fleet { nodes } => self.set_fleet(nodes),
+            ServiceCommand::Views(reply) => {
+                let _ = reply.send(self.balancer.views());
             }
         }
     }
 
     fn configure(&mut self, now: Instant, service: Arc<config::Service>) {
-        self.board.configure(now, service);
+        self.balancer.configure(now, service);
         self.sync_pools();
         self.set_fleet(self.nodes);
     }
 
     fn set_fleet(&mut self, nodes: usize) {
         self.nodes = nodes;
-        self.board
+        self.balancer
             .set_fleet_size(u32::try_from(nodes).unwrap_or(u32::MAX));
         let ServiceSettings { node, home, .. } = &self.settings;
-        let subset = service::choose_subset(node, home, self.board.service(), nodes);
-        self.board.set_subset(&subset);
+        let subset = service::choose_subset(node, home, self.balancer.service(), nodes);
+        self.balancer.set_subset(&subset);
     }
 
     /// Keeps a pool for each upstream; a dropped pool closes its idle connections.
     fn sync_pools(&mut self) {
-        let service = self.board.service();
+        let service = self.balancer.service();
         let active = service
             .upstreams
             .iter()
@@ -208,21 +210,21 @@
     }
 
     fn take_drain(&mut self, now: Instant, upstream: &ids::UpstreamId) {
-        if self.board.take_drain(now, upstream) {
-            let service = self.board.service().id.clone();
+        if self.balancer.take_drain(now, upstream) {
+            let service = self.balancer.service().id.clone();
             log::info!(target: "upstream", "{upstream} of {service} drains.");
             (self.settings.drains)(&service, upstream);
         }
     }
 
     fn admit(&mut self, now: Instant, waiter: Waiter) {
-        match self.board.admit(now, &waiter.ask) {
+        match self.balancer.admit(now, &waiter.ask) {
             Admission::Go(grant) => self.hand_over(now, grant, waiter.reply),
             Admission::Refuse(kind) => {
                 let _ = waiter.reply.send(Err(kind));
             }
             Admission::Wait => {
-                if let Some(dropped) = self.line.push(waiter.deadline, waiter) {
+                if let Some(dropped) = self.queue.push(waiter.deadline, waiter) {
                     let _ = dropped.reply.send(Err(ErrorKind::Overload));
                 }
             }
@@ -238,25 +240,25 @@
             .or_insert_with(|| ConnectionPool::start(address));
         let lease = AttemptLease {
             grant,
-            service: Arc::clone(self.board.service()),
+            service: Arc::clone(self.balancer.service()),
             pool: pool.clone(),
-            hedge_delay: self.board.hedge_delay(),
-            overdue: self.board.overdue_bound(),
-            notes: self.notes.clone(),
+            hedge_delay: self.balancer.hedge_delay(),
+            overdue: self.balancer.overdue_bound(),
+            events: self.events.clone(),
             ended: false,
         };
         if let Err(Ok(mut lease)) = reply.send(Ok(lease)) {
             lease.ended = true;
-            self.board
+            self.balancer
                 .finish(now, ticket, policy::retry::AttemptEnd::Withdrawn);
         }
     }
 
     /// Lets waiters in while there is room.
-    fn serve_line(&mut self) {
+    fn serve_queue(&mut self) {
         let now = Instant::now();
-        while !self.line.is_empty() {
-            let released = self.line.pop(now + self.board.time_needed());
+        while !self.queue.is_empty() {
+            let released = self.queue.pop(now + self.balancer.time_needed());
             for waiter in released.expired {
                 let _ = waiter.reply.send(Err(ErrorKind::DeadlineUnsent));
             }
@@ -264,12 +266,12 @@
             if waiter.reply.is_closed() {
                 continue;
             }
-            match self.board.admit(now, &waiter.ask) {
+            match self.balancer.admit(now, &waiter.ask) {
                 Admission::Go(grant) => self.hand_over(now, grant, waiter.reply),
                 Admission::Refuse(kind) => {
                     let _ = waiter.reply.send(Err(kind));
                 }
-                Admission::Wait => return self.line.push_front(waiter.deadline, waiter),
+                Admission::Wait => return self.queue.push_front(waiter.deadline, waiter),
             }
         }
     }
--- a/testing/lab/src/config.rs
+++ b/testing/lab/src/config.rs
@@ -4,8 +4,8 @@
 
 use model::config::{RepeatRule, Route};
 use operator::change::ConfigStep;
-use scene::stage::name;
-use scene::{Scene, ScenePlan, ServicePlan};
+use testbed::fleet::name;
+use testbed::{ServicePlan, Testbed, TestbedPlan};
 use tokio::time::{self, Instant};
 
 use crate::report::{Bound, Report, Row, figure, quantile};
@@ -28,26 +28,26 @@
     let changes = settings.seconds.max(3);
     let mut costs = Vec::new();
     for nodes in SIZES {
-        let plan = ScenePlan {
+        let plan = TestbedPlan {
             seed: settings.seed,
-            ..ScenePlan::three_centres(nodes, vec![ServicePlan::lookups("view", "/view", 3)])
+            ..TestbedPlan::three_centres(nodes, vec![ServicePlan::lookups("view", "/view", 3)])
         };
-        let scene = Scene::start(plan).await?;
+        let testbed = Testbed::start(plan).await?;
         time::sleep(SETTLE).await;
         report.progress(&format!("{} nodes, whole links", nodes * 3));
-        costs.push(measure(&mut report, &scene, nodes, changes, "whole links").await?);
-        scene.platform_links[&name("ikeja")].change(|faults| faults.drop_back = true);
+        costs.push(measure(&mut report, &testbed, nodes, changes, "whole links").await?);
+        testbed.platform_links[&name("ikeja")].change(|faults| faults.drop_back = true);
         time::sleep(Duration::from_secs(1)).await;
         report.progress(&format!("{} nodes, one link cut one way", nodes * 3));
         measure(
             &mut report,
-            &scene,
+            &testbed,
             nodes,
             changes,
             "one data centre's link cut one way",
         )
         .await?;
-        for entry in std::mem::take(&mut { scene }.entries).into_values() {
+        for entry in std::mem::take(&mut { testbed }.entries).into_values() {
             entry.kill();
         }
     }
@@ -65,15 +65,15 @@
 /// Makes changes one after the other; returns the platform calls for each.
 async fn measure(
     report: &mut Report,
-    scene: &Scene,
+    testbed: &Testbed,
     nodes: usize,
     changes: u64,
     links: &str,
 ) -> std::io::Result<f64> {
-    let steady = calls(scene).await;
+    let steady = calls(testbed).await;
     time::sleep(QUIET).await;
-    let steady = (calls(scene).await - steady) / QUIET.as_secs_f64();
-    let before = calls(scene).await;
+    let steady = (calls(testbed).await - steady) / QUIET.as_secs_f64();
+    let before = calls(testbed).await;
     let started = Instant::now();
     let mut spans = Vec::new();
     for number in 0..changes {
@@ -85,16 +85,16 @@
             service: name("view"),
             repeat: RepeatRule::SafeMethods,
         };
-        let accepted = scene
+        let accepted = testbed
             .change(ConfigStep::PutRoute(route))
             .await
             .map_err(std::io::Error::other)?;
-        let waited = scene.wait_generation(accepted.generation).await?;
+        let waited = testbed.wait_generation(accepted.generation).await?;
         spans.push(waited.as_secs_f64());
         time::sleep(Duration::from_millis(200)).await;
     }
     let spent = started.elapsed().as_secs_f64();
-    let each = (calls(scene).await - before - steady * spent) / figure(changes);
+    let each = (calls(testbed).await - before - steady * spent) / figure(changes);
     spans.sort_by(f64::total_cmp);
     let mut row = |metric, unit, value, bound| {
         let case = format!("{} nodes, {links}", nodes * 3);
@@ -129,6 +129,6 @@
     Ok(each)
 }
 
-async fn calls(scene: &Scene) -> f64 {
-    figure(scene.platform.calls().await.values().sum())
+async fn calls(testbed: &Testbed) -> f64 {
+    figure(testbed.platform.calls().await.values().sum())
 }
--- a/testing/lab/src/control.rs
+++ b/testing/lab/src/control.rs
@@ -12,11 +12,11 @@
     ClaimKey, ClaimRecord, ClaimState, SHARDS, Segment, SegmentNumber, ShardBatcher, ShardId,
     StoredSegment,
 };
-use policy::detection::{EvidenceCount, EvidenceReport, ServiceJudge};
+use policy::detection::{EvidenceCount, EvidenceReport, OutlierDetector};
 use policy::membership::{Member, MemberTable};
 use policy::routing::RouteTable;
-use policy::service::ServiceBoard;
-use scene::{Scene, ScenePlan, ServicePlan};
+use policy::service::ServiceBalancer;
+use testbed::{ServicePlan, Testbed, TestbedPlan};
 use tokio::time::{self, Instant};
 
 use crate::load::{processor_time, resident_bytes};
@@ -39,8 +39,8 @@
 const BYTES_MAX: f64 = 15_000.0;
 /// Bytes of headers and acknowledgements around one message between nodes.
 const MESSAGE_OVERHEAD: f64 = 150.0;
-/// How long the collectors' seats hold.
-const SEATS_SECONDS: f64 = 10.0;
+/// How long the collectors' assignment hold.
+const ASSIGNMENT_SECONDS: f64 = 10.0;
 /// Data centres that probe an upstream, and how often each does.
 const PROBING_CENTRES: f64 = 3.0;
 const PROBE_SECONDS: f64 = 3.0;
@@ -147,7 +147,7 @@
         .unwrap_or_else(|_| unreachable!("names of the lab are names"))
 }
 
-/// Memory of the configuration with its routes, chunks and boards; returns megabytes at the target.
+/// Memory of the configuration with its routes, chunks and balancers; returns megabytes at the target.
 fn measure_memory(sink: &mut Sink<'_>) -> f64 {
     let mut held = Vec::new();
     let mut grow = |metric, count: usize, build: &dyn Fn() -> Box<dyn std::any::Any>| {
@@ -171,18 +171,18 @@
     let workspaces = grow("memory of a workspace", WORKSPACES, &|| {
         Box::new(sample(0, 0, WORKSPACES))
     });
-    let boards = grow("memory of a service's board", SERVICES, &|| {
+    let balancers = grow("memory of a service's balancer", SERVICES, &|| {
         let now = Instant::now();
         let services = sample(SERVICES, 0, 0).services;
-        let boards = services
+        let balancers = services
             .values()
-            .map(|service| ServiceBoard::new(now, Arc::clone(service), parse("centre-0"), 1));
-        Box::new(boards.collect::<Vec<_>>())
+            .map(|service| ServiceBalancer::new(now, Arc::clone(service), parse("centre-0"), 1));
+        Box::new(balancers.collect::<Vec<_>>())
     });
     let pieces = grow("memory of a service in stored chunks", SERVICES, &|| {
         Box::new(sample(SERVICES, ROUTES, WORKSPACES).split())
     });
-    services + routes + workspaces + boards + pieces
+    services + routes + workspaces + balancers + pieces
 }
 
 /// What claims cost.
@@ -237,7 +237,7 @@
 struct Steps {
     report: f64,
     observe: f64,
-    seats: f64,
+    assignment: f64,
     rebuild: f64,
     /// Bytes of a report.
     bytes: f64,
@@ -277,21 +277,21 @@
     let Some(service) = service else {
         unreachable!("the sample has one service")
     };
-    let mut judge = ServiceJudge::new(Instant::now(), service, 7);
+    let mut detector = OutlierDetector::new(Instant::now(), service, 7);
     let observe = timed(REPEATS, || {
-        judge.observe(Instant::now(), &report);
+        detector.observe(Instant::now(), &report);
     });
     let decide = timed(REPEATS / 10, || {
-        assert!(judge.decide(Instant::now()).is_empty());
+        assert!(detector.decide(Instant::now()).is_empty());
     });
     sink.slope("judging a report", "us", observe);
     sink.slope("deciding over one service", "us", decide);
     let table = members(580);
     let near: Vec<_> = table.able(Instant::now()).into_iter().take(83).collect();
-    let seats = timed(200, || {
+    let assignment = timed(200, || {
         assert!(MemberTable::collector_among(&parse("service-0000"), &near).is_some());
     });
-    sink.slope("drawing the collector of one service", "us", seats);
+    sink.slope("drawing the collector of one service", "us", assignment);
     let config = sample(SERVICES, ROUTES, WORKSPACES);
     let rebuild = timed(5, || {
         let table = RouteTable::build(&config);
@@ -302,7 +302,7 @@
     Steps {
         report: coded,
         observe: observe + decide,
-        seats,
+        assignment,
         rebuild,
         bytes: figure(bytes as u64),
     }
@@ -330,15 +330,15 @@
 
 /// Processor time of one probe in microseconds, both ends counted.
 async fn measure_probe(sink: &mut Sink<'_>) -> std::io::Result<f64> {
-    let scene = Scene::start(ScenePlan::small(vec![ServicePlan::lookups(
+    let testbed = Testbed::start(TestbedPlan::small(vec![ServicePlan::lookups(
         "view", "/view", 1,
     )]))
     .await?;
-    let address = scene.upstream("view-0").standin.address();
+    let address = testbed.upstream("view-0").standin.address();
     let before = processor_time();
     for _ in 0..PROBES {
-        let request = scene::ClientRequest::get("/healthz");
-        scene::CallerClient::new(address).call(request).await;
+        let request = testbed::ClientRequest::get("/healthz");
+        testbed::CallerClient::new(address).call(request).await;
     }
     let spent = processor_time().saturating_sub(before).as_secs_f64() * 1e6 / f64::from(PROBES);
     sink.slope("probing an upstream over a new connection", "us", spent);
@@ -361,25 +361,25 @@
     let span = Duration::from_secs(settings.seconds.clamp(4, 60));
     let mut seen: Vec<Idle> = Vec::new();
     for nodes in [4, 16] {
-        let plan = ScenePlan {
+        let plan = TestbedPlan {
             seed: settings.seed,
-            ..ScenePlan::three_centres(nodes, vec![ServicePlan::lookups("view", "/view", 3)])
+            ..TestbedPlan::three_centres(nodes, vec![ServicePlan::lookups("view", "/view", 3)])
         };
         let memory = resident_bytes();
-        let scene = Scene::start(plan).await?;
+        let testbed = Testbed::start(plan).await?;
         time::sleep(Duration::from_secs(8)).await;
         let count = figure(nodes as u64 * 3);
         let (processor, bytes, calls) = (
             processor_time(),
-            sent_bytes(&scene),
-            scene.platform.calls().await,
+            sent_bytes(&testbed),
+            testbed.platform.calls().await,
         );
         time::sleep(span).await;
         let seconds = span.as_secs_f64();
         let core =
             processor_time().saturating_sub(processor).as_secs_f64() / seconds / count * 100.0;
-        let bytes = (sent_bytes(&scene) - bytes) / seconds / count;
-        let after: u64 = scene.platform.calls().await.values().sum();
+        let bytes = (sent_bytes(&testbed) - bytes) / seconds / count;
+        let after: u64 = testbed.platform.calls().await.values().sum();
         let calls = figure(after - calls.values().sum::<u64>()) / seconds;
         let memory = figure(resident_bytes().saturating_sub(memory)) / 1e6 / count;
         let case = format!("idle fleet of {count} nodes");
@@ -411,8 +411,8 @@
             calls,
             peer_memory: memory / count,
         });
-        let mut scene = scene;
-        for entry in std::mem::take(&mut scene.entries).into_values() {
+        let mut testbed = testbed;
+        for entry in std::mem::take(&mut testbed.entries).into_values() {
             entry.kill();
         }
     }
@@ -420,8 +420,8 @@
     last.ok_or_else(|| std::io::Error::other("no fleet was measured"))
 }
 
-fn sent_bytes(scene: &Scene) -> f64 {
-    let totals = scene.entries.values().map(|entry| {
+fn sent_bytes(testbed: &Testbed) -> f64 {
+    let totals = testbed.entries.values().map(|entry| {
         let text = entry.metrics();
         let lines = text
             .lines()
@@ -482,11 +482,11 @@
     let exchanged = services_here * (CENTRES - 1.0) / 2.0;
     let reports = outcomes * 2.0 + exchanged * 2.0;
     let drawn = figure(SERVICES as u64) + services_here * (CENTRES - 1.0);
-    let seats = drawn * steps.seats / SEATS_SECONDS;
+    let assignment = drawn * steps.assignment / ASSIGNMENT_SECONDS;
     let rebuild = steps.rebuild * CHANGES_PER_DAY / SECONDS_PER_DAY;
     let probes =
         figure((SERVICES * UPSTREAMS_EACH) as u64) * PROBING_CENTRES / NODES / PROBE_SECONDS;
-    let micros = reports * (steps.report + steps.observe) + seats + rebuild + probes * probe;
+    let micros = reports * (steps.report + steps.observe) + assignment + rebuild + probes * probe;
     let core = idle.core + micros / 1e6 * 100.0;
     sink.add(
         case,
--- a/testing/lab/src/detect/baselines.rs
+++ b/testing/lab/src/detect/baselines.rs
@@ -7,7 +7,7 @@
 use policy::retry::AttemptEnd;
 use tokio::time::Instant;
 
-use super::subject::{Deeds, Flight, Subject};
+use super::subject::{Actions, Flight, Subject};
 use super::world::RunPlan;
 
 /// Failures in a row after which a node ejects an upstream.
@@ -60,7 +60,7 @@
     cells: Vec<Vec<Cell>>,
     turns: Vec<usize>,
     slots: u32,
-    deeds: Deeds,
+    actions: Actions,
 }
 
 /// Builds a subject whose nodes decide alone.
@@ -80,13 +80,13 @@
         cells: vec![vec![cell; upstreams]; plan.deployment.nodes],
         turns: (0..plan.deployment.nodes).collect(),
         slots: plan.deployment.slots,
-        deeds: Deeds {
+        actions: Actions {
             least_slots: total,
-            ..Deeds::default()
+            ..Actions::default()
         },
     }));
     let (choose, finish, probe) = (Rc::clone(&nodes), Rc::clone(&nodes), Rc::clone(&nodes));
-    let (tick, shuns, deeds) = (Rc::clone(&nodes), Rc::clone(&nodes), nodes);
+    let (tick, avoids, actions) = (Rc::clone(&nodes), Rc::clone(&nodes), nodes);
     Subject {
         choose: Box::new(move |_, node, _| Some(choose.borrow_mut().choose(node))),
         finish: Box::new(move |now, node, flight, end| {
@@ -94,17 +94,17 @@
             let ejects = on_end(&mut nodes.cells[node][flight.upstream].row, end, node);
             nodes.eject_if(now, node, flight.upstream, ejects);
         }),
-        probe: Box::new(move |now, news| {
+        probe: Box::new(move |now, update| {
             let mut nodes = probe.borrow_mut();
-            let row = &mut nodes.cells[news.node][news.upstream].probe_row;
-            let ejects = on_probe(row, news.healthy);
-            nodes.eject_if(now, news.node, news.upstream, ejects);
+            let row = &mut nodes.cells[update.node][update.upstream].probe_row;
+            let ejects = on_probe(row, update.healthy);
+            nodes.eject_if(now, update.node, update.upstream, ejects);
         }),
         tick: Box::new(move |now| tick.borrow_mut().bring_back(now)),
-        shuns: Box::new(move |node, upstream| {
-            shuns.borrow().cells[node][upstream].out_until.is_some()
+        avoids: Box::new(move |node, upstream| {
+            avoids.borrow().cells[node][upstream].out_until.is_some()
         }),
-        deeds: Box::new(move || deeds.borrow().deeds.clone()),
+        actions: Box::new(move || actions.borrow().actions.clone()),
     }
 }
 
@@ -138,8 +138,8 @@
         };
         let left = cells.iter().filter(|cell| cell.out_until.is_none()).count();
         let slots = u32::try_from(left).unwrap_or(0) * self.slots;
-        self.deeds.ejected.push(upstream);
-        self.deeds.least_slots = self.deeds.least_slots.min(slots);
+        self.actions.ejected.push(upstream);
+        self.actions.least_slots = self.actions.least_slots.min(slots);
     }
 
     fn bring_back(&mut self, now: Instant) {
--- a/testing/lab/src/detect/ours.rs
+++ b/testing/lab/src/detect/ours.rs
@@ -1,4 +1,4 @@
-//! Our own way: the boards, the judges and the ejection record, with the messages between them.
+//! Our own way: the balancers, the detectors and the ejection record, with the messages between them.
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -10,19 +10,19 @@
 use model::config::Service;
 use model::{ids, sizes};
 use policy::detection::{
-    EvidenceCount, EvidenceReport, ServiceJudge, ServiceTempo, Verdict, VerdictChange,
+    EvidenceCount, EvidenceReport, OutlierDetector, ServiceLatency, Verdict, VerdictChange,
 };
 use policy::ejection::{EjectionPlan, EjectionRecord, PlanInput};
 use policy::retry::AttemptEnd;
-use policy::service::{Admission, Ask, Purpose, ServiceBoard, Standing, TicketKey};
+use policy::service::{Admission, Ask, Purpose, ServiceBalancer, TicketKey, UpstreamStatus};
 use tokio::time::Instant;
 
-use super::subject::{Deeds, Flight, Subject};
+use super::subject::{Actions, Flight, Subject};
 use super::world::RunPlan;
 
 /// Time of a message within a data centre.
 const NEAR: Duration = Duration::from_millis(1);
-/// How often boards and collectors look at the time.
+/// How often balancers and collectors look at the time.
 const WORK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time from a proposal until the record is written and told to every node.
 const RECORD_DELAY: Duration = Duration::from_millis(60);
@@ -34,15 +34,15 @@
 enum Message {
     ToCollector(usize, EvidenceReport),
     ToNodes(usize, VerdictChange),
-    Tempo(usize, ServiceTempo),
+    Estimate(usize, ServiceLatency),
     Propose(usize),
     Record(EjectionRecord),
 }
 
 struct Fleet {
     service: Arc<Service>,
-    boards: Vec<ServiceBoard>,
-    judges: Vec<ServiceJudge>,
+    balancers: Vec<ServiceBalancer>,
+    detectors: Vec<OutlierDetector>,
     sums: Vec<Option<EvidenceReport>>,
     urgent: Vec<bool>,
     mail: Vec<(Instant, Message)>,
@@ -54,7 +54,7 @@
     worked: Instant,
     refreshed: Instant,
     exchanged: Instant,
-    deeds: Deeds,
+    actions: Actions,
     index: BTreeMap<ids::UpstreamId, usize>,
 }
 
@@ -62,7 +62,7 @@
 pub(super) fn build(plan: &RunPlan) -> Subject {
     let fleet = Rc::new(RefCell::new(Fleet::new(plan)));
     let (choose, finish, tick) = (Rc::clone(&fleet), Rc::clone(&fleet), Rc::clone(&fleet));
-    let (shuns, deeds) = (Rc::clone(&fleet), fleet);
+    let (avoids, actions) = (Rc::clone(&fleet), fleet);
     Subject {
         choose: Box::new(move |now, node, repeatable| {
             choose.borrow_mut().choose(now, node, repeatable)
@@ -72,8 +72,8 @@
         }),
         probe: Box::new(|_, _| {}),
         tick: Box::new(move |now| tick.borrow_mut().tick(now)),
-        shuns: Box::new(move |node, upstream| shuns.borrow().shuns(node, upstream)),
-        deeds: Box::new(move || deeds.borrow().deeds.clone()),
+        avoids: Box::new(move |node, upstream| avoids.borrow().avoids(node, upstream)),
+        actions: Box::new(move || actions.borrow().actions.clone()),
     }
 }
 
@@ -82,14 +82,14 @@
         let now = Instant::now();
         let service = plan.service();
         let nodes = plan.deployment.nodes;
-        let boards = (0..nodes).map(|node| {
+        let balancers = (0..nodes).map(|node| {
             let seed = plan.seed ^ (node as u64) << 16;
             let centre = plan.centre_of_node(node);
-            let mut board = ServiceBoard::new(now, Arc::clone(&service), centre, seed);
-            board.set_fleet_size(u32::try_from(nodes).unwrap_or(u32::MAX));
-            board
+            let mut balancer = ServiceBalancer::new(now, Arc::clone(&service), centre, seed);
+            balancer.set_fleet_size(u32::try_from(nodes).unwrap_or(u32::MAX));
+            balancer
         });
-        let judges = (0..3).map(|_| ServiceJudge::new(now, Arc::clone(&service), 3));
+        let detectors = (0..3).map(|_| OutlierDetector::new(now, Arc::clone(&service), 3));
         let total: u32 = service.upstreams.iter().map(|up| up.slots.get()).sum();
         let index = service
             .upstreams
@@ -97,8 +97,8 @@
             .enumerate()
             .map(|(i, up)| (up.id.clone(), i));
         Self {
-            boards: boards.collect(),
-            judges: judges.collect(),
+            balancers: balancers.collect(),
+            detectors: detectors.collect(),
             sums: vec![None, None, None],
             urgent: vec![false; 3],
             mail: Vec::new(),
@@ -110,9 +110,9 @@
             worked: now,
             refreshed: now,
             exchanged: now,
-            deeds: Deeds {
+            actions: Actions {
                 least_slots: total,
-                ..Deeds::default()
+                ..Actions::default()
             },
             index: index.collect(),
             service,
@@ -125,7 +125,7 @@
             exclude: Vec::new(),
             purpose: Purpose::First,
         };
-        let Admission::Go(grant) = self.boards[node].admit(now, &ask) else {
+        let Admission::Go(grant) = self.balancers[node].admit(now, &ask) else {
             return None;
         };
         self.count += 1;
@@ -138,13 +138,13 @@
 
     fn finish(&mut self, now: Instant, node: usize, flight: Flight, end: AttemptEnd) {
         if let Some(ticket) = self.tickets.remove(&flight.ticket) {
-            self.boards[node].finish(now, ticket, end);
+            self.balancers[node].finish(now, ticket, end);
         }
     }
 
-    fn shuns(&self, node: usize, upstream: usize) -> bool {
-        let views = self.boards[node].views();
-        views[&self.service.upstreams[upstream].id].standing != Standing::Healthy
+    fn avoids(&self, node: usize, upstream: usize) -> bool {
+        let views = self.balancers[node].views();
+        views[&self.service.upstreams[upstream].id].status != UpstreamStatus::Healthy
     }
 
     fn tick(&mut self, now: Instant) {
@@ -153,23 +153,24 @@
             return;
         }
         self.worked = now;
-        for node in 0..self.boards.len() {
-            if let Some(report) = self.boards[node].tick(now) {
+        for node in 0..self.balancers.len() {
+            if let Some(report) = self.balancers[node].tick(now) {
                 self.mail
                     .push((now + NEAR, Message::ToCollector(node % 3, report)));
             }
         }
         self.exchange(now);
-        for centre in 0..self.judges.len() {
-            let mut changes = self.judges[centre].decide(now);
-            if let Some(tempo) = self.judges[centre].take_tempo() {
-                self.mail.push((now + NEAR, Message::Tempo(centre, tempo)));
+        for centre in 0..self.detectors.len() {
+            let mut changes = self.detectors[centre].decide(now);
+            if let Some(estimate) = self.detectors[centre].take_estimate() {
+                self.mail
+                    .push((now + NEAR, Message::Estimate(centre, estimate)));
             }
             let avoids = changes
                 .iter()
                 .filter(|change| centre == 0 && change.verdict != Verdict::Clear);
             let avoided = avoids.map(|change| self.index[&change.upstream]);
-            self.deeds.avoided.extend(avoided);
+            self.actions.avoided.extend(avoided);
             if changes
                 .iter()
                 .any(|change| change.verdict == Verdict::Eject)
@@ -178,7 +179,7 @@
                     .push((now + RECORD_DELAY, Message::Propose(centre)));
             }
             if now.duration_since(self.refreshed) >= REFRESH_INTERVAL {
-                changes.extend(self.judges[centre].standing());
+                changes.extend(self.detectors[centre].standing());
             }
             for change in changes {
                 self.mail
@@ -229,19 +230,19 @@
         match message {
             Message::ToCollector(centre, report) => self.collect(now, centre, &report),
             Message::ToNodes(centre, change) => {
-                for node in (centre..self.boards.len()).step_by(3) {
-                    self.boards[node].take_verdict(now, &change.upstream, &change.verdict);
+                for node in (centre..self.balancers.len()).step_by(3) {
+                    self.balancers[node].take_verdict(now, &change.upstream, &change.verdict);
                 }
             }
-            Message::Tempo(centre, tempo) => {
-                for node in (centre..self.boards.len()).step_by(3) {
-                    self.boards[node].take_tempo(&tempo);
+            Message::Estimate(centre, estimate) => {
+                for node in (centre..self.balancers.len()).step_by(3) {
+                    self.balancers[node].take_estimate(&estimate);
                 }
             }
             Message::Propose(centre) => self.propose(now, centre),
             Message::Record(record) => {
-                for board in &mut self.boards {
-                    board.take_record(now, &record);
+                for balancer in &mut self.balancers {
+                    balancer.take_record(now, &record);
                 }
             }
         }
@@ -265,12 +266,12 @@
                 sum.counts.entry(id.clone()).or_default().add(*count);
             }
         }
-        self.judges[centre].observe(now, report);
+        self.detectors[centre].observe(now, report);
     }
 
     /// Works out the next record; here the update always meets the newest version.
     fn propose(&mut self, now: Instant, centre: usize) {
-        let judge = &self.judges[centre];
+        let detector = &self.detectors[centre];
         let ids: Vec<_> = self
             .service
             .upstreams
@@ -279,7 +280,7 @@
             .collect();
         let accused: Vec<_> = ids
             .iter()
-            .filter(|id| judge.verdict(id) == Verdict::Eject)
+            .filter(|id| detector.verdict(id) == Verdict::Eject)
             .cloned()
             .collect();
         let millis = u64::try_from((now - self.start).as_millis()).unwrap_or(u64::MAX);
@@ -290,19 +291,19 @@
                 generation: sizes::Generation::new(1),
                 now: UnixMillis::new(millis + 1),
                 accused: &accused,
-                proven: &|id| judge.is_proven(now, id),
-                score: &|id| judge.score(id),
+                proven: &|id| detector.is_proven(now, id),
+                score: &|id| detector.score(id),
             },
         );
         if !plan.is_needed() {
             return;
         }
         for id in &plan.reinstates {
-            for judge in &mut self.judges {
-                judge.reinstate(now, id);
+            for detector in &mut self.detectors {
+                detector.reinstate(now, id);
             }
         }
-        self.deeds
+        self.actions
             .ejected
             .extend(plan.ejects.iter().map(|id| self.index[id]));
         self.record = plan.record;
@@ -313,7 +314,7 @@
             .iter()
             .filter(|up| !gone.contains(&up.id));
         let slots = left.map(|up| up.slots.get()).sum();
-        self.deeds.least_slots = self.deeds.least_slots.min(slots);
+        self.actions.least_slots = self.actions.least_slots.min(slots);
         self.mail
             .push((now + NEAR, Message::Record(self.record.clone())));
     }
--- a/testing/lab/src/detect/subject.rs
+++ b/testing/lab/src/detect/subject.rs
@@ -14,7 +14,7 @@
 
 /// A probe's result.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct ProbeNews {
+pub(super) struct ProbeOutcome {
     pub(super) node: usize,
     pub(super) upstream: usize,
     pub(super) healthy: bool,
@@ -22,10 +22,10 @@
 
 /// What a subject did so far.
 #[derive(Debug, Clone, Default)]
-pub(super) struct Deeds {
-    /// Upstreams in the order in which they were taken out of service.
+pub(super) struct Actions {
+    /// Upstreams in the command in which they were taken out of service.
     pub(super) ejected: Vec<usize>,
-    /// Upstreams in the order in which the first data centre was told to avoid them.
+    /// Upstreams in the command in which the first data centre was told to avoid them.
     pub(super) avoided: Vec<usize>,
     /// The least slots that stayed in service at any node.
     pub(super) least_slots: u32,
@@ -38,11 +38,11 @@
     /// Takes the head of an answer or the end of a request.
     pub(super) finish: Box<dyn FnMut(Instant, usize, Flight, AttemptEnd)>,
     /// Takes a probe's result.
-    pub(super) probe: Box<dyn FnMut(Instant, ProbeNews)>,
+    pub(super) probe: Box<dyn FnMut(Instant, ProbeOutcome)>,
     /// Lets time pass.
     pub(super) tick: Box<dyn FnMut(Instant)>,
     /// Whether a node gives an upstream less than its ordinary share.
-    pub(super) shuns: Box<dyn Fn(usize, usize) -> bool>,
+    pub(super) avoids: Box<dyn Fn(usize, usize) -> bool>,
     /// Tells what it did.
-    pub(super) deeds: Box<dyn Fn() -> Deeds>,
+    pub(super) actions: Box<dyn Fn() -> Actions>,
 }
--- a/testing/lab/src/detect/world.rs
+++ b/testing/lab/src/detect/world.rs
@@ -13,7 +13,7 @@
 use tokio::time::{self, Instant};
 
 use super::script::{self, Contact, Mode};
-use super::subject::{Flight, ProbeNews, Subject};
+use super::subject::{Flight, ProbeOutcome, Subject};
 
 /// Time before the fault, in which subjects learn what is usual.
 const WARM_UP: Duration = Duration::from_secs(30);
@@ -22,7 +22,7 @@
 /// How often every upstream is probed.
 const PROBE_INTERVAL: Duration = Duration::from_secs(5);
 /// Share of the nodes that must shun an upstream for its failure to count as detected.
-const SHUN_SHARE: f64 = 0.95;
+const AVOID_SHARE: f64 = 0.95;
 
 /// The deployment that a run models.
 #[derive(Debug, Clone)]
@@ -53,7 +53,7 @@
 /// What one run showed.
 #[derive(Debug, Clone, Default)]
 pub(super) struct RunResult {
-    /// Time from the fault until nearly every node shuns the upstream.
+    /// Time from the fault until nearly every node avoids the upstream.
     pub(super) detected: Option<f64>,
     /// Requests that went to the upstream at fault after the fault began.
     pub(super) hits: u64,
@@ -248,7 +248,7 @@
                 let healthy = script::healthy_probe(self.contact(now, node, upstream));
                 (self.subject.probe)(
                     now,
-                    ProbeNews {
+                    ProbeOutcome {
                         node,
                         upstream,
                         healthy,
@@ -295,18 +295,18 @@
             return;
         }
         let nodes = self.plan.deployment.nodes;
-        let shunning = (0..nodes)
-            .filter(|node| (self.subject.shuns)(*node, self.fault))
+        let avoiding = (0..nodes)
+            .filter(|node| (self.subject.avoids)(*node, self.fault))
             .count();
         #[expect(clippy::cast_precision_loss, reason = "nodes are few")]
-        let share = shunning as f64 / nodes as f64;
-        if share >= SHUN_SHARE {
+        let share = avoiding as f64 / nodes as f64;
+        if share >= AVOID_SHARE {
             self.result.detected = Some((now - onset).as_secs_f64());
         }
     }
 
     fn close(&mut self) {
-        let deeds = (self.subject.deeds)();
+        let actions = (self.subject.actions)();
         let single = !matches!(
             self.plan.mode,
             Mode::Sound | Mode::HealthWrong | Mode::AllFail | Mode::Partition
@@ -318,9 +318,9 @@
                 .filter(|upstream| !(single && **upstream == fault));
             sound.count() as u64
         };
-        self.result.false_ejections = wrong(&deeds.ejected);
-        self.result.false_avoids = wrong(&deeds.avoided);
-        self.result.ejected = single && deeds.ejected.contains(&fault);
-        self.result.least_slots = deeds.least_slots;
+        self.result.false_ejections = wrong(&actions.ejected);
+        self.result.false_avoids = wrong(&actions.avoided);
+        self.result.ejected = single && actions.ejected.contains(&fault);
+        self.result.least_slots = actions.least_slots;
     }
 }
--- a/testing/lab/src/load.rs
+++ b/testing/lab/src/load.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
-use scene::{CallerClient, ClientAnswer, ClientRequest};
+use testbed::{CallerClient, ClientAnswer, ClientRequest};
 use tokio::sync::mpsc;
 use tokio::time::{self, Instant};
 
@@ -63,7 +63,7 @@
     pub(crate) rate: f64,
     pub(crate) span: Duration,
     pub(crate) connections: usize,
-    pub(crate) patience: Duration,
+    pub(crate) timeout: Duration,
 }
 
 impl OpenLoop {
@@ -81,7 +81,7 @@
             let due = start + Duration::from_secs_f64(crate::report::figure(number) / self.rate);
             time::sleep_until(due).await;
             let request = ClientRequest {
-                patience: self.patience,
+                timeout: self.timeout,
                 ..build(number)
             };
             let address =
--- a/testing/lab/src/once_only/world/claims.rs
+++ b/testing/lab/src/once_only/world/claims.rs
@@ -3,13 +3,13 @@
 use model::clock::UnixMillis;
 use model::sizes::ObjectVersion;
 use policy::claim::{
-    BatchWrite, ClaimOrder, ClaimState, ClaimVerdict, Decided, ShardBatcher, ShardId,
+    BatchWrite, ClaimAttempt, ClaimState, ClaimVerdict, Decided, ShardBatcher, ShardId,
     StoredSegment, shard_of,
 };
 use rand::Rng as _;
 
 use super::{
-    ANSWER_PATIENCE, Event, LATE_WRITES, LOST_ANSWERS, PACE, Protocol, RETENTION, SETTLE_SPAN, Try,
+    ANSWER_TIMEOUT, Event, LATE_WRITES, LOST_ANSWERS, PACE, Protocol, RETENTION, SETTLE_SPAN, Try,
     World,
 };
 
@@ -25,7 +25,7 @@
             };
             return self.after(2, Event::Verdict(request, verdict));
         }
-        let order = ClaimOrder {
+        let attempt = ClaimAttempt {
             key: request.key.clone(),
             token: request.token.clone(),
             request: 1,
@@ -37,7 +37,7 @@
             .waiting
             .insert(request.token.clone(), request);
         let now = self.unix();
-        let decided = self.batcher(node, shard).claim(now, order);
+        let decided = self.batcher(node, shard).claim(now, attempt);
         self.answer(node, decided);
         self.work(node, shard);
     }
@@ -97,7 +97,7 @@
             self.platform.apply(write)
         };
         if lost || out {
-            return self.after(ANSWER_PATIENCE, Event::Written(node, life, shard, None));
+            return self.after(ANSWER_TIMEOUT, Event::Written(node, life, shard, None));
         }
         let delay = self.within(5);
         self.after(delay, Event::Written(node, life, shard, version));
@@ -135,7 +135,7 @@
                 self.answer(node, decided);
                 1
             }
-            None => ANSWER_PATIENCE,
+            None => ANSWER_TIMEOUT,
         };
         self.after(delay, Event::Ready(node, life, shard));
     }
--- a/testing/lab/src/once_only/world/mod.rs
+++ b/testing/lab/src/once_only/world/mod.rs
@@ -27,7 +27,7 @@
 /// How far apart the tries of a key lie at most.
 const TRY_SPREAD: u64 = 8_000;
 /// How long an entry waits for a claim.
-const CLAIM_PATIENCE: u64 = 2_000;
+const CLAIM_TIMEOUT: u64 = 2_000;
 /// How long a claim is remembered.
 const RETENTION: u64 = 40_000;
 /// How long after its claim a request is settled for certain.
@@ -41,7 +41,7 @@
 /// Share of lost updates that take effect much later.
 const LATE_WRITES: f64 = 0.3;
 /// When a node learns that an answer is lost.
-const ANSWER_PATIENCE: u64 = 300;
+const ANSWER_TIMEOUT: u64 = 300;
 /// Mean time between two kills, pauses and outages.
 const KILL_INTERVAL: u64 = 4_000;
 const PAUSE_INTERVAL: u64 = 1_500;
@@ -84,7 +84,7 @@
     Claim(usize, Box<Try>),
     /// A verdict reaches the entry.
     Verdict(Box<Try>, ClaimVerdict),
-    /// The caller's patience for a claim ends.
+    /// The caller's timeout for a claim ends.
     GiveUp(Box<Try>),
     /// The upstream runs the action.
     Run(Box<Try>),
@@ -282,7 +282,7 @@
         let life = self.nodes[entry].life;
         let token =
             super::super::detect::name(&format!("n{entry}-{life}-{}", self.result.requests));
-        let deadline = self.now + CLAIM_PATIENCE;
+        let deadline = self.now + CLAIM_TIMEOUT;
         let request = Box::new(Try {
             key,
             token,
@@ -293,7 +293,7 @@
         if self.protocol == Protocol::Nothing {
             return self.after(1, Event::Run(request));
         }
-        self.after(CLAIM_PATIENCE, Event::GiveUp(request.clone()));
+        self.after(CLAIM_TIMEOUT, Event::GiveUp(request.clone()));
         let node = self.route(&request.key);
         let delay = self.within(5);
         self.after(delay, Event::Claim(node, request));
--- a/testing/lab/src/overhead.rs
+++ b/testing/lab/src/overhead.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use scene::{ClientRequest, Scene, ScenePlan, ServicePlan};
+use testbed::{ClientRequest, ServicePlan, Testbed, TestbedPlan};
 use tokio::time::Instant;
 
 use crate::load::{OpenLoop, Tally, processor_time};
@@ -34,17 +34,17 @@
             behaviour.slots = 64;
         }),
     ];
-    let plan = ScenePlan {
+    let plan = TestbedPlan {
         seed: settings.seed,
-        ..ScenePlan::small(services)
+        ..TestbedPlan::small(services)
     };
-    let scene = Scene::start(plan).await?;
-    let direct: Vec<SocketAddr> = scene
+    let testbed = Testbed::start(plan).await?;
+    let direct: Vec<SocketAddr> = testbed
         .upstreams
         .values()
         .map(|upstream| upstream.standin.address())
         .collect();
-    let through = scene.caller_addresses();
+    let through = testbed.caller_addresses();
     turn(&through, WARM_UP, RATE).await;
     turn(&direct, WARM_UP, RATE).await;
     let mut tallies = (Tally::new(), Tally::new());
@@ -77,7 +77,7 @@
         rate,
         span,
         connections: CONNECTIONS,
-        patience: Duration::from_secs(10),
+        timeout: Duration::from_secs(10),
     };
     load.run(|number| ClientRequest::get(format!("/stock/{number}")))
         .await
@@ -185,7 +185,7 @@
     let callers = (0..SATURATING_CONNECTIONS).map(|index| {
         let address = addresses[index % addresses.len()];
         tokio::spawn(async move {
-            let mut client = scene::CallerClient::new(address);
+            let mut client = testbed::CallerClient::new(address);
             let mut count = 0_u64;
             while start.elapsed() < SATURATING_SPAN {
                 let answer = client
--- a/testing/lab/src/storm.rs
+++ b/testing/lab/src/storm.rs
@@ -5,8 +5,8 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use scene::{CallerClient, ClientAnswer, ClientRequest, Scene, ScenePlan, ServicePlan};
 use standin::upstream_server::Behaviour;
+use testbed::{CallerClient, ClientAnswer, ClientRequest, ServicePlan, Testbed, TestbedPlan};
 use tokio::time::{self, Instant};
 
 use crate::load::{OpenLoop, Tally};
@@ -28,7 +28,7 @@
 /// How often the naive way tries.
 const NAIVE_TRIES: usize = 4;
 /// How long callers wait: somewhat longer than the service's deadline.
-const PATIENCE: Duration = Duration::from_secs(3);
+const TIMEOUT: Duration = Duration::from_secs(3);
 /// Time that the fleet gets to settle after half of the upstreams are lost.
 const SETTLE: Duration = Duration::from_secs(2);
 
@@ -76,24 +76,24 @@
         deadline: model::span::TimeSpan::from_secs(2),
         ..service
     };
-    let plan = ScenePlan::three_centres(1, vec![service]);
-    let mut scene = Scene::start(ScenePlan {
+    let plan = TestbedPlan::three_centres(1, vec![service]);
+    let mut testbed = Testbed::start(TestbedPlan {
         seed: settings.seed,
         ..plan
     })
     .await?;
-    let every: Vec<SocketAddr> = scene
+    let every: Vec<SocketAddr> = testbed
         .upstreams
         .values()
         .map(|up| up.link.address())
         .collect();
     let full = capacity(UPSTREAMS);
     let load = OpenLoop {
-        addresses: scene.caller_addresses(),
+        addresses: testbed.caller_addresses(),
         rate: full * case.load,
         span: Duration::from_secs(settings.seconds),
         connections: 0,
-        patience: PATIENCE,
+        timeout: TIMEOUT,
     };
     let mut left = UPSTREAMS;
     if case.lost {
@@ -105,14 +105,14 @@
         settling
             .run(|number| ClientRequest::get(format!("/view/w{number}")))
             .await;
-        for id in scene
+        for id in testbed
             .upstreams
             .keys()
             .take(UPSTREAMS / 2)
             .cloned()
             .collect::<Vec<_>>()
         {
-            scene.upstreams.remove(&id);
+            testbed.upstreams.remove(&id);
         }
         left -= UPSTREAMS / 2;
         let settling = OpenLoop {
@@ -126,14 +126,14 @@
                 .await;
         }
     }
-    let served = |scene: &Scene| {
-        scene
+    let served = |testbed: &Testbed| {
+        testbed
             .upstreams
             .values()
             .map(|up| up.standin.served())
             .sum::<u64>()
     };
-    let before = (served(&scene), scene.ledger.reached().await);
+    let before = (served(&testbed), testbed.ledger.reached().await);
     let start = Instant::now();
     let tally = if case.naive {
         naive(&load, every).await
@@ -142,8 +142,8 @@
             .await
     };
     let spent = start.elapsed();
-    let contacts = served(&scene) - before.0;
-    let distinct = scene.ledger.reached().await - before.1;
+    let contacts = served(&testbed) - before.0;
+    let distinct = testbed.ledger.reached().await - before.1;
     let possible = figure(tally.requests()).min(capacity(left) * spent.as_secs_f64());
     add_rows(report, case, &tally, possible, contacts, distinct);
     Ok(())
@@ -239,15 +239,15 @@
     let mut tries = 0;
     loop {
         let turn = turns.fetch_add(1, Ordering::Relaxed) % upstreams.len();
-        let left = PATIENCE.saturating_sub(start.elapsed());
+        let left = TIMEOUT.saturating_sub(start.elapsed());
         let request = ClientRequest {
-            patience: left,
+            timeout: left,
             ..ClientRequest::get(target)
         };
         let answer = CallerClient::new(upstreams[turn]).call(request).await;
         tries += 1;
         let good = answer.whole && answer.status == 200;
-        if good || tries == NAIVE_TRIES || start.elapsed() >= PATIENCE {
+        if good || tries == NAIVE_TRIES || start.elapsed() >= TIMEOUT {
             return answer;
         }
     }
--- a/testing/standin/src/platform/server.rs
+++ b/testing/standin/src/platform/server.rs
@@ -18,16 +18,16 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{self, Instant};
 
-use super::store::{self, PlatformFaults, StoreOrder, WriteAnswer, WriteWhen};
+use super::store::{self, PlatformFaults, StoreCommand, WriteAnswer, WriteWhen};
 
 /// Orders that wait for the store.
-const ORDERS_MAX: usize = 1024;
+const COMMANDS_MAX: usize = 1024;
 
 /// A running stand-in; it stops when this is dropped.
 #[derive(Debug)]
 pub struct PlatformStandin {
     address: SocketAddr,
-    orders: mpsc::Sender<StoreOrder>,
+    commands: mpsc::Sender<StoreCommand>,
     _stop: watch::Sender<bool>,
 }
 
@@ -39,10 +39,10 @@
     pub async fn start(address: SocketAddr, delay: Duration) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let (orders, inbox) = mpsc::channel(ORDERS_MAX);
+        let (commands, inbox) = mpsc::channel(COMMANDS_MAX);
         let (stop, stopping) = watch::channel(false);
         tokio::spawn(store::run(inbox));
-        let handler = handler(orders.clone(), delay);
+        let handler = handler(commands.clone(), delay);
         tokio::spawn(server::listen(
             listener,
             ServeLimits::default(),
@@ -51,7 +51,7 @@
         ));
         Ok(Self {
             address,
-            orders,
+            commands,
             _stop: stop,
         })
     }
@@ -63,63 +63,63 @@
 
     /// Sets the faults that it shows.
     pub async fn set_faults(&self, faults: PlatformFaults) {
-        let _ = self.orders.send(StoreOrder::SetFaults(faults)).await;
+        let _ = self.commands.send(StoreCommand::SetFaults(faults)).await;
     }
 
     /// Sets the VM list.
     pub async fn set_vms(&self, vms: Vec<Vm>) {
-        let _ = self.orders.send(StoreOrder::SetVms(vms)).await;
+        let _ = self.commands.send(StoreCommand::SetVms(vms)).await;
     }
 
     /// Calls so far by operation.
     pub async fn calls(&self) -> BTreeMap<&'static str, u64> {
-        ask(&self.orders, StoreOrder::Calls)
+        ask(&self.commands, StoreCommand::Calls)
             .await
             .unwrap_or_default()
     }
 }
 
 async fn ask<T>(
-    orders: &mpsc::Sender<StoreOrder>,
-    order: impl FnOnce(oneshot::Sender<T>) -> StoreOrder,
+    commands: &mpsc::Sender<StoreCommand>,
+    command: impl FnOnce(oneshot::Sender<T>) -> StoreCommand,
 ) -> Option<T> {
     let (reply, answer) = oneshot::channel();
-    orders.send(order(reply)).await.ok()?;
+    commands.send(command(reply)).await.ok()?;
     answer.await.ok()
 }
 
-fn handler(orders: mpsc::Sender<StoreOrder>, delay: Duration) -> server::Handler<BodyStream> {
+fn handler(commands: mpsc::Sender<StoreCommand>, delay: Duration) -> server::Handler<BodyStream> {
     Arc::new(move |request| {
-        let orders = orders.clone();
+        let commands = commands.clone();
         Box::pin(async move {
             time::sleep(delay).await;
-            let answered = answer(&orders, request).await;
+            let answered = answer(&commands, request).await;
             answered.unwrap_or_else(|| plain(StatusCode::BAD_REQUEST))
         })
     })
 }
 
 async fn answer(
-    orders: &mpsc::Sender<StoreOrder>,
+    commands: &mpsc::Sender<StoreCommand>,
     request: http::Request<Incoming>,
 ) -> Option<Response<BodyStream>> {
     let path = request.uri().path().to_owned();
     let query = read_query(request.uri().query().unwrap_or_default());
     if let Some(control) = path.strip_prefix("/control/") {
-        return self::control(orders, control, request).await;
+        return self::control(commands, control, request).await;
     }
-    if ask(orders, StoreOrder::IsOut).await? {
+    if ask(commands, StoreCommand::IsOut).await? {
         return Some(plain(StatusCode::SERVICE_UNAVAILABLE));
     }
     let operation = operation_of(request.method(), &path);
-    orders.send(StoreOrder::Count(operation)).await.ok()?;
+    commands.send(StoreCommand::Count(operation)).await.ok()?;
     match operation {
-        "vms" => Some(json(&ask(orders, StoreOrder::Vms).await?)),
-        "watch" => watch_changes(orders, &query).await,
+        "vms" => Some(json(&ask(commands, StoreCommand::Vms).await?)),
+        "watch" => watch_changes(commands, &query).await,
         "list" => {
             let prefix = query.get("prefix").cloned().unwrap_or_default();
             let after = query.get("after").cloned().unwrap_or_default();
-            let page = ask(orders, |reply| StoreOrder::List {
+            let page = ask(commands, |reply| StoreCommand::List {
                 prefix,
                 after,
                 reply,
@@ -127,7 +127,7 @@
             .await?;
             Some(json(&page))
         }
-        _ => object(orders, &path, request).await,
+        _ => object(commands, &path, request).await,
     }
 }
 
@@ -142,24 +142,24 @@
 }
 
 async fn watch_changes(
-    orders: &mpsc::Sender<StoreOrder>,
+    commands: &mpsc::Sender<StoreCommand>,
     query: &HashMap<String, String>,
 ) -> Option<Response<BodyStream>> {
     let prefix = query.get("prefix")?.clone();
     let since = query.get("since")?.parse().ok()?;
     let wait = query.get("wait_ms")?.parse().ok()?;
     let until = Instant::now() + Duration::from_millis(wait);
-    let order = |reply| StoreOrder::Watch {
+    let command = |reply| StoreCommand::Watch {
         prefix,
         since,
         until,
         reply,
     };
-    Some(json(&ask(orders, order).await?))
+    Some(json(&ask(commands, command).await?))
 }
 
 async fn object(
-    orders: &mpsc::Sender<StoreOrder>,
+    commands: &mpsc::Sender<StoreCommand>,
     path: &str,
     request: http::Request<Incoming>,
 ) -> Option<Response<BodyStream>> {
@@ -168,7 +168,7 @@
         .strip_prefix('/')?
         .to_owned();
     if request.method() == Method::GET {
-        let found = ask(orders, |reply| StoreOrder::Get(name, reply)).await?;
+        let found = ask(commands, |reply| StoreCommand::Get(name, reply)).await?;
         let Some((version, body)) = found else {
             return Some(plain(StatusCode::NOT_FOUND));
         };
@@ -190,7 +190,7 @@
     if too_large {
         return Some(plain(StatusCode::PAYLOAD_TOO_LARGE));
     }
-    let written = ask(orders, |reply| StoreOrder::Write {
+    let written = ask(commands, |reply| StoreCommand::Write {
         name,
         body,
         when,
@@ -240,14 +240,14 @@
 }
 
 async fn control(
-    orders: &mpsc::Sender<StoreOrder>,
+    commands: &mpsc::Sender<StoreCommand>,
     control: &str,
     request: http::Request<Incoming>,
 ) -> Option<Response<BodyStream>> {
     let body = request.into_body().collect().await.ok()?.to_bytes();
     match control {
-        "vms" => orders
-            .send(StoreOrder::SetVms(serde_json::from_slice(&body).ok()?))
+        "vms" => commands
+            .send(StoreCommand::SetVms(serde_json::from_slice(&body).ok()?))
             .await
             .ok()?,
         "outage" => {
@@ -255,7 +255,7 @@
                 outage: &body[..] == b"on",
                 lose_answers: 0,
             };
-            orders.send(StoreOrder::SetFaults(faults)).await.ok()?;
+            commands.send(StoreCommand::SetFaults(faults)).await.ok()?;
         }
         "lose-answers" => {
             let lose_answers = std::str::from_utf8(&body).ok()?.trim().parse().ok()?;
@@ -263,9 +263,9 @@
                 outage: false,
                 lose_answers,
             };
-            orders.send(StoreOrder::SetFaults(faults)).await.ok()?;
+            commands.send(StoreCommand::SetFaults(faults)).await.ok()?;
         }
-        "calls" => return Some(json(&ask(orders, StoreOrder::Calls).await?)),
+        "calls" => return Some(json(&ask(commands, StoreCommand::Calls).await?)),
         _ => return Some(plain(StatusCode::NOT_FOUND)),
     }
     Some(plain(StatusCode::NO_CONTENT))
--- a/testing/standin/src/platform/store.rs
+++ b/testing/standin/src/platform/store.rs
@@ -45,7 +45,7 @@
     Lost,
 }
 
-pub(super) enum StoreOrder {
+pub(super) enum StoreCommand {
     Get(String, oneshot::Sender<Option<(ObjectVersion, Bytes)>>),
     Write {
         name: String,
@@ -90,7 +90,7 @@
     calls: BTreeMap<&'static str, u64>,
 }
 
-pub(super) async fn run(mut inbox: mpsc::Receiver<StoreOrder>) {
+pub(super) async fn run(mut inbox: mpsc::Receiver<StoreCommand>) {
     let mut store = Store::default();
     loop {
         let next = store.watchers.iter().map(|watcher| watcher.until).min();
@@ -101,9 +101,9 @@
             }
         };
         tokio::select! {
-            order = inbox.recv() => {
-                let Some(order) = order else { return };
-                store.take(order);
+            command = inbox.recv() => {
+                let Some(command) = command else { return };
+                store.take(command);
             }
             () = expiry => {}
         }
@@ -112,12 +112,12 @@
 }
 
 impl Store {
-    fn take(&mut self, order: StoreOrder) {
-        match order {
-            StoreOrder::Get(name, reply) => {
+    fn take(&mut self, command: StoreCommand) {
+        match command {
+            StoreCommand::Get(name, reply) => {
                 let _ = reply.send(self.objects.get(&name).cloned());
             }
-            StoreOrder::Write {
+            StoreCommand::Write {
                 name,
                 body,
                 when,
@@ -125,14 +125,14 @@
             } => {
                 let _ = reply.send(self.write(&name, body, when));
             }
-            StoreOrder::List {
+            StoreCommand::List {
                 prefix,
                 after,
                 reply,
             } => {
                 let _ = reply.send(self.list(&prefix, &after));
             }
-            StoreOrder::Watch {
+            StoreCommand::Watch {
                 prefix,
                 since,
                 until,
@@ -145,16 +145,16 @@
                     reply,
                 });
             }
-            StoreOrder::Vms(reply) => {
+            StoreCommand::Vms(reply) => {
                 let _ = reply.send(self.vms.clone());
             }
-            StoreOrder::SetVms(vms) => self.vms = vms,
-            StoreOrder::SetFaults(faults) => self.faults = faults,
-            StoreOrder::IsOut(reply) => {
+            StoreCommand::SetVms(vms) => self.vms = vms,
+            StoreCommand::SetFaults(faults) => self.faults = faults,
+            StoreCommand::IsOut(reply) => {
                 let _ = reply.send(self.faults.outage);
             }
-            StoreOrder::Count(operation) => *self.calls.entry(operation).or_default() += 1,
-            StoreOrder::Calls(reply) => {
+            StoreCommand::Count(operation) => *self.calls.entry(operation).or_default() += 1,
+            StoreCommand::Calls(reply) => {
                 let _ = reply.send(self.calls.clone());
             }
         }
--- a/testing/standin/src/upstream/ledger.rs
+++ b/testing/standin/src/upstream/ledger.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::{mpsc, oneshot};
 
-enum LedgerOrder {
+enum LedgerCommand {
     Ran(String),
     Reached(String, Vec<(String, String)>),
     LastHeaders(oneshot::Sender<Vec<(String, String)>>),
@@ -15,26 +15,26 @@
 /// Counts how often each action ran; one task owns the counts.
 #[derive(Debug, Clone)]
 pub struct RunLedger {
-    orders: mpsc::UnboundedSender<LedgerOrder>,
+    commands: mpsc::UnboundedSender<LedgerCommand>,
 }
 
-impl std::fmt::Debug for LedgerOrder {
+impl std::fmt::Debug for LedgerCommand {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("LedgerOrder")
+        f.write_str("LedgerCommand")
     }
 }
 
 impl RunLedger {
     /// Starts the ledger's task; it ends with the last handle.
     pub fn start() -> Self {
-        let (orders, inbox) = mpsc::unbounded_channel();
+        let (commands, inbox) = mpsc::unbounded_channel();
         tokio::spawn(run(inbox));
-        Self { orders }
+        Self { commands }
     }
 
     /// Counts one run of an action.
     pub fn ran(&self, action: &str) {
-        let _ = self.orders.send(LedgerOrder::Ran(action.to_owned()));
+        let _ = self.commands.send(LedgerCommand::Ran(action.to_owned()));
     }
 
     /// Notes that a request for a target arrived somewhere.
@@ -46,50 +46,50 @@
             )
         });
         let _ = self
-            .orders
-            .send(LedgerOrder::Reached(target.to_owned(), texts.collect()));
+            .commands
+            .send(LedgerCommand::Reached(target.to_owned(), texts.collect()));
     }
 
     /// Headers of the request that arrived last.
     pub async fn last_headers(&self) -> Vec<(String, String)> {
         let (reply, answer) = oneshot::channel();
-        let _ = self.orders.send(LedgerOrder::LastHeaders(reply));
+        let _ = self.commands.send(LedgerCommand::LastHeaders(reply));
         answer.await.unwrap_or_default()
     }
 
     /// Distinct targets that arrived somewhere.
     pub async fn reached(&self) -> u64 {
         let (reply, answer) = oneshot::channel();
-        let _ = self.orders.send(LedgerOrder::CountReached(reply));
+        let _ = self.commands.send(LedgerCommand::CountReached(reply));
         answer.await.unwrap_or(0)
     }
 
     /// Runs of each action so far.
     pub async fn counts(&self) -> HashMap<String, u32> {
         let (reply, answer) = oneshot::channel();
-        let _ = self.orders.send(LedgerOrder::Counts(reply));
+        let _ = self.commands.send(LedgerCommand::Counts(reply));
         answer.await.unwrap_or_default()
     }
 }
 
-async fn run(mut inbox: mpsc::UnboundedReceiver<LedgerOrder>) {
+async fn run(mut inbox: mpsc::UnboundedReceiver<LedgerCommand>) {
     let mut counts: HashMap<String, u32> = HashMap::new();
     let mut reached: HashSet<String> = HashSet::new();
     let mut last_headers = Vec::new();
-    while let Some(order) = inbox.recv().await {
-        match order {
-            LedgerOrder::Ran(action) => *counts.entry(action).or_default() += 1,
-            LedgerOrder::Reached(target, headers) => {
+    while let Some(command) = inbox.recv().await {
+        match command {
+            LedgerCommand::Ran(action) => *counts.entry(action).or_default() += 1,
+            LedgerCommand::Reached(target, headers) => {
                 reached.insert(target);
                 last_headers = headers;
             }
-            LedgerOrder::LastHeaders(reply) => {
+            LedgerCommand::LastHeaders(reply) => {
                 let _ = reply.send(last_headers.clone());
             }
-            LedgerOrder::CountReached(reply) => {
+            LedgerCommand::CountReached(reply) => {
                 let _ = reply.send(reached.len() as u64);
             }
-            LedgerOrder::Counts(reply) => {
+            LedgerCommand::Counts(reply) => {
                 let _ = reply.send(counts.clone());
             }
         }
--- a/testing/standin/src/upstream/server.rs
+++ b/testing/standin/src/upstream/server.rs
@@ -47,27 +47,27 @@
 #[derive(Clone)]
 struct Server {
     behaviour: watch::Receiver<Behaviour>,
-    gate: mpsc::Sender<GateOrder>,
+    gate: mpsc::Sender<GateCommand>,
     ledger: RunLedger,
     served: Arc<AtomicU64>,
     started: Instant,
     seed: u64,
 }
 
-enum GateOrder {
+enum GateCommand {
     Enter {
         room: (usize, usize),
-        reply: oneshot::Sender<Option<SlotPass>>,
+        reply: oneshot::Sender<Option<SlotPermit>>,
     },
     Leave,
 }
 
 /// A slot in use; dropping it frees the slot.
-struct SlotPass {
+struct SlotPermit {
     gate: mpsc::UnboundedSender<()>,
 }
 
-impl Drop for SlotPass {
+impl Drop for SlotPermit {
     fn drop(&mut self) {
         let _ = self.gate.send(());
     }
@@ -125,37 +125,37 @@
 }
 
 /// Owns the slots: lets requests in, keeps some waiting, turns the rest away.
-async fn run_gate(mut inbox: mpsc::Receiver<GateOrder>) {
+async fn run_gate(mut inbox: mpsc::Receiver<GateCommand>) {
     let (free, mut freed) = mpsc::unbounded_channel();
     let mut busy = 0;
     let mut waiting = std::collections::VecDeque::new();
     loop {
-        let order = tokio::select! {
-            order = inbox.recv() => order,
-            _ = freed.recv() => Some(GateOrder::Leave),
+        let command = tokio::select! {
+            command = inbox.recv() => command,
+            _ = freed.recv() => Some(GateCommand::Leave),
         };
-        match order {
+        match command {
             None => return,
-            Some(GateOrder::Leave) => {
+            Some(GateCommand::Leave) => {
                 busy -= 1;
                 while let Some(reply) = waiting.pop_front() {
-                    let reply: oneshot::Sender<Option<SlotPass>> = reply;
+                    let reply: oneshot::Sender<Option<SlotPermit>> = reply;
                     if reply.is_closed() {
                         continue;
                     }
                     busy += 1;
-                    let _ = reply.send(Some(SlotPass { gate: free.clone() }));
+                    let _ = reply.send(Some(SlotPermit { gate: free.clone() }));
                     break;
                 }
             }
-            Some(GateOrder::Enter {
+            Some(GateCommand::Enter {
                 room: (slots, queue),
                 reply,
             }) => {
                 waiting.retain(|reply| !reply.is_closed());
                 if busy < slots {
                     busy += 1;
-                    let _ = reply.send(Some(SlotPass { gate: free.clone() }));
+                    let _ = reply.send(Some(SlotPermit { gate: free.clone() }));
                 } else if waiting.len() < queue {
                     waiting.push_back(reply);
                 } else {
@@ -224,8 +224,8 @@
         let mut rng = SmallRng::seed_from_u64(self.seed ^ number);
         let (reply, entered) = oneshot::channel();
         let room = (behaviour.slots, behaviour.queue);
-        let _ = self.gate.send(GateOrder::Enter { room, reply }).await;
-        let Ok(Some(pass)) = entered.await else {
+        let _ = self.gate.send(GateCommand::Enter { room, reply }).await;
+        let Ok(Some(permit)) = entered.await else {
             return answer::shed();
         };
         let (parts, body) = request.into_parts();
@@ -246,7 +246,7 @@
         if let Some(action) = action.filter(|_| parts.method != Method::GET) {
             self.ledger.ran(action);
         }
-        drop(pass);
+        drop(permit);
         let target = parts
             .uri
             .path_and_query()
--- a/testing/scene/src/client.rs
+++ b/testing/testbed/src/client.rs
@@ -11,7 +11,7 @@
 use tokio::time;
 
 /// How long a connection may take to open.
-const CONNECT_PATIENCE: Duration = Duration::from_secs(2);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A request.
 #[derive(Debug, Clone)]
@@ -25,7 +25,7 @@
     /// The body.
     pub body: Bytes,
     /// How long the caller waits for the whole answer.
-    pub patience: Duration,
+    pub timeout: Duration,
 }
 
 impl ClientRequest {
@@ -36,7 +36,7 @@
             target: target.into(),
             headers: Vec::new(),
             body: Bytes::new(),
-            patience: Duration::from_secs(15),
+            timeout: Duration::from_secs(15),
         }
     }
 
@@ -120,8 +120,8 @@
 
     /// Sends a request and reads the answer to its end.
     pub async fn call(&mut self, request: ClientRequest) -> ClientAnswer {
-        let patience = request.patience;
-        let answered = time::timeout(patience, self.exchange(request)).await;
+        let timeout = request.timeout;
+        let answered = time::timeout(timeout, self.exchange(request)).await;
         answered.unwrap_or_else(|_| ClientAnswer::nothing(true))
     }
 
@@ -132,7 +132,7 @@
             .filter(|connection| !connection.is_closed());
         let connection = match idle {
             Some(connection) => Some(connection),
-            None => client::open(self.address, CONNECT_PATIENCE).await.ok(),
+            None => client::open(self.address, CONNECT_TIMEOUT).await.ok(),
         };
         let Some(connection) = connection else {
             return ClientAnswer::nothing(false);
--- a/testing/scene/src/stage.rs
+++ b/testing/testbed/src/fleet.rs
@@ -1,4 +1,4 @@
-//! Starts a scene and lets tests change it.
+//! Starts a testbed and lets tests change it.
 
 use std::collections::BTreeMap;
 use std::io;
@@ -13,26 +13,26 @@
 use model::{ids, sizes};
 use node::keys::FleetCa;
 use operator::change::ConfigStep;
-use operator::commit::{Accepted, ChangeOrder, Committer};
+use operator::commit::{Accepted, ChangeRequest, Committer};
 use platform::PlatformClient;
 use platform::vm::{Vm, VmState};
-use policy::service::Standing;
+use policy::service::UpstreamStatus;
 use standin::fault_proxy::FaultProxy;
 use standin::platform_api::PlatformStandin;
 use standin::upstream_server::{RunLedger, UpstreamStandin};
 use tokio::time::{self, Instant};
 
 use crate::client::CallerClient;
-use crate::plan::{ANY_PORT, ScenePlan, ServicePlan};
+use crate::plan::{ANY_PORT, ServicePlan, TestbedPlan};
 
 /// How long a node may take to serve.
-const READY_PATIENCE: Duration = Duration::from_secs(20);
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// How often readiness is looked at.
 const READY_PAUSE: Duration = Duration::from_millis(10);
 
-/// One upstream of a scene.
+/// One upstream of a testbed.
 #[derive(Debug)]
-pub struct SceneUpstream {
+pub struct TestbedUpstream {
     /// The service that it belongs to.
     pub service: ids::ServiceId,
     /// The upstream.
@@ -44,7 +44,7 @@
 }
 
 /// A running fleet on loopback.
-pub struct Scene {
+pub struct Testbed {
     /// The platform.
     pub platform: PlatformStandin,
     /// The links between the nodes of each data centre and the platform.
@@ -52,17 +52,17 @@
     /// Runs of every action.
     pub ledger: RunLedger,
     /// Upstreams by name.
-    pub upstreams: BTreeMap<ids::UpstreamId, SceneUpstream>,
+    pub upstreams: BTreeMap<ids::UpstreamId, TestbedUpstream>,
     /// Entry nodes by name.
     pub entries: BTreeMap<ids::NodeId, EntryServer>,
     /// Makes changes of configuration, straight at the platform.
     pub committer: Committer,
-    plan: ScenePlan,
+    plan: TestbedPlan,
     ca: FleetCa,
     vms: Vec<Vm>,
 }
 
-/// Parses a name of the scene.
+/// Parses a name of the testbed.
 ///
 /// # Panics
 /// When the text is no name, which is a fault of the test.
@@ -71,12 +71,12 @@
         .unwrap_or_else(|_| panic!("{text:?} is not a name"))
 }
 
-impl Scene {
+impl Testbed {
     /// Starts everything and waits until every node serves.
     ///
     /// # Errors
     /// When an address cannot be bound or the configuration is refused.
-    pub async fn start(plan: ScenePlan) -> io::Result<Self> {
+    pub async fn start(plan: TestbedPlan) -> io::Result<Self> {
         let platform = PlatformStandin::start(ANY_PORT, plan.platform_delay).await?;
         let mut platform_links = BTreeMap::new();
         for centre in &plan.centres {
@@ -84,7 +84,7 @@
             platform_links.insert(name(centre), link);
         }
         let client = PlatformClient::start(platform.address(), std::sync::Arc::new(|_| {}));
-        let mut scene = Self {
+        let mut testbed = Self {
             platform,
             platform_links,
             ledger: RunLedger::start(),
@@ -95,20 +95,20 @@
             plan,
             vms: Vec::new(),
         };
-        for service in scene.plan.services.clone() {
-            scene.start_service(&service).await?;
+        for service in testbed.plan.services.clone() {
+            testbed.start_service(&service).await?;
         }
-        let centres = scene.plan.centres.clone();
+        let centres = testbed.plan.centres.clone();
         for centre in centres {
-            for number in 0..scene.plan.nodes_per_centre {
-                scene
+            for number in 0..testbed.plan.nodes_per_centre {
+                testbed
                     .start_entry(&format!("{centre}-{number}"), centre)
                     .await?;
             }
         }
-        scene.list_vms().await;
-        scene.wait_ready().await?;
-        Ok(scene)
+        testbed.list_vms().await;
+        testbed.wait_ready().await?;
+        Ok(testbed)
     }
 
     async fn start_service(&mut self, plan: &ServicePlan) -> io::Result<()> {
@@ -158,7 +158,7 @@
             state: UpstreamState::Active,
         };
         let data_centre = upstream.data_centre.clone();
-        let entry = SceneUpstream {
+        let entry = TestbedUpstream {
             service: name(plan.name),
             standin,
             link,
@@ -182,8 +182,8 @@
             platform: self.platform_links[&name::<ids::DataCentreId>(centre)].address(),
             seeds: self.members(),
             ca: self.ca.clone(),
-            stop_notice: span_of(self.plan.stop_notice),
-            stop_patience: TimeSpan::from_secs(30),
+            stop_delay: span_of(self.plan.stop_delay),
+            stop_timeout: TimeSpan::from_secs(30),
             limits: self.limits(),
             claim_pace: TimeSpan::from_millis(10),
         };
@@ -201,7 +201,7 @@
 
     fn limits(&self) -> CallerLimits {
         let mut limits = CallerLimits::default();
-        limits.connection.head_patience = self.plan.head_patience;
+        limits.connection.head_timeout = self.plan.head_timeout;
         limits
     }
 
@@ -242,7 +242,7 @@
         let started = Instant::now();
         for entry in self.entries.values() {
             while entry.directory().borrow().config.generation < wanted {
-                if started.elapsed() > READY_PATIENCE {
+                if started.elapsed() > READY_TIMEOUT {
                     return Err(io::Error::other("a node does not take the configuration"));
                 }
                 time::sleep(READY_PAUSE).await;
@@ -252,7 +252,7 @@
     }
 
     /// Waits until no node gives an upstream its ordinary share; returns how long that took.
-    pub async fn wait_avoided(&self, upstream: &str, patience: Duration) -> Option<Duration> {
+    pub async fn wait_avoided(&self, upstream: &str, timeout: Duration) -> Option<Duration> {
         let id: ids::UpstreamId = name(upstream);
         let service = self.upstreams.get(&id)?.service.clone();
         let started = Instant::now();
@@ -262,11 +262,11 @@
                 let views = directory.handles.get(&service)?.views().await;
                 if views
                     .get(&id)
-                    .is_none_or(|view| view.standing != Standing::Healthy)
+                    .is_none_or(|view| view.status != UpstreamStatus::Healthy)
                 {
                     break;
                 }
-                if started.elapsed() > patience {
+                if started.elapsed() > timeout {
                     return None;
                 }
                 time::sleep(READY_PAUSE).await;
@@ -280,12 +280,12 @@
     /// # Errors
     /// As [`Committer::commit`].
     pub async fn change(&self, step: ConfigStep) -> Result<Accepted, FleetError> {
-        let order = ChangeOrder {
-            operator: name("scene"),
+        let request = ChangeRequest {
+            operator: name("testbed"),
             step,
             expected: None,
         };
-        self.committer.commit(&order).await
+        self.committer.commit(&request).await
     }
 
     /// Addresses for callers, in the order of the nodes' names.
@@ -304,7 +304,7 @@
         CallerClient::new(self.caller_addresses()[index])
     }
 
-    /// Takes a node out of the scene, to stop or kill it.
+    /// Takes a node out of the testbed, to stop or kill it.
     pub fn take_entry(&mut self, node: &str) -> Option<EntryServer> {
         self.vms.retain(|vm| vm.node.as_str() != node);
         self.entries.remove(&name::<ids::NodeId>(node))
@@ -314,7 +314,7 @@
     ///
     /// # Panics
     /// When it does not exist.
-    pub fn upstream(&self, id: &str) -> &SceneUpstream {
+    pub fn upstream(&self, id: &str) -> &TestbedUpstream {
         &self.upstreams[&name::<ids::UpstreamId>(id)]
     }
 }
--- a/testing/scene/src/plan.rs
+++ b/testing/testbed/src/plan.rs
@@ -1,4 +1,4 @@
-//! What a scene consists of.
+//! What a testbed consists of.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
@@ -10,7 +10,7 @@
 /// An address on loopback with a port that the system picks.
 pub const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
-/// One service of a scene.
+/// One service of a testbed.
 #[derive(Debug, Clone)]
 pub struct ServicePlan {
     /// Its name.
@@ -62,9 +62,9 @@
     }
 }
 
-/// What a scene consists of.
+/// What a testbed consists of.
 #[derive(Debug, Clone)]
-pub struct ScenePlan {
+pub struct TestbedPlan {
     /// Data centres.
     pub centres: Vec<&'static str>,
     /// Entry nodes in each data centre.
@@ -74,14 +74,14 @@
     /// Time that each call to the platform takes.
     pub platform_delay: Duration,
     /// How long a stopping node keeps accepting.
-    pub stop_notice: Duration,
+    pub stop_delay: Duration,
     /// How long a head may take to arrive.
-    pub head_patience: Duration,
+    pub head_timeout: Duration,
     /// Seed of every random choice of the stand-ins.
     pub seed: u64,
 }
 
-impl ScenePlan {
+impl TestbedPlan {
     /// One data centre with one node.
     pub fn small(services: Vec<ServicePlan>) -> Self {
         Self {
@@ -89,8 +89,8 @@
             nodes_per_centre: 1,
             services,
             platform_delay: Duration::from_millis(2),
-            stop_notice: Duration::from_millis(300),
-            head_patience: Duration::from_secs(15),
+            stop_delay: Duration::from_millis(300),
+            head_timeout: Duration::from_secs(15),
             seed: 1,
         }
     }
--- a/testing/scene/tests/fleet.rs
+++ b/testing/testbed/tests/fleet.rs
@@ -11,25 +11,25 @@
 use node::keys::{FleetCa, NodeKeys};
 use node::link;
 use operator::change::ConfigStep;
-use operator::commit::ChangeOrder;
+use operator::commit::ChangeRequest;
 use platform::object::Condition;
 use platform::{PlatformClient, records};
 use policy::invariant::{self, Invariant};
-use scene::stage::name;
-use scene::{CallerClient, ClientRequest, Scene, ScenePlan, ServicePlan};
 use standin::platform_api::PlatformFaults;
 use standin::upstream_server::GrayMode;
+use testbed::fleet::name;
+use testbed::{CallerClient, ClientRequest, ServicePlan, Testbed, TestbedPlan};
 use tokio::sync::watch;
 use tokio::time::{self, Instant};
 
-use gooseberrydyke_scene as scene;
+use gooseberrydyke_testbed as testbed;
 
-fn plan(nodes_per_centre: usize) -> ScenePlan {
+fn plan(nodes_per_centre: usize) -> TestbedPlan {
     let services = vec![
         ServicePlan::lookups("view", "/view", 6),
         ServicePlan::actions("book", "/book", 3),
     ];
-    ScenePlan::three_centres(nodes_per_centre, services)
+    TestbedPlan::three_centres(nodes_per_centre, services)
 }
 
 fn drain(upstream: &str) -> ConfigStep {
@@ -79,20 +79,22 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_gray_upstream_is_avoided_everywhere_and_then_ejected() {
-    let scene = Scene::start(plan(2)).await.unwrap();
+    let testbed = Testbed::start(plan(2)).await.unwrap();
     let (done, until) = watch::channel(false);
-    let callers = start_lookups(&scene.caller_addresses(), &until);
+    let callers = start_lookups(&testbed.caller_addresses(), &until);
     time::sleep(Duration::from_secs(1)).await;
-    scene
+    testbed
         .upstream("view-1")
         .standin
         .change(|behaviour| behaviour.gray = GrayMode::Errors);
-    let detected = scene.wait_avoided("view-1", Duration::from_secs(10)).await;
+    let detected = testbed
+        .wait_avoided("view-1", Duration::from_secs(10))
+        .await;
     assert!(detected.is_some(), "it was not avoided everywhere");
     let service = name("view");
     let deadline = Instant::now() + Duration::from_secs(15);
     loop {
-        let stored = records::read_ejections(scene.committer.platform(), &service)
+        let stored = records::read_ejections(testbed.committer.platform(), &service)
             .await
             .unwrap();
         if stored
@@ -116,15 +118,15 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn lookups_go_on_through_an_outage_of_the_platform_and_keyed_actions_are_refused() {
-    let mut scene = Scene::start(plan(1)).await.unwrap();
-    scene
+    let mut testbed = Testbed::start(plan(1)).await.unwrap();
+    testbed
         .platform
         .set_faults(PlatformFaults {
             outage: true,
             lose_answers: 0,
         })
         .await;
-    let mut client = scene.client(0);
+    let mut client = testbed.client(0);
     for number in 0..20 {
         assert_eq!(
             client
@@ -139,16 +141,16 @@
         .with("action-id", "outage");
     let answer = client.call(request).await;
     assert_eq!(answer.outcome(), Some("not-run"));
-    assert!(!scene.ledger.counts().await.contains_key("outage"));
+    assert!(!testbed.ledger.counts().await.contains_key("outage"));
     // A node that starts now takes the configuration from the others.
-    let address = scene.start_entry("lekki-late", "lekki").await.unwrap();
-    scene.wait_generation(2.into_generation()).await.unwrap();
+    let address = testbed.start_entry("lekki-late", "lekki").await.unwrap();
+    testbed.wait_generation(2.into_generation()).await.unwrap();
     let answer = CallerClient::new(address)
         .call(ClientRequest::get("/view/late"))
         .await;
     assert_eq!(answer.status, 200);
     // An upstream that fails is avoided without the platform.
-    scene
+    testbed
         .upstream("view-0")
         .standin
         .change(|behaviour| behaviour.gray = GrayMode::Errors);
@@ -180,18 +182,18 @@
     plan.services[0] = plan.services[0]
         .clone()
         .behaving(|behaviour| behaviour.service_time = Duration::from_millis(60));
-    let scene = Scene::start(plan).await.unwrap();
+    let testbed = Testbed::start(plan).await.unwrap();
     let (done, until) = watch::channel(false);
-    let callers = start_lookups(&scene.caller_addresses(), &until);
+    let callers = start_lookups(&testbed.caller_addresses(), &until);
     time::sleep(Duration::from_millis(500)).await;
     // One upstream is drained by an operator, another one says so itself.
-    scene.change(drain("view-2")).await.unwrap();
-    scene
+    testbed.change(drain("view-2")).await.unwrap();
+    testbed
         .upstream("view-4")
         .standin
         .change(|behaviour| behaviour.draining = true);
     time::sleep(Duration::from_secs(3)).await;
-    let served = |id| scene.upstream(id).standin.served();
+    let served = |id| testbed.upstream(id).standin.served();
     let before = (served("view-2"), served("view-4"));
     time::sleep(Duration::from_secs(2)).await;
     assert_eq!(
@@ -213,8 +215,8 @@
     plan.services[0] = plan.services[0]
         .clone()
         .behaving(|behaviour| behaviour.service_time = Duration::from_millis(150));
-    let mut scene = Scene::start(plan).await.unwrap();
-    let entry = scene.take_entry("ikeja-0").unwrap();
+    let mut testbed = Testbed::start(plan).await.unwrap();
+    let entry = testbed.take_entry("ikeja-0").unwrap();
     let address = entry.caller_address;
     let callers: Vec<_> = (0..12)
         .map(|number| {
@@ -250,8 +252,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn keyed_actions_run_once_while_entries_die_and_answers_are_lost() {
-    let mut scene = Scene::start(plan(2)).await.unwrap();
-    let addresses = scene.caller_addresses();
+    let mut testbed = Testbed::start(plan(2)).await.unwrap();
+    let addresses = testbed.caller_addresses();
     let callers: Vec<_> = (0..12)
         .map(|caller| {
             let addresses = addresses.clone();
@@ -265,7 +267,7 @@
                         let mut request = ClientRequest::post(format!("/book/{key}"), "slot")
                             .with("idempotency-key", &*key)
                             .with("action-id", &*key);
-                        request.patience = Duration::from_secs(5);
+                        request.timeout = Duration::from_secs(5);
                         let answer = CallerClient::new(address).call(request).await;
                         let not_run = answer.outcome() == Some("not-run") || answer.status == 0;
                         told.push((answer.outcome() == Some("not-run"), not_run));
@@ -280,17 +282,17 @@
         .collect();
     for (pause, node) in [(300, "ikeja-1"), (700, "lekki-0")] {
         time::sleep(Duration::from_millis(pause)).await;
-        scene
+        testbed
             .platform
             .set_faults(PlatformFaults {
                 outage: false,
                 lose_answers: 5,
             })
             .await;
-        scene.take_entry(node).unwrap().kill();
+        testbed.take_entry(node).unwrap().kill();
     }
     time::sleep(Duration::from_millis(500)).await;
-    scene
+    testbed
         .platform
         .set_faults(PlatformFaults {
             outage: true,
@@ -298,12 +300,12 @@
         })
         .await;
     time::sleep(Duration::from_millis(500)).await;
-    scene.platform.set_faults(PlatformFaults::default()).await;
+    testbed.platform.set_faults(PlatformFaults::default()).await;
     let mut refused = Vec::new();
     for caller in callers {
         refused.extend(caller.await.unwrap());
     }
-    let counts = scene.ledger.counts().await;
+    let counts = testbed.ledger.counts().await;
     let twice: Vec<_> = counts.iter().filter(|(_, runs)| **runs > 1).collect();
     assert!(twice.is_empty(), "{twice:?}");
     let lied: Vec<_> = refused
@@ -317,17 +319,17 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn of_two_racing_operators_one_is_accepted_and_the_other_is_told() {
-    let scene = Scene::start(plan(1)).await.unwrap();
-    let seen = scene.committer.read().await.unwrap().generation;
-    let order = |operator: &str, upstream: &str| ChangeOrder {
+    let testbed = Testbed::start(plan(1)).await.unwrap();
+    let seen = testbed.committer.read().await.unwrap().generation;
+    let request = |operator: &str, upstream: &str| ChangeRequest {
         operator: name(operator),
         step: drain(upstream),
         expected: Some(seen),
     };
-    let (lagos, kano) = (order("lagos", "view-0"), order("kano", "view-1"));
+    let (lagos, kano) = (request("lagos", "view-0"), request("kano", "view-1"));
     let (first, second) = tokio::join!(
-        scene.committer.commit(&lagos),
-        scene.committer.commit(&kano)
+        testbed.committer.commit(&lagos),
+        testbed.committer.commit(&kano)
     );
     let (winner, loser) = match (&first, &second) {
         (Ok(_), Err(error)) => ("lagos", error),
@@ -336,36 +338,36 @@
     };
     assert_eq!(loser.kind(), ErrorKind::Conflict);
     assert!(loser.detail().contains(winner), "{loser}");
-    let waited = scene.wait_generation(seen.next()).await.unwrap();
+    let waited = testbed.wait_generation(seen.next()).await.unwrap();
     assert!(waited < Duration::from_secs(6), "{waited:?}");
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_lost_answer_to_the_root_is_settled_by_reading_back() {
-    let scene = Scene::start(plan(1)).await.unwrap();
-    let before = scene.committer.read().await.unwrap().generation;
+    let testbed = Testbed::start(plan(1)).await.unwrap();
+    let before = testbed.committer.read().await.unwrap().generation;
     // The reservation, the service's chunk, the audit entry and the root.
-    scene
+    testbed
         .platform
         .set_faults(PlatformFaults {
             outage: false,
             lose_answers: 4,
         })
         .await;
-    let accepted = scene.change(drain("view-3")).await.unwrap();
+    let accepted = testbed.change(drain("view-3")).await.unwrap();
     assert_eq!(accepted.generation, before.next());
     assert_eq!(
-        scene.committer.read().await.unwrap().generation,
+        testbed.committer.read().await.unwrap().generation,
         before.next()
     );
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_change_reaches_a_data_centre_whose_link_to_the_platform_is_cut_one_way() {
-    let scene = Scene::start(plan(2)).await.unwrap();
-    scene.platform_links[&name("ikeja")].change(|faults| faults.drop_back = true);
-    let accepted = scene.change(drain("view-5")).await.unwrap();
-    let waited = scene.wait_generation(accepted.generation).await.unwrap();
+    let testbed = Testbed::start(plan(2)).await.unwrap();
+    testbed.platform_links[&name("ikeja")].change(|faults| faults.drop_back = true);
+    let accepted = testbed.change(drain("view-5")).await.unwrap();
+    let waited = testbed.wait_generation(accepted.generation).await.unwrap();
     assert!(waited < Duration::from_secs(6), "{waited:?}");
     assert_no_breach();
 }
@@ -374,16 +376,16 @@
 async fn a_drain_that_races_an_ejection_keeps_the_floor() {
     let mut plan = plan(1);
     plan.services[0].floor = 20;
-    let scene = Scene::start(plan).await.unwrap();
-    let client = scene.committer.platform();
-    let service = scene.committer.read().await.unwrap().services[&name("view")].clone();
+    let testbed = Testbed::start(plan).await.unwrap();
+    let client = testbed.committer.platform();
+    let service = testbed.committer.read().await.unwrap().services[&name("view")].clone();
     let stored = records::read_ejections(client, &service.id).await.unwrap();
     let mut record = stored.record.clone();
     record
         .eject(&service, &name("view-0"), UnixMillis::new(1), |_| true)
         .unwrap();
     let (drained, ejected) = tokio::join!(
-        scene.change(drain("view-1")),
+        testbed.change(drain("view-1")),
         records::write_ejections(client, &record, stored.condition),
     );
     assert!(drained.is_err() || ejected.is_err(), "both were accepted");
@@ -396,8 +398,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stranger_is_refused() {
-    let scene = Scene::start(plan(1)).await.unwrap();
-    let node = scene.entries.values().next().unwrap().node_address;
+    let testbed = Testbed::start(plan(1)).await.unwrap();
+    let node = testbed.entries.values().next().unwrap().node_address;
     let foreign = NodeKeys::mint(&FleetCa::mint().unwrap()).unwrap();
     let endpoint = link::open_endpoint(([127, 0, 0, 1], 0).into(), &foreign).unwrap();
     let connecting = endpoint.connect(node, node::keys::SERVER_NAME).unwrap();
@@ -407,8 +409,8 @@
 
 #[tokio::test]
 async fn the_platforms_conditional_writes_let_one_of_two_win() {
-    let scene = Scene::start(ScenePlan::small(vec![])).await.unwrap();
-    let client = PlatformClient::start(scene.platform.address(), Arc::new(|_| {}));
+    let testbed = Testbed::start(TestbedPlan::small(vec![])).await.unwrap();
+    let client = PlatformClient::start(testbed.platform.address(), Arc::new(|_| {}));
     let object = "test/object".parse().unwrap();
     let (a, b) = tokio::join!(
         client.put(&object, "a".into(), Condition::Absent),
@@ -424,7 +426,7 @@
         .put(&object, "d".into(), Condition::Version(version))
         .await;
     assert_eq!(late.unwrap_err().kind(), ErrorKind::Conflict);
-    scene
+    testbed
         .platform
         .set_faults(PlatformFaults {
             outage: false,
--- a/testing/scene/tests/request_path.rs
+++ b/testing/testbed/tests/request_path.rs
@@ -2,21 +2,21 @@
 
 use std::time::Duration;
 
-use scene::stage::name;
-use scene::{ClientRequest, Scene, ScenePlan, ServicePlan};
 use standin::upstream_server::GrayMode;
+use testbed::fleet::name;
+use testbed::{ClientRequest, ServicePlan, Testbed, TestbedPlan};
 use tokio::time::{self, Instant};
 
-use gooseberrydyke_scene as scene;
+use gooseberrydyke_testbed as testbed;
 
-async fn lookups(upstreams: usize) -> Scene {
+async fn lookups(upstreams: usize) -> Testbed {
     let services = vec![ServicePlan::lookups("docs", "/download", upstreams)];
-    Scene::start(ScenePlan::small(services)).await.unwrap()
+    Testbed::start(TestbedPlan::small(services)).await.unwrap()
 }
 
-async fn actions(upstreams: usize) -> Scene {
+async fn actions(upstreams: usize) -> Testbed {
     let services = vec![ServicePlan::actions("orders", "/orders", upstreams)];
-    Scene::start(ScenePlan::small(services)).await.unwrap()
+    Testbed::start(TestbedPlan::small(services)).await.unwrap()
 }
 
 fn pattern(size: usize) -> Vec<u8> {
@@ -27,12 +27,12 @@
 
 #[tokio::test]
 async fn a_download_that_breaks_off_is_resumed_on_another_upstream() {
-    let scene = lookups(2).await;
-    scene
+    let testbed = lookups(2).await;
+    testbed
         .upstream("docs-0")
         .standin
         .change(|behaviour| behaviour.gray = GrayMode::Truncate);
-    let mut client = scene.client(0);
+    let mut client = testbed.client(0);
     for _ in 0..8 {
         let answer = client.call(ClientRequest::get("/download/200000")).await;
         assert!(
@@ -46,17 +46,17 @@
 
 #[tokio::test]
 async fn half_an_answer_never_looks_whole() {
-    let scene = lookups(1).await;
-    scene
+    let testbed = lookups(1).await;
+    testbed
         .upstream("docs-0")
         .standin
         .change(|behaviour| behaviour.gray = GrayMode::Truncate);
-    let answer = scene
+    let answer = testbed
         .client(0)
         .call(ClientRequest::get("/download/200000"))
         .await;
     assert!(!answer.whole, "half an answer looked whole");
-    let answer = scene
+    let answer = testbed
         .client(0)
         .call(ClientRequest::get("/download/short-text"))
         .await;
@@ -69,14 +69,14 @@
         ServicePlan::lookups("view", "/view", 2),
         ServicePlan::actions("book", "/book", 2),
     ];
-    let scene = Scene::start(ScenePlan::small(services)).await.unwrap();
+    let testbed = Testbed::start(TestbedPlan::small(services)).await.unwrap();
     for id in ["view-0", "book-0"] {
-        scene
+        testbed
             .upstream(id)
             .standin
             .change(|behaviour| behaviour.gray = GrayMode::Errors);
     }
-    let mut client = scene.client(0);
+    let mut client = testbed.client(0);
     for number in 0..8 {
         let answer = client
             .call(ClientRequest::get(format!("/view/{number}")))
@@ -96,16 +96,16 @@
     );
     let served: u64 = ["book-0", "book-1"]
         .iter()
-        .map(|id| scene.upstream(id).standin.served())
+        .map(|id| testbed.upstream(id).standin.served())
         .sum();
     assert_eq!(served, 8);
 }
 
 #[tokio::test]
 async fn a_refused_connection_means_not_run_and_is_tried_elsewhere() {
-    let mut scene = actions(2).await;
-    scene.upstreams.remove(&name("orders-0"));
-    let mut client = scene.client(0);
+    let mut testbed = actions(2).await;
+    testbed.upstreams.remove(&name("orders-0"));
+    let mut client = testbed.client(0);
     for number in 0..10 {
         let answer = client
             .call(ClientRequest::post(format!("/orders/{number}"), "rolls"))
@@ -117,7 +117,7 @@
             String::from_utf8_lossy(&answer.body)
         );
     }
-    scene.upstreams.clear();
+    testbed.upstreams.clear();
     let answer = client
         .call(ClientRequest::post("/orders/last", "rolls"))
         .await;
@@ -126,37 +126,37 @@
 
 #[tokio::test]
 async fn an_action_without_an_answer_is_unknown() {
-    let scene = actions(1).await;
-    scene
+    let testbed = actions(1).await;
+    testbed
         .upstream("orders-0")
         .link
         .change(|faults| faults.drop_back = true);
     let request = ClientRequest::post("/orders/1", "rolls").with("request-deadline-ms", "400");
     let started = Instant::now();
-    let answer = scene.client(0).call(request).await;
+    let answer = testbed.client(0).call(request).await;
     assert_eq!(answer.outcome(), Some("unknown"));
     assert_eq!(answer.status, 504);
     assert!(
         started.elapsed() < Duration::from_secs(3),
         "the deadline did not hold"
     );
-    assert_eq!(scene.upstream("orders-0").standin.served(), 1);
+    assert_eq!(testbed.upstream("orders-0").standin.served(), 1);
 }
 
 #[tokio::test]
 async fn a_repeated_attempt_that_may_have_run_is_never_called_not_run() {
-    let mut scene = lookups(2).await;
+    let mut testbed = lookups(2).await;
     for id in ["docs-0", "docs-1"] {
-        scene
+        testbed
             .upstream(id)
             .link
             .change(|faults| faults.drop_back = true);
     }
     let request = ClientRequest::get("/download/10").with("request-deadline-ms", "600");
-    let answer = scene.client(0).call(request).await;
+    let answer = testbed.client(0).call(request).await;
     assert_eq!(answer.outcome(), Some("unknown"));
-    scene.upstreams.clear();
-    let answer = scene
+    testbed.upstreams.clear();
+    let answer = testbed
         .client(0)
         .call(ClientRequest::get("/download/11"))
         .await;
@@ -174,12 +174,12 @@
         behaviour.slots = 1;
         behaviour.queue = 0;
     })];
-    let scene = Scene::start(ScenePlan::small(services)).await.unwrap();
+    let testbed = Testbed::start(TestbedPlan::small(services)).await.unwrap();
     let mut leaving = ClientRequest::get("/download/1").with("request-deadline-ms", "2500");
-    leaving.patience = Duration::from_millis(300);
-    let answer = scene.client(0).call(leaving).await;
+    leaving.timeout = Duration::from_millis(300);
+    let answer = testbed.client(0).call(leaving).await;
     assert!(!answer.whole);
-    let headers = scene.ledger.last_headers().await;
+    let headers = testbed.ledger.last_headers().await;
     let left = headers
         .iter()
         .find(|(name, _)| name == "request-deadline-ms")
@@ -188,10 +188,10 @@
     assert!((1..=2500).contains(&left), "{left}");
     // The only slot is free again long before the work would have ended.
     time::sleep(Duration::from_millis(300)).await;
-    scene.upstream("docs-0").standin.change(|behaviour| {
+    testbed.upstream("docs-0").standin.change(|behaviour| {
         behaviour.service_time = Duration::from_millis(5);
     });
-    let answer = scene
+    let answer = testbed
         .client(0)
         .call(ClientRequest::get("/download/2"))
         .await;
@@ -203,8 +203,8 @@
 
 #[tokio::test]
 async fn connections_that_fall_silent_do_not_stop_new_ones() {
-    let scene = lookups(1).await;
-    let mut client = scene.client(0);
+    let testbed = lookups(1).await;
+    let mut client = testbed.client(0);
     for _ in 0..30 {
         assert_eq!(
             client.call(ClientRequest::get("/download/10")).await.status,
@@ -213,7 +213,7 @@
     }
     // Idle for so long that silence is the connection's own fault.
     time::sleep(Duration::from_millis(2_200)).await;
-    let link = &scene.upstream("docs-0").link;
+    let link = &testbed.upstream("docs-0").link;
     link.silence_open_connections();
     let answer = client.call(ClientRequest::get("/download/10")).await;
     assert!(
@@ -224,7 +224,7 @@
     let answer = client.call(ClientRequest::get("/download/10")).await;
     assert_eq!(answer.status, 200, "the pool kept silent connections");
     assert!(
-        scene
+        testbed
             .wait_avoided("docs-0", Duration::from_millis(300))
             .await
             .is_none()
@@ -233,8 +233,8 @@
 
 #[tokio::test]
 async fn an_action_goes_over_a_proven_connection_only() {
-    let scene = actions(1).await;
-    let mut client = scene.client(0);
+    let testbed = actions(1).await;
+    let mut client = testbed.client(0);
     assert_eq!(
         client
             .call(ClientRequest::post("/orders/1", "rolls"))
@@ -243,22 +243,22 @@
         200
     );
     time::sleep(Duration::from_millis(1_200)).await;
-    scene.upstream("orders-0").link.silence_open_connections();
+    testbed.upstream("orders-0").link.silence_open_connections();
     let answer = client.call(ClientRequest::post("/orders/2", "rolls")).await;
     assert_eq!(answer.status, 200, "a connection without proof was used");
 }
 
 #[tokio::test]
 async fn a_slow_upstream_is_raced_and_the_caller_does_not_wait_for_it() {
-    let scene = lookups(2).await;
-    let mut client = scene.client(0);
+    let testbed = lookups(2).await;
+    let mut client = testbed.client(0);
     for _ in 0..80 {
         assert_eq!(
             client.call(ClientRequest::get("/download/10")).await.status,
             200
         );
     }
-    scene.upstream("docs-0").standin.change(|behaviour| {
+    testbed.upstream("docs-0").standin.change(|behaviour| {
         behaviour.service_time = Duration::from_secs(3);
     });
     for _ in 0..6 {
@@ -282,18 +282,18 @@
             behaviour.service_time = Duration::from_millis(20);
         }),
     ];
-    let scene = Scene::start(ScenePlan::small(services)).await.unwrap();
-    let address = scene.caller_addresses()[0];
+    let testbed = Testbed::start(TestbedPlan::small(services)).await.unwrap();
+    let address = testbed.caller_addresses()[0];
     let callers: Vec<_> = (0..24)
         .map(|caller| {
             tokio::spawn(async move {
-                let mut client = scene::CallerClient::new(address);
+                let mut client = testbed::CallerClient::new(address);
                 for number in 0..20 {
                     let target = format!("/view/{caller}-{number}");
                     let mut request = ClientRequest::get(&*target);
                     // Some callers leave before their answer comes.
                     if number % 5 == 4 {
-                        request.patience = Duration::from_millis(10);
+                        request.timeout = Duration::from_millis(10);
                     }
                     let answer = client.call(request).await;
                     let own = answer.body == format!("{target}\n").as_bytes();
@@ -321,14 +321,14 @@
         behaviour.slots = 1;
         behaviour.queue = 0;
     })];
-    let scene = Scene::start(ScenePlan::small(services)).await.unwrap();
-    let address = scene.caller_addresses()[0];
+    let testbed = Testbed::start(TestbedPlan::small(services)).await.unwrap();
+    let address = testbed.caller_addresses()[0];
     let callers: Vec<_> = (0..40)
         .map(|number| {
             tokio::spawn(async move {
                 let request = ClientRequest::get(format!("/view/{number}"))
                     .with("request-deadline-ms", "900");
-                scene::CallerClient::new(address).call(request).await
+                testbed::CallerClient::new(address).call(request).await
             })
         })
         .collect();
