perf(members): publish the members only when they changed

Cause: every read of the VM list published a new table, and each one made every node draw its collectors and probes anew. Change: only a changed list is published; lab control draws the idle cost out along the line through fleets of 48 and 96 nodes. Conclusion: an idle node does nothing when nothing changes.

--- a/crates/node/src/collector/eject.rs
+++ b/crates/node/src/collector/eject.rs
@@ -15,7 +15,7 @@
     pub(super) service: Arc<config::Service>,
     pub(super) generation: sizes::Generation,
     pub(super) now: clock::UnixMillis,
-    pub(super) accused: Vec<ids::UpstreamId>,
+    pub(super) candidates: Vec<ids::UpstreamId>,
     pub(super) proven: BTreeMap<ids::UpstreamId, bool>,
     pub(super) scores: BTreeMap<ids::UpstreamId, f64>,
 }
@@ -65,7 +65,7 @@
             service: &self.service,
             generation: self.generation,
             now: self.now,
-            accused: &self.accused,
+            candidates: &self.candidates,
             proven: &proven,
             score: &score,
         };
--- a/crates/node/src/collector/task.rs
+++ b/crates/node/src/collector/task.rs
@@ -20,7 +20,7 @@
 use crate::members::MemberSet;
 use crate::wire::{NodeRequest, VersionedRecord};
 
-/// How often evidence is sent on and judged.
+/// How often evidence is sent on and evaluated.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 /// How long sums without a failure may wait for the exchange.
 const QUIET_EXCHANGE: Duration = Duration::from_secs(2);
@@ -89,7 +89,7 @@
             exchanged: now,
             refreshed: now,
             reviewed: now,
-            accused_since: BTreeMap::new(),
+            candidate_since: BTreeMap::new(),
             records: Arc::new(BTreeMap::new()),
         };
         tokio::spawn(task.run(inbox, snapshots));
@@ -126,7 +126,7 @@
     exchanged: Instant,
     refreshed: Instant,
     reviewed: Instant,
-    accused_since: BTreeMap<ids::UpstreamId, Instant>,
+    candidate_since: BTreeMap<ids::UpstreamId, Instant>,
     records: Arc<BTreeMap<ids::ServiceId, VersionedRecord>>,
 }
 
@@ -318,10 +318,10 @@
                 "Verdict on {} of {}: {}.", change.upstream, change.service, describe(&change.verdict)
             );
             if change.verdict == Verdict::Eject {
-                self.accused_since.insert(change.upstream.clone(), now);
+                self.candidate_since.insert(change.upstream.clone(), now);
                 ejects = true;
             } else {
-                self.accused_since.remove(&change.upstream);
+                self.candidate_since.remove(&change.upstream);
             }
         }
         self.tell(changes);
@@ -366,7 +366,7 @@
                 continue;
             };
             let rank = self.assignment.of(id).rank;
-            let accused: Vec<_> = service
+            let candidates: Vec<_> = service
                 .upstreams
                 .iter()
                 .map(|up| up.id.clone())
@@ -374,7 +374,7 @@
                 .collect();
             let record = self.records.get(id);
             let ejected = record.is_some_and(|record| !record.record.ejected.is_empty());
-            if accused.is_empty() && !(ejected && rank == 0) {
+            if candidates.is_empty() && !(ejected && rank == 0) {
                 continue;
             }
             let ids = service.upstreams.iter().map(|up| up.id.clone());
@@ -382,7 +382,7 @@
                 service: Arc::clone(service),
                 generation: snapshot.config.generation,
                 now: self.parts.clock.now(),
-                accused,
+                candidates,
                 proven: ids
                     .clone()
                     .map(|id| (id.clone(), detector.is_proven(now, &id)))
@@ -407,7 +407,7 @@
         detector: &OutlierDetector,
         rank: u32,
     ) -> bool {
-        let since = self.accused_since.get(upstream);
+        let since = self.candidate_since.get(upstream);
         let waited = since.is_some_and(|at| now.duration_since(*at) >= RANK_PAUSE * rank);
         waited && detector.verdict(upstream) == Verdict::Eject
     }
--- a/crates/node/src/members/task.rs
+++ b/crates/node/src/members/task.rs
@@ -130,8 +130,8 @@
             Ok(vms) if !vms.is_empty() => {
                 if self.table.replace(vms.into_iter().map(member_of).collect()) {
                     log::info!(target: "members", "The fleet has {} nodes.", self.table.len());
+                    self.publish();
                 }
-                self.publish();
             }
             Ok(_) => {}
             Err(error) => log::warn!(target: "members", "The VM list cannot be read: {error}."),
--- a/crates/policy/src/detection/detector.rs
+++ b/crates/policy/src/detection/detector.rs
@@ -81,7 +81,7 @@
     flaps: u32,
 }
 
-/// Judges the upstreams of one service against each other.
+/// Compares the upstreams of one service with each other.
 #[derive(Debug)]
 pub struct OutlierDetector {
     service: Arc<config::Service>,
@@ -152,7 +152,7 @@
         }
     }
 
-    /// Judges every upstream and returns the verdicts that changed.
+    /// Evaluates every upstream and returns the verdicts that changed.
     pub fn decide(&mut self, now: Instant) -> Vec<VerdictChange> {
         let ids: Vec<_> = self.records.keys().cloned().collect();
         let mut changes = Vec::new();
@@ -284,7 +284,7 @@
         Verdict::Avoid(scope)
     }
 
-    /// Who should avoid the upstream, judged by who sees it fail and who sees it work.
+    /// Who should avoid the upstream, decided by who sees it fail and who sees it work.
     fn scope(&self, now: Instant, record: &UpstreamRecord) -> Option<VerdictScope> {
         let failing_observers = record.evidence.failing_observers(self.costs.avoid);
         let reachable_elsewhere = record.evidence.reachable_elsewhere(now, &failing_observers);
--- a/crates/policy/src/detection/upstream_evidence.rs
+++ b/crates/policy/src/detection/upstream_evidence.rs
@@ -10,14 +10,14 @@
 use super::sequential::{SequentialTest, TestCosts};
 use super::window::OutcomeWindow;
 
-/// Outcomes that a data centre must have seen to speak for an upstream.
-const DEFENCE_OUTCOMES: u32 = 5;
-/// The highest failure share with which a data centre speaks for an upstream.
-const DEFENCE_SHARE: f64 = 0.1;
+/// Outcomes that a data centre must have seen to count as reaching an upstream.
+const REACHABLE_OUTCOMES_MIN: u32 = 5;
+/// The highest failure share with which it still counts as reaching it.
+const REACHABLE_FAILURES_MAX: f64 = 0.1;
 /// How much older than the others earlier outcomes count.
 const EARLIER_AGE: Duration = Duration::from_millis(500);
-/// Failures that a data centre must have seen to support an ejection.
-const SUPPORT_FAILURES: u32 = 2;
+/// Failures that a data centre must have seen to confirm an ejection.
+const CONFIRM_FAILURES_MIN: u32 = 2;
 
 /// One data centre's view of an upstream.
 #[derive(Debug)]
@@ -42,12 +42,13 @@
     fn sees_success(&self, now: Instant, from: Instant) -> bool {
         let (good, bad) = self.window.since(now, from);
         let total = good + bad;
-        total >= DEFENCE_OUTCOMES && f64::from(bad) <= f64::from(total) * DEFENCE_SHARE
+        total >= REACHABLE_OUTCOMES_MIN
+            && f64::from(bad) <= f64::from(total) * REACHABLE_FAILURES_MAX
     }
 
     fn confirms(&self, now: Instant, from: Instant) -> bool {
         let (good, bad) = self.window.since(now, from);
-        bad >= SUPPORT_FAILURES && bad >= good
+        bad >= CONFIRM_FAILURES_MIN && bad >= good
     }
 }
 
--- a/crates/policy/src/ejection/plan.rs
+++ b/crates/policy/src/ejection/plan.rs
@@ -13,7 +13,7 @@
     /// The present time.
     pub now: clock::UnixMillis,
     /// Upstreams whose ejection the detector proposes.
-    pub accused: &'a [ids::UpstreamId],
+    pub candidates: &'a [ids::UpstreamId],
     /// Whether an upstream answered of late.
     pub proven: &'a dyn Fn(&ids::UpstreamId) -> bool,
     /// How bad an upstream looks.
@@ -48,7 +48,7 @@
         plan.record.tidy(input.service, input.generation, input.now);
         plan.end_ejections(input);
         plan.restore_floor(input);
-        plan.eject_accused(input);
+        plan.eject_candidates(input);
         plan
     }
 
@@ -92,11 +92,12 @@
         sizes::SlotCount::new(serving.map(|up| up.slots.get()).sum())
     }
 
-    fn eject_accused(&mut self, input: &PlanInput<'_>) {
-        let mut accused: Vec<_> = input.accused.to_vec();
-        accused.retain(|id| !self.record.ejected.contains_key(id) && !self.reinstates.contains(id));
-        accused.sort_by(|a, b| (input.score)(b).total_cmp(&(input.score)(a)));
-        for id in accused {
+    fn eject_candidates(&mut self, input: &PlanInput<'_>) {
+        let mut candidates: Vec<_> = input.candidates.to_vec();
+        candidates
+            .retain(|id| !self.record.ejected.contains_key(id) && !self.reinstates.contains(id));
+        candidates.sort_by(|a, b| (input.score)(b).total_cmp(&(input.score)(a)));
+        for id in candidates {
             match self
                 .record
                 .eject(input.service, &id, input.now, input.proven)
--- a/crates/policy/tests/detection.rs
+++ b/crates/policy/tests/detection.rs
@@ -1,4 +1,4 @@
-//! The detector blames who is to blame, and nobody else.
+//! Failing upstreams are found, and no others.
 
 mod common;
 
--- a/crates/policy/tests/ejection.rs
+++ b/crates/policy/tests/ejection.rs
@@ -17,7 +17,7 @@
 fn draw(
     record: &EjectionRecord,
     service: &Service,
-    accused: &[UpstreamId],
+    candidates: &[UpstreamId],
     now: u64,
     generation: u64,
 ) -> EjectionPlan {
@@ -27,7 +27,7 @@
             service,
             generation: Generation::new(generation),
             now: UnixMillis::new(now),
-            accused,
+            candidates,
             proven: &|_| true,
             score: &|id| f64::from(id.as_str().bytes().last().unwrap_or(0)),
         },
@@ -123,8 +123,8 @@
 fn the_least_bad_comes_back_when_capacity_leaves_for_other_reasons() {
     let mut service = service(6, 4, 16);
     let mut record = EjectionRecord::empty(service.id.clone());
-    let accused = [name("up-0"), name("up-1")];
-    record = draw(&record, &service, &accused, 1_000, 1).record;
+    let candidates = [name("up-0"), name("up-1")];
+    record = draw(&record, &service, &candidates, 1_000, 1).record;
     assert_eq!(record.ejected.len(), 2);
     let ups = &mut Arc::make_mut(&mut service).upstreams;
     ups[5].state = UpstreamState::Draining;
--- a/testing/lab/src/control.rs
+++ b/testing/lab/src/control.rs
@@ -53,6 +53,8 @@
 const CLAIM_HOURS: f64 = 6.0;
 /// Updates of one shard in a second, at most, with a pace of 100 ms.
 const WRITES_PER_SHARD: f64 = 10.0;
+/// Nodes in each of the three data centres of the measured fleets.
+const FLEETS: [usize; 3] = [4, 16, 32];
 /// Times that a cheap step is repeated to be measured.
 const REPEATS: u32 = 20_000;
 
@@ -284,7 +286,7 @@
     let decide = timed(REPEATS / 10, || {
         assert!(detector.decide(Instant::now()).is_empty());
     });
-    sink.slope("judging a report", "us", observe);
+    sink.slope("evaluating a report", "us", observe);
     sink.slope("deciding over one service", "us", decide);
     let table = members(580);
     let near: Vec<_> = table.able(Instant::now()).into_iter().take(83).collect();
@@ -347,6 +349,8 @@
 
 /// What an idle fleet costs each node at some sizes.
 struct Idle {
+    /// Nodes of the fleet.
+    nodes: f64,
     /// Share of a core, in percent.
     core: f64,
     /// Bytes of messages a second.
@@ -360,7 +364,7 @@
 async fn measure_fleet(sink: &mut Sink<'_>, settings: &LabSettings) -> std::io::Result<Idle> {
     let span = Duration::from_secs(settings.seconds.clamp(4, 60));
     let mut seen: Vec<Idle> = Vec::new();
-    for nodes in [4, 16] {
+    for nodes in FLEETS {
         let plan = TestbedPlan {
             seed: settings.seed,
             ..TestbedPlan::three_centres(nodes, vec![ServicePlan::lookups("view", "/view", 3)])
@@ -406,6 +410,7 @@
         );
         sink.add(&case, "memory of a node", "MB", memory, Bound::Free);
         seen.push(Idle {
+            nodes: count,
             core,
             bytes,
             calls,
@@ -416,8 +421,25 @@
             entry.kill();
         }
     }
-    let last = seen.pop();
-    last.ok_or_else(|| std::io::Error::other("no fleet was measured"))
+    let (Some(large), Some(middle)) = (seen.pop(), seen.pop()) else {
+        unreachable!("three fleets were measured")
+    };
+    Ok(large.drawn_out(&middle))
+}
+
+impl Idle {
+    /// The cost at the target size, along the line through the two larger fleets.
+    fn drawn_out(&self, smaller: &Self) -> Self {
+        let steps = (NODES - self.nodes) / (self.nodes - smaller.nodes);
+        let along = |large: f64, small: f64| large + (large - small).max(0.0) * steps;
+        Self {
+            nodes: NODES,
+            core: along(self.core, smaller.core),
+            bytes: along(self.bytes, smaller.bytes),
+            calls: self.calls,
+            peer_memory: self.peer_memory,
+        }
+    }
 }
 
 fn sent_bytes(testbed: &Testbed) -> f64 {
@@ -528,7 +550,7 @@
     );
     let measured = idle.calls;
     sink.add(
-        "48 nodes",
+        "96 nodes",
         "platform reads",
         "calls/s",
         measured,
--- a/testing/lab/src/detect/ours.rs
+++ b/testing/lab/src/detect/ours.rs
@@ -278,7 +278,7 @@
             .iter()
             .map(|up| up.id.clone())
             .collect();
-        let accused: Vec<_> = ids
+        let candidates: Vec<_> = ids
             .iter()
             .filter(|id| detector.verdict(id) == Verdict::Eject)
             .cloned()
@@ -290,7 +290,7 @@
                 service: &self.service,
                 generation: sizes::Generation::new(1),
                 now: UnixMillis::new(millis + 1),
-                accused: &accused,
+                candidates: &candidates,
                 proven: &|id| detector.is_proven(now, id),
                 score: &|id| detector.score(id),
             },
