--- a/bins/ctl/tests/commands.rs
+++ b/bins/ctl/tests/commands.rs
@@ -34,17 +34,17 @@
         let process = AdminProcess::start(&settings).unwrap();
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test);
         std::fs::create_dir_all(&folder).unwrap();
-        let stage = Self {
+        let setup = Self {
             testbed,
             process,
             folder,
         };
         let deadline = Instant::now() + Duration::from_secs(10);
-        while stage.ctl(&["status"]).await.status.code() != Some(0) {
+        while setup.ctl(&["status"]).await.status.code() != Some(0) {
             assert!(Instant::now() < deadline, "the API does not answer");
             time::sleep(Duration::from_millis(50)).await;
         }
-        stage
+        setup
     }
 
     async fn ctl(&self, arguments: &[&str]) -> Output {
@@ -74,26 +74,26 @@
     String::from_utf8_lossy(&both).into_owned()
 }
 
-fn sheet(stage: &Setup, floor: u32) -> String {
-    let mut rows = format!(
-        "kind;name;service;floor;deadline;address;data-centre;slots;prefix\nservice;view;;{floor};4s;;;;\n"
-    );
-    for (id, upstream) in &stage.testbed.upstreams {
+fn sheet(setup: &Setup, floor: u32) -> String {
+    let head = "kind;name;service;floor;deadline;address;data-centre;slots;prefix";
+    let mut rows = vec![head.to_owned(), format!("service;view;;{floor};4s;;;;")];
+    rows.extend(setup.testbed.upstreams.iter().map(|(id, upstream)| {
         let address = upstream.link.address();
-        rows += &format!("upstream;{id};view;;;{address};ikeja;4;\n");
-    }
-    rows + "route;view;view;;;;;;/view\n"
+        format!("upstream;{id};view;;;{address};ikeja;4;")
+    }));
+    rows.push("route;view;view;;;;;;/view\n".to_owned());
+    rows.join("\n")
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_sheet_is_checked_planned_and_applied_at_the_planned_generation_only() {
-    let stage = Setup::start("sheet").await;
-    let file = stage.write("good.csv", &sheet(&stage, 8));
+    let setup = Setup::start("sheet").await;
+    let file = setup.write("good.csv", &sheet(&setup, 8));
     assert_eq!(
-        stage.ctl(&["sheet", "check", &file]).await.status.code(),
+        setup.ctl(&["sheet", "check", &file]).await.status.code(),
         Some(0)
     );
-    let plan = stage.ctl(&["sheet", "plan", &file]).await;
+    let plan = setup.ctl(&["sheet", "plan", &file]).await;
     assert!(
         text(&plan).contains("changes  service view (floor: 4 to 8)"),
         "{}",
@@ -101,21 +101,21 @@
     );
     assert!(text(&plan).contains("--generation 2"), "{}", text(&plan));
     let apply = ["sheet", "apply", &file, "--generation", "2"];
-    let first = stage.ctl(&apply).await;
+    let first = setup.ctl(&apply).await;
     assert!(
         text(&first).contains("Accepted as generation 3"),
         "{}",
         text(&first)
     );
-    let second = stage.ctl(&apply).await;
+    let second = setup.ctl(&apply).await;
     assert_eq!(second.status.code(), Some(3), "{}", text(&second));
     assert!(
         text(&second).contains("generation 3 by root"),
         "{}",
         text(&second)
     );
-    let faulty = stage.write("faulty.csv", &sheet(&stage, 8).replace("4;\n", "four;\n"));
-    let check = stage.ctl(&["sheet", "check", &faulty]).await;
+    let faulty = setup.write("faulty.csv", &sheet(&setup, 8).replace("4;\n", "four;\n"));
+    let check = setup.ctl(&["sheet", "check", &faulty]).await;
     assert_eq!(check.status.code(), Some(1));
     assert_eq!(
         text(&check).matches("column slots: \"four\"").count(),
@@ -127,24 +127,24 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn drains_lists_status_and_audit_show_what_happened() {
-    let stage = Setup::start("drains").await;
-    let drain = stage.ctl(&["drain", "view", "view-1"]).await;
+    let setup = Setup::start("drains").await;
+    let drain = setup.ctl(&["drain", "view", "view-1"]).await;
     assert_eq!(drain.status.code(), Some(0), "{}", text(&drain));
-    let list = text(&stage.ctl(&["list", "upstreams"]).await);
+    let list = text(&setup.ctl(&["list", "upstreams"]).await);
     let line = list
         .lines()
         .find(|line| line.starts_with("view-1 "))
         .unwrap();
     assert!(line.ends_with("draining"), "{line}");
-    let status = stage.ctl(&["--json", "status"]).await;
+    let status = setup.ctl(&["--json", "status"]).await;
     let status: serde_json::Value = serde_json::from_slice(&status.stdout).unwrap();
     assert_eq!(status["services"][0]["active_slots"], 20);
-    let audit = text(&stage.ctl(&["audit", "--most", "1"]).await);
+    let audit = text(&setup.ctl(&["audit", "--most", "1"]).await);
     assert!(
         audit.contains("root: set view-1 of view to draining"),
         "{audit}"
     );
-    let undrain = stage.ctl(&["undrain", "view", "view-1"]).await;
+    let undrain = setup.ctl(&["undrain", "view", "view-1"]).await;
     assert!(
         text(&undrain).contains("undrains upstream view-1"),
         "{}",
@@ -154,14 +154,14 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn parts_are_put_and_removed_from_files() {
-    let stage = Setup::start("parts").await;
-    let space = stage.write("space.json", r#"{"id": "lagos", "limit": 7}"#);
-    let put = stage.ctl(&["put", "workspace", &space]).await;
+    let setup = Setup::start("parts").await;
+    let space = setup.write("space.json", r#"{"id": "lagos", "limit": 7}"#);
+    let put = setup.ctl(&["put", "workspace", &space]).await;
     assert_eq!(put.status.code(), Some(0), "{}", text(&put));
-    assert!(text(&stage.ctl(&["list", "workspaces"]).await).contains("lagos"));
+    assert!(text(&setup.ctl(&["list", "workspaces"]).await).contains("lagos"));
     let route = r#"{"id": "r", "host": null, "prefix": "/r", "methods": [], "service": "nobody", "repeat": "always"}"#;
-    let refused = stage
-        .ctl(&["put", "route", &stage.write("route.json", route)])
+    let refused = setup
+        .ctl(&["put", "route", &setup.write("route.json", route)])
         .await;
     assert_eq!(refused.status.code(), Some(1));
     assert!(
@@ -169,14 +169,14 @@
         "{}",
         text(&refused)
     );
-    let removed = stage.ctl(&["remove", "workspace", "lagos"]).await;
+    let removed = setup.ctl(&["remove", "workspace", "lagos"]).await;
     assert!(
         text(&removed).contains("removes  workspace lagos"),
         "{}",
         text(&removed)
     );
     assert_eq!(
-        stage
+        setup
             .ctl(&["remove", "workspace", "lagos"])
             .await
             .status
@@ -187,24 +187,24 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn exit_codes_tell_refusals_usage_and_silence_apart() {
-    let stage = Setup::start("codes").await;
+    let setup = Setup::start("codes").await;
     assert_eq!(
-        stage
+        setup
             .ctl_as("nobody-knows-me", &["status"])
             .await
             .status
             .code(),
         Some(1)
     );
-    assert_eq!(stage.ctl(&["list", "lodges"]).await.status.code(), Some(2));
-    assert_eq!(stage.ctl(&["no-such-command"]).await.status.code(), Some(2));
-    let issued = stage.ctl(&["token", "issue", "kano", "viewer"]).await;
+    assert_eq!(setup.ctl(&["list", "lodges"]).await.status.code(), Some(2));
+    assert_eq!(setup.ctl(&["no-such-command"]).await.status.code(), Some(2));
+    let issued = setup.ctl(&["token", "issue", "kano", "viewer"]).await;
     let token = text(&issued).trim().to_owned();
     assert_eq!(
-        stage.ctl_as(&token, &["status"]).await.status.code(),
+        setup.ctl_as(&token, &["status"]).await.status.code(),
         Some(0)
     );
-    let refused = stage.ctl_as(&token, &["drain", "view", "view-1"]).await;
+    let refused = setup.ctl_as(&token, &["drain", "view", "view-1"]).await;
     assert_eq!(refused.status.code(), Some(1));
     assert!(
         text(&refused).contains("needs operator"),
@@ -213,7 +213,7 @@
     );
     let Setup {
         process, folder, ..
-    } = stage;
+    } = setup;
     let address = process.address.to_string();
     process.stop().await;
     let mut command = Command::new(env!("CARGO_BIN_EXE_gooseberrydyke-ctl"));
--- a/crates/model/tests/values.rs
+++ b/crates/model/tests/values.rs
@@ -31,6 +31,10 @@
 
 #[test]
 fn identifiers_refuse_what_a_name_may_not_hold() {
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "quickcheck hands its values over"
+    )]
     fn holds(text: String) -> bool {
         let taken = text.parse::<ServiceId>().is_ok();
         let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.:".contains(&byte);
--- a/crates/policy/src/claim/mod.rs
+++ b/crates/policy/src/claim/mod.rs
@@ -12,7 +12,7 @@
 
 pub use batch::{BatchWrite, ClaimAttempt, ClaimVerdict, Decided, ShardBatcher, WriteCondition};
 pub use segment::{
-    ClaimKey, ClaimRecord, ClaimState, ClaimToken, Segment, SegmentNumber, Settlement,
-    StoredSegment,
+    ClaimKey, ClaimRecord, ClaimState, ClaimToken, SEGMENT_ENTRIES_MAX, Segment, SegmentNumber,
+    Settlement, StoredSegment,
 };
 pub use shard::{SHARDS, ShardId, shard_of};
--- a/crates/policy/src/claim/segment.rs
+++ b/crates/policy/src/claim/segment.rs
@@ -4,8 +4,9 @@
 
 use model::{clock, digest, ids, sizes};
 
-/// Claims and outcomes after which a segment is sealed.
-const SEGMENT_ENTRIES_MAX: usize = 512;
+/// Claims and outcomes after which a segment is sealed: each update writes the whole
+/// open segment, and each segment is an object of the platform.
+pub const SEGMENT_ENTRIES_MAX: usize = 128;
 
 model::text_id! {
     /// A key of one service, hashed.
--- a/crates/policy/tests/claims.rs
+++ b/crates/policy/tests/claims.rs
@@ -4,7 +4,8 @@
 
 use gooseberrydyke_policy::claim::{
     BatchWrite, ClaimAttempt, ClaimKey, ClaimState, ClaimToken, ClaimVerdict, Decided,
-    SegmentNumber, Settlement, ShardBatcher, ShardId, StoredSegment, WriteCondition,
+    SEGMENT_ENTRIES_MAX, SegmentNumber, Settlement, ShardBatcher, ShardId, StoredSegment,
+    WriteCondition,
 };
 use model::clock::UnixMillis;
 use model::sizes::ObjectVersion;
@@ -225,7 +226,10 @@
             );
         }
     }
-    assert_eq!(platform.objects.len(), 3);
+    assert_eq!(
+        platform.objects.len(),
+        1_500_usize.div_ceil(SEGMENT_ENTRIES_MAX)
+    );
     let decided = loaded(&platform).claim(NOW, attempt("k0", "x"));
     assert_eq!(
         verdict(&decided, "x"),
--- a/testing/lab/src/control.rs
+++ b/testing/lab/src/control.rs
@@ -4,14 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use model::clock::UnixMillis;
 use model::config::{FleetConfig, RepeatRule, Route, Service, Upstream, UpstreamState, Workspace};
 use model::ids;
-use model::sizes::{Generation, ObjectVersion, SlotCount};
-use policy::claim::{
-    ClaimKey, ClaimRecord, ClaimState, SHARDS, Segment, SegmentNumber, ShardBatcher, ShardId,
-    StoredSegment,
-};
+use model::sizes::{Generation, SlotCount};
 use policy::detection::{EvidenceCount, EvidenceReport, OutlierDetector};
 use policy::membership::{Member, MemberTable};
 use policy::routing::RouteTable;
@@ -30,7 +25,7 @@
 const ROUTES: usize = 6_500;
 const WORKSPACES: usize = 49_000;
 const CENTRES: f64 = 7.0;
-const REQUESTS_PER_SECOND: f64 = 39_000.0;
+pub(crate) const REQUESTS_PER_SECOND: f64 = 39_000.0;
 const CHANGES_PER_DAY: f64 = 780.0;
 const SECONDS_PER_DAY: f64 = 86_400.0;
 /// What control may cost a node.
@@ -46,24 +41,17 @@
 const PROBE_SECONDS: f64 = 3.0;
 /// Probes that are measured.
 const PROBES: u32 = 500;
-/// Claims of the measured shard, and in each of its segments.
-const CLAIMS: usize = 51_200;
-const CLAIMS_PER_SEGMENT: usize = 512;
-/// How long claims are remembered in the example.
-const CLAIM_HOURS: f64 = 6.0;
-/// Updates of one shard in a second, at most, with a pace of 100 ms.
-const WRITES_PER_SHARD: f64 = 10.0;
 /// Nodes in each of the three data centres of the measured fleets.
 const FLEETS: [usize; 3] = [4, 16, 32];
 /// Times that a cheap step is repeated to be measured.
 const REPEATS: u32 = 20_000;
 
-struct Sink<'a> {
-    report: &'a mut Report,
+pub(crate) struct Sink<'a> {
+    pub(crate) report: &'a mut Report,
 }
 
 impl Sink<'_> {
-    fn add(
+    pub(crate) fn add(
         &mut self,
         case: &str,
         metric: &'static str,
@@ -82,7 +70,7 @@
         });
     }
 
-    fn slope(&mut self, metric: &'static str, unit: &'static str, value: f64) {
+    pub(crate) fn slope(&mut self, metric: &'static str, unit: &'static str, value: f64) {
         self.add("slope", metric, unit, value, Bound::Free);
     }
 }
@@ -93,13 +81,14 @@
     let mut sink = Sink {
         report: &mut report,
     };
-    let memory = measure_memory(&mut sink);
-    let claims = measure_claims(&mut sink);
+    // What is measured stays, so that nothing later is built in its memory.
+    let mut held = Vec::new();
+    let memory = measure_memory(&mut sink, &mut held);
     let steps = measure_steps(&mut sink);
     let probe = measure_probe(&mut sink).await?;
     let idle = measure_fleet(&mut sink, settings).await?;
     draw_out(&mut sink, memory, &steps, probe, &idle);
-    draw_out_claims(&mut sink, &claims);
+    drop(held);
     Ok(report.finish())
 }
 
@@ -144,14 +133,13 @@
     config
 }
 
-fn parse<T: std::str::FromStr>(text: &str) -> T {
+pub(crate) fn parse<T: std::str::FromStr>(text: &str) -> T {
     text.parse()
         .unwrap_or_else(|_| unreachable!("names of the lab are names"))
 }
 
 /// Memory of the configuration with its routes, chunks and balancers; returns megabytes at the target.
-fn measure_memory(sink: &mut Sink<'_>) -> f64 {
-    let mut held = Vec::new();
+fn measure_memory(sink: &mut Sink<'_>, held: &mut Vec<Box<dyn std::any::Any>>) -> f64 {
     let mut grow = |metric, count: usize, build: &dyn Fn() -> Box<dyn std::any::Any>| {
         let before = resident_bytes();
         held.push(build());
@@ -187,54 +175,6 @@
     services + routes + workspaces + balancers + pieces
 }
 
-/// What claims cost.
-struct Claims {
-    /// Bytes of memory of a claim at its batcher.
-    memory: f64,
-    /// Bytes of a claim in a stored segment.
-    stored: f64,
-}
-
-/// Loads a shard with many claims, as a batcher does that takes it over.
-fn measure_claims(sink: &mut Sink<'_>) -> Claims {
-    let segments = (0..CLAIMS / CLAIMS_PER_SEGMENT).map(|number| {
-        let claims = (0..CLAIMS_PER_SEGMENT).map(|place| {
-            let key = ClaimKey::of(&parse("service-0000"), None, &format!("{number}-{place}"));
-            let record = ClaimRecord {
-                token: parse(&format!("node-000-0123456789abcdef-{number}{place}")),
-                request: 1,
-                state: ClaimState::Claimed,
-                expires: UnixMillis::new(u64::MAX),
-                settled_by: UnixMillis::new(u64::MAX),
-            };
-            (key, record)
-        });
-        let segment = Segment {
-            sealed: true,
-            claims: claims.collect(),
-            ..Segment::default()
-        };
-        StoredSegment {
-            number: SegmentNumber::new(number as u64),
-            version: ObjectVersion::new(1),
-            segment,
-        }
-    });
-    let segments: Vec<_> = segments.collect();
-    let bytes = serde_json::to_vec(&segments[0].segment).map_or(0, |bytes| bytes.len());
-    let stored = figure((bytes / CLAIMS_PER_SEGMENT) as u64);
-    sink.slope("size of a claim in its segment", "bytes", stored);
-    let before = resident_bytes();
-    let mut batcher = ShardBatcher::new(ShardId::new(0));
-    let started = std::time::Instant::now();
-    batcher.load(UnixMillis::new(1), segments);
-    let load = started.elapsed().as_secs_f64() * 1e6 / figure(CLAIMS as u64);
-    let memory = figure(resident_bytes().saturating_sub(before)) / figure(CLAIMS as u64);
-    sink.slope("memory of a claim at its batcher", "bytes", memory);
-    sink.slope("loading a claim when a shard is taken over", "us", load);
-    Claims { memory, stored }
-}
-
 /// Processor time of single steps in microseconds, and the size of a report.
 struct Steps {
     report: f64,
@@ -454,46 +394,6 @@
     totals.sum()
 }
 
-/// The claims of a batcher when one request in a hundred carries a key.
-fn draw_out_claims(sink: &mut Sink<'_>, claims: &Claims) {
-    let case = "1 in 100 requests keyed, remembered for 6 h";
-    let rate = REQUESTS_PER_SECOND / 100.0 / figure(SHARDS);
-    let held = rate * CLAIM_HOURS * 3_600.0;
-    sink.add(
-        case,
-        "claims held by a batcher",
-        "claims",
-        held,
-        Bound::Free,
-    );
-    let memory = held * claims.memory / 1e6;
-    sink.add(case, "memory of a batcher", "MB", memory, Bound::Free);
-    let writes = rate.min(WRITES_PER_SHARD);
-    sink.add(
-        case,
-        "platform writes",
-        "calls/s",
-        writes * figure(SHARDS),
-        Bound::AtMost(500.0),
-    );
-    let half = figure(CLAIMS_PER_SEGMENT as u64) / 2.0 * claims.stored;
-    sink.add(
-        case,
-        "bytes of claims sent by a batcher",
-        "bytes/s",
-        writes * half,
-        Bound::Free,
-    );
-    let reads = held * claims.stored / 1e6;
-    sink.add(
-        case,
-        "reads to take a shard over",
-        "calls",
-        reads,
-        Bound::Free,
-    );
-}
-
 /// Adds the slopes up at the target size.
 fn draw_out(sink: &mut Sink<'_>, config_memory: f64, steps: &Steps, probe: f64, idle: &Idle) {
     let case = "580 nodes, 500 services, 8500 upstreams";
--- a/testing/lab/src/main.rs
+++ b/testing/lab/src/main.rs
@@ -1,5 +1,6 @@
 //! Experiments: each prints its figures and ends with 1 when a bound was missed.
 
+mod claims;
 mod config;
 mod control;
 mod detect;
@@ -26,6 +27,7 @@
         seconds: flags.seconds.unwrap_or(seconds),
     };
     let holds = match flags.subcommand {
+        GooseberrydykeLabCmd::Claims(_) => claims::run(&settings(0)),
         GooseberrydykeLabCmd::Config(_) => block_on(config::run(&settings(20))),
         GooseberrydykeLabCmd::Control(_) => block_on(control::run(&settings(10))),
         GooseberrydykeLabCmd::Detect(_) => detect::run(&settings(40)),
--- a/testing/lab/src/settings.rs
+++ b/testing/lab/src/settings.rs
@@ -27,6 +27,8 @@
             cmd overhead {}
             /// Keyed requests while everything fails; 25000 requests for each second
             cmd once-only {}
+            /// What claims cost a batcher, and what follows for the target size
+            cmd claims {}
             /// Time until a change is in force everywhere; one change for each second
             cmd config {}
             /// What control costs a node, and what follows for the target size
