fix(platform): call again over a new connection when an idle one was closed

Cause: a call over an idle connection that the platform had just closed failed as if the platform were away, though not a byte had been sent. Change: such a call goes over a new connection once; shares and rates use their types; a message that nothing sent is gone. Conclusion: only what may have been sent counts as lost.

--- a/crates/model/src/sizes.rs
+++ b/crates/model/src/sizes.rs
@@ -53,7 +53,8 @@
 
 impl fmt::Display for Share {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}%", self.0 * 100.0)
+        let percent = (self.0 * 10_000.0).round() / 100.0;
+        write!(f, "{percent}%")
     }
 }
 
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -181,7 +181,6 @@
                 let records = self.follower.snapshot().records;
                 return NodeReply::Records(records.values().cloned().collect());
             }
-            NodeRequest::PutRecords(records) => self.follower.put_records(records).await,
             NodeRequest::Claim(command) => {
                 return match self.shards.claim(command).await {
                     Ok(verdict) => NodeReply::Claim(verdict),
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -59,8 +59,6 @@
         Chunks(Vec<digest::ContentHash>),
         /// Send every ejection record.
         Records,
-        /// Take ejection records.
-        PutRecords(Vec<VersionedRecord>),
         /// Claim a key.
         Claim(ClaimAttempt),
         /// Store what became of claimed requests.
--- a/crates/operator/src/api/calls.rs
+++ b/crates/operator/src/api/calls.rs
@@ -19,7 +19,7 @@
 const AUDIT_MAX: usize = 500;
 /// The largest share of a service's upstreams that may start to drain at once
 /// without the caller's word for it.
-const LEAVING_SHARE_MAX: f64 = 0.2;
+const LEAVING_SHARE_MAX: sizes::Share = sizes::Share::new(0.2);
 
 /// Serves operators.
 #[derive(Debug, Clone)]
@@ -78,9 +78,7 @@
             .is_some_and(|expected| expected != before.generation);
         if share > LEAVING_SHARE_MAX && !call.large_share && !stale {
             let detail = format!(
-                "{:.0}% of a service's upstreams would leave at once, {:.0}% may without the flag",
-                share * 100.0,
-                LEAVING_SHARE_MAX * 100.0
+                "{share} of a service's upstreams would leave at once, {LEAVING_SHARE_MAX} may without the flag"
             );
             return Err(FleetError::new(ErrorKind::Invalid, detail));
         }
@@ -230,7 +228,7 @@
     }
 }
 
-fn answer(accepted: Accepted, leaving_share: f64) -> ChangeAnswer {
+fn answer(accepted: Accepted, leaving_share: sizes::Share) -> ChangeAnswer {
     ChangeAnswer {
         generation: accepted.generation,
         differences: accepted.differences,
@@ -243,7 +241,7 @@
     clippy::cast_precision_loss,
     reason = "upstreams are counted in thousands"
 )]
-fn leaving_share(before: &FleetConfig, after: &FleetConfig) -> f64 {
+fn leaving_share(before: &FleetConfig, after: &FleetConfig) -> sizes::Share {
     let active = |config: &FleetConfig, service: &ids::ServiceId| -> BTreeSet<ids::UpstreamId> {
         let upstreams = config
             .services
@@ -262,5 +260,5 @@
             leaving as f64 / old.len() as f64
         }
     });
-    shares.fold(0.0, f64::max)
+    sizes::Share::new(shares.fold(0.0, f64::max))
 }
--- a/crates/operator/src/api/wire.rs
+++ b/crates/operator/src/api/wire.rs
@@ -17,8 +17,8 @@
         pub generation: sizes::Generation,
         /// What differs.
         pub differences: Vec<Difference>,
-        /// Upstreams that start to drain, as a share of those that take work.
-        pub leaving_share: f64,
+        /// The largest share of one service's upstreams that leave.
+        pub leaving_share: sizes::Share,
     }
 
     /// A refusal.
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -7,8 +7,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use http1::client::{self, Connection, ExchangeError};
-use model::call::BodyStream;
-use model::{error, sizes};
+use model::{call, error, sizes};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{self, Instant};
 
@@ -39,7 +38,7 @@
 #[derive(Debug)]
 struct CallCommand {
     operation: &'static str,
-    request: http::Request<BodyStream>,
+    request: http::Request<Bytes>,
     timeout: Duration,
     reply: oneshot::Sender<Result<WholeAnswer, CallError>>,
 }
@@ -61,7 +60,7 @@
     async fn call(
         &self,
         operation: &'static str,
-        request: http::Request<BodyStream>,
+        request: http::Request<Bytes>,
         timeout: Duration,
     ) -> Result<WholeAnswer, CallError> {
         let (reply, answer) = oneshot::channel();
@@ -81,7 +80,7 @@
     async fn read(
         &self,
         operation: &'static str,
-        request: http::Request<BodyStream>,
+        request: http::Request<Bytes>,
         timeout: Duration,
     ) -> Result<WholeAnswer, error::FleetError> {
         self.call(operation, request, timeout).await.map_err(|_| {
@@ -274,18 +273,31 @@
     let _ = reply.send(result);
 }
 
+/// Makes a call over an idle connection; when that turns out to be closed and not a
+/// byte was sent, over a new one.
 async fn exchange(
     address: SocketAddr,
-    connection: Option<Connection>,
-    request: http::Request<BodyStream>,
+    idle: Option<Connection>,
+    request: http::Request<Bytes>,
     deadline: Instant,
 ) -> Result<(WholeAnswer, Option<Connection>), CallError> {
-    let connection = match connection {
-        Some(connection) => connection,
-        None => client::open(address, CONNECT_TIMEOUT)
-            .await
-            .map_err(|_| CallError::NotSent)?,
-    };
+    if let Some(connection) = idle {
+        let result = exchange_over(connection, request.clone(), deadline).await;
+        if !matches!(result, Err(CallError::NotSent)) {
+            return result;
+        }
+    }
+    let opened = client::open(address, CONNECT_TIMEOUT).await;
+    let connection = opened.map_err(|_| CallError::NotSent)?;
+    exchange_over(connection, request, deadline).await
+}
+
+async fn exchange_over(
+    connection: Connection,
+    request: http::Request<Bytes>,
+    deadline: Instant,
+) -> Result<(WholeAnswer, Option<Connection>), CallError> {
+    let request = request.map(call::full_body);
     let sending = time::timeout_at(deadline, connection.exchange(request));
     let exchanged = sending.await.map_err(|_| CallError::Lost)?;
     let (response, given_back) = exchanged.map_err(|error| match error {
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use http::{Method, Request, header};
-use model::call::{self, BodyStream};
 use model::{error, sizes};
 
 use crate::object::{Condition, ObjectName, ObjectPage, StoredObject, WatchAnswer};
@@ -54,20 +53,17 @@
         .header(header::HOST, "platform")
 }
 
-fn finish(
-    builder: http::request::Builder,
-    body: BodyStream,
-) -> Result<Request<BodyStream>, error::FleetError> {
+fn finish(builder: http::request::Builder, body: Bytes) -> RequestResult {
     builder
         .body(body)
         .map_err(|why| error::FleetError::new(error::ErrorKind::Invalid, why.to_string()))
 }
 
-type RequestResult = Result<Request<BodyStream>, error::FleetError>;
+type RequestResult = Result<Request<Bytes>, error::FleetError>;
 
 pub(crate) fn get(name: &ObjectName) -> RequestResult {
     let target = format!("{OBJECTS_PATH}/{name}");
-    finish(request(Method::GET, &target), call::empty_body())
+    finish(request(Method::GET, &target), Bytes::new())
 }
 
 pub(crate) fn put(name: &ObjectName, body: Bytes, condition: Condition) -> RequestResult {
@@ -76,30 +72,30 @@
         Condition::Absent => builder.header(header::IF_NONE_MATCH, "*"),
         Condition::Version(version) => builder.header(header::IF_MATCH, tag_of(version)),
     };
-    finish(builder, call::full_body(body))
+    finish(builder, body)
 }
 
 pub(crate) fn delete(name: &ObjectName, version: sizes::ObjectVersion) -> RequestResult {
     let builder = request(Method::DELETE, &format!("{OBJECTS_PATH}/{name}"));
     finish(
         builder.header(header::IF_MATCH, tag_of(version)),
-        call::empty_body(),
+        Bytes::new(),
     )
 }
 
 pub(crate) fn list(prefix: &str, after: &str) -> RequestResult {
     let target = format!("{OBJECTS_PATH}?prefix={prefix}&after={after}");
-    finish(request(Method::GET, &target), call::empty_body())
+    finish(request(Method::GET, &target), Bytes::new())
 }
 
 pub(crate) fn watch(prefix: &str, since: u64, wait: Duration) -> RequestResult {
     let wait = wait.as_millis();
     let target = format!("{WATCH_PATH}?prefix={prefix}&since={since}&wait_ms={wait}");
-    finish(request(Method::GET, &target), call::empty_body())
+    finish(request(Method::GET, &target), Bytes::new())
 }
 
 pub(crate) fn vms() -> RequestResult {
-    finish(request(Method::GET, VMS_PATH), call::empty_body())
+    finish(request(Method::GET, VMS_PATH), Bytes::new())
 }
 
 /// An answer whose body was read to its end.
--- a/crates/policy/src/service/balancer/mod.rs
+++ b/crates/policy/src/service/balancer/mod.rs
@@ -19,8 +19,8 @@
 use crate::limit;
 use crate::retry::{self, AttemptEnd};
 
-/// Trials of one avoided upstream in a second, over the whole fleet.
-const FLEET_TRIALS_PER_SECOND: f64 = 4.0;
+/// Trials of one avoided upstream, over the whole fleet.
+const FLEET_TRIAL_RATE: sizes::Rate = sizes::Rate::per_second(4.0);
 /// The shortest time between two trials by one node.
 const TRIAL_INTERVAL_MIN: Duration = Duration::from_millis(250);
 /// Share of the deadline that counts as overdue before the usual latency is known.
--- a/crates/policy/src/service/balancer/updates.rs
+++ b/crates/policy/src/service/balancer/updates.rs
@@ -7,7 +7,7 @@
 use model::{config, ids};
 use tokio::time::Instant;
 
-use super::{FLEET_TRIALS_PER_SECOND, ServiceBalancer, TRIAL_INTERVAL_MIN};
+use super::{FLEET_TRIAL_RATE, ServiceBalancer, TRIAL_INTERVAL_MIN};
 use crate::detection::{self, TestCosts};
 use crate::ejection;
 use crate::service::member::{Member, UpstreamStatus};
@@ -55,7 +55,7 @@
 
     /// Sets how many nodes share the trials of an upstream.
     pub fn set_fleet_size(&mut self, nodes: u32) {
-        let seconds = f64::from(nodes) / FLEET_TRIALS_PER_SECOND;
+        let seconds = f64::from(nodes) / FLEET_TRIAL_RATE.get();
         self.trial_interval = Duration::from_secs_f64(seconds).max(TRIAL_INTERVAL_MIN);
         self.buffer.set_fleet_size(nodes);
     }
--- a/testing/testbed/tests/fleet.rs
+++ b/testing/testbed/tests/fleet.rs
@@ -407,6 +407,25 @@
     assert!(!matches!(connected, Ok(Ok(_))), "a stranger was let in");
 }
 
+#[tokio::test]
+async fn a_call_to_the_platform_survives_the_reset_of_an_idle_connection() {
+    let testbed = Testbed::start(TestbedPlan::small(vec![])).await.unwrap();
+    let link = &testbed.platform_links[&name("ikeja")];
+    let client = PlatformClient::start(link.address(), Arc::new(|_| {}));
+    let object = "test/idle".parse().unwrap();
+    client
+        .put(&object, "a".into(), Condition::Absent)
+        .await
+        .unwrap();
+    for _ in 0..20 {
+        link.change(|faults| faults.reset = true);
+        time::sleep(Duration::from_millis(3)).await;
+        link.change(|faults| faults.reset = false);
+        let read = client.get(&object).await.unwrap().unwrap();
+        assert_eq!(read.body, "a");
+    }
+}
+
 #[tokio::test]
 async fn the_platforms_conditional_writes_let_one_of_two_win() {
     let testbed = Testbed::start(TestbedPlan::small(vec![])).await.unwrap();
