docs(code): mend comments that the renaming had bent

Cause: words were renamed in comments where they meant something else (an order of names, news of a drain). Change: the comments read as before. Conclusion: no code changes.

--- a/bins/entry/src/server.rs
+++ b/bins/entry/src/server.rs
@@ -1,4 +1,4 @@
-//! Starts every part of a node and stops them in command.
+//! Starts every part of a node and stops them in order.
 
 use std::io;
 use std::net::SocketAddr;
--- a/crates/http1/src/client/connection.rs
+++ b/crates/http1/src/client/connection.rs
@@ -163,7 +163,7 @@
     }
 }
 
-/// Answers an command that arrived while the connection closed.
+/// Answers a command that arrived while the connection closed.
 fn refuse_waiting(inbox: &mut mpsc::Receiver<ExchangeCommand>) {
     inbox.close();
     while let Ok(command) = inbox.try_recv() {
--- a/crates/model/src/derive.rs
+++ b/crates/model/src/derive.rs
@@ -23,7 +23,7 @@
         }
 
         impl $name {
-            /// Every value, in the command of declaration.
+            /// Every value, in the order of declaration.
             $vis const ALL: &'static [Self] = &[$(Self::$case),+];
 
             /// The text form of the value.
--- a/crates/node/src/collector/assignment.rs
+++ b/crates/node/src/collector/assignment.rs
@@ -9,7 +9,7 @@
 use policy::rendezvous;
 use tokio::time::Instant;
 
-/// How long the assignment hold when the members do not change.
+/// How long the assignment holds when the members do not change.
 const ASSIGNMENT_SPAN: Duration = Duration::from_secs(10);
 
 /// The collectors of every service.
@@ -28,7 +28,7 @@
     pub(super) near: Option<Arc<Member>>,
     /// The collectors of the other data centres.
     pub(super) far: Vec<Arc<Member>>,
-    /// The place of this data centre in the command in which ejections are proposed.
+    /// The place of this data centre in the order in which ejections are proposed.
     pub(super) rank: u32,
 }
 
--- a/crates/node/src/collector/mod.rs
+++ b/crates/node/src/collector/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! A node sends its counts to the collector of the service in its own data
 //! centre. That collector sums them and exchanges the sums with the collectors
-//! of the other data centres, so every collector detectors the same evidence.
+//! of the other data centres, so every collector evaluates the same evidence.
 
 mod assignment;
 mod eject;
--- a/crates/node/src/collector/task.rs
+++ b/crates/node/src/collector/task.rs
@@ -1,4 +1,4 @@
-//! The task that routes evidence and detectors the services that this node collects for.
+//! The task that routes evidence and evaluates the services that this node collects for.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -44,7 +44,7 @@
     Estimate(ServiceLatency),
 }
 
-/// Takes update for this node's own services.
+/// Takes updates for this node's own services.
 pub type UpdateSink = Arc<dyn Fn(CollectorUpdate) + Send + Sync>;
 
 /// A handle to the collector's task.
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -22,7 +22,7 @@
 /// How long a message to another node may take.
 const SEND_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Takes update of a drain that another node saw.
+/// Takes news of a drain that another node saw.
 pub type DrainedSink = Arc<dyn Fn(ids::ServiceId, ids::UpstreamId) + Send + Sync>;
 
 /// What a node's part in the fleet is started from.
@@ -37,9 +37,9 @@
     pub platform: PlatformClient,
     /// How fast claims are written.
     pub pace: BatchPace,
-    /// Takes update from collectors.
+    /// Takes updates from collectors.
     pub update: UpdateSink,
-    /// Takes update of drains.
+    /// Takes news of drains.
     pub drained: DrainedSink,
     /// Is told of bytes sent to other nodes.
     pub sent: SentObserver,
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -39,7 +39,7 @@
         Verdicts(Vec<VerdictChange>),
         /// Take the usual latency of services.
         Estimate(Vec<ServiceLatency>),
-        /// Take the update that an upstream drains.
+        /// Take the news that an upstream drains.
         Drained {
             /// The service.
             service: ids::ServiceId,
--- a/crates/operator/src/api/calls.rs
+++ b/crates/operator/src/api/calls.rs
@@ -43,7 +43,7 @@
 }
 
 impl AdminApi {
-    /// A api that makes changes through a committer.
+    /// An API that makes changes through a committer.
     pub const fn new(committer: Committer) -> Self {
         Self { committer }
     }
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -87,7 +87,7 @@
 /// One page of a list.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ObjectPage {
-    /// Objects in the command of their names.
+    /// Objects in the order of their names.
     pub objects: Vec<StoredObject>,
     /// Whether more follow.
     pub more: bool,
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -29,7 +29,7 @@
 
     /// One page of a list.
     pub struct ListPage {
-        /// Objects in the command of their names.
+        /// Objects in the order of their names.
         pub objects: Vec<ListedObject>,
         /// Whether more follow.
         pub more: bool,
--- a/crates/policy/src/claim/batch.rs
+++ b/crates/policy/src/claim/batch.rs
@@ -271,7 +271,7 @@
         }
     }
 
-    /// Takes the update that the update took effect and gave the object this version.
+    /// Takes the news that the update took effect and gave the object this version.
     pub fn written(
         &mut self,
         now: clock::UnixMillis,
@@ -293,7 +293,7 @@
         self.decide_known(now)
     }
 
-    /// Takes the update that the update failed or that its answer was lost.
+    /// Takes the news that the update failed or that its answer was lost.
     pub fn unsure(&mut self) {
         self.writing = None;
         self.open = None;
--- a/crates/policy/src/limit/queue.rs
+++ b/crates/policy/src/limit/queue.rs
@@ -5,7 +5,7 @@
 use model::sizes;
 use tokio::time::Instant;
 
-/// Requests in the command of their arrival, each with its deadline.
+/// Requests in the order of their arrival, each with its deadline.
 #[derive(Debug)]
 pub struct RequestQueue<T> {
     waiters: VecDeque<(Instant, T)>,
--- a/crates/policy/src/routing/mod.rs
+++ b/crates/policy/src/routing/mod.rs
@@ -1,4 +1,4 @@
-//! Routing: a total command over routes decides which one a request takes.
+//! Routing: a total order over routes decides which one a request takes.
 
 mod table;
 
--- a/crates/policy/src/service/balancer/updates.rs
+++ b/crates/policy/src/service/balancer/updates.rs
@@ -116,7 +116,7 @@
         }
     }
 
-    /// Takes a sign that an upstream drains; returns whether it is update.
+    /// Takes a sign that an upstream drains; returns whether that is new.
     pub fn take_drain(&mut self, now: Instant, upstream: &ids::UpstreamId) -> bool {
         let Some(key) = self.by_id.get(upstream) else {
             return false;
--- a/crates/policy/src/service/choose.rs
+++ b/crates/policy/src/service/choose.rs
@@ -9,7 +9,7 @@
 /// One repeatable request in this many goes to another data centre, to see its upstreams.
 const EXPLORE_ONE_IN: u32 = 32;
 
-/// Candidates in the command in which they are preferred.
+/// Candidates in the order in which they are preferred.
 const TIERS: [fn(&Member, &ids::DataCentreId) -> bool; 4] = [
     |member, home| healthy(member) && member.in_subset && near(member, home),
     |member, _| healthy(member) && member.in_subset,
--- a/crates/upstream/src/service/handle.rs
+++ b/crates/upstream/src/service/handle.rs
@@ -15,7 +15,7 @@
 
 use crate::pool::ConnectionPool;
 
-/// A message to the task that waits for room in the queue.
+/// A message to the task; its sender waits while too many are under way.
 #[derive(Debug)]
 pub(super) enum ServiceCommand {
     Admit {
--- a/crates/upstream/src/service/task.rs
+++ b/crates/upstream/src/service/task.rs
@@ -37,7 +37,7 @@
     pub seed: u64,
     /// Takes evidence that is due.
     pub evidence: Arc<dyn Fn(EvidenceReport) + Send + Sync>,
-    /// Takes update of a drain that this node saw first.
+    /// Takes news of a drain that this node saw first.
     pub drains: DrainSink,
 }
 
--- a/testing/lab/src/control.rs
+++ b/testing/lab/src/control.rs
@@ -34,7 +34,7 @@
 const BYTES_MAX: f64 = 15_000.0;
 /// Bytes of headers and acknowledgements around one message between nodes.
 const MESSAGE_OVERHEAD: f64 = 150.0;
-/// How long the collectors' assignment hold.
+/// How long the collectors' assignment holds.
 const ASSIGNMENT_SECONDS: f64 = 10.0;
 /// Data centres that probe an upstream, and how often each does.
 const PROBING_CENTRES: f64 = 3.0;
--- a/testing/lab/src/detect/subject.rs
+++ b/testing/lab/src/detect/subject.rs
@@ -23,9 +23,9 @@
 /// What a subject did so far.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Actions {
-    /// Upstreams in the command in which they were taken out of service.
+    /// Upstreams in the order in which they were taken out of service.
     pub(super) ejected: Vec<usize>,
-    /// Upstreams in the command in which the first data centre was told to avoid them.
+    /// Upstreams in the order in which the first data centre was told to avoid them.
     pub(super) avoided: Vec<usize>,
     /// The least slots that stayed in service at any node.
     pub(super) least_slots: u32,
