fix(detection): count an attempt that a hedge outpaced against its upstream

Cause: when a hedge answered first the slow attempt was withdrawn before it was overdue, so an upstream that hangs left no evidence as long as hedges helped, and drained the budget until callers were told unknown. Change: the outpaced attempt counts as bad, unless its connection was old. Conclusion: hedges no longer hide what they race against.

--- a/bins/entry/tests/process.rs
+++ b/bins/entry/tests/process.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use node::keys::FleetCa;
+use standin::platform_api::PlatformFaults;
 use testbed::fleet::name;
 use testbed::{CallerClient, ClientRequest, ServicePlan, Testbed, TestbedPlan};
 use tokio::time::{self, Instant};
@@ -186,6 +187,69 @@
     assert!(status.success(), "{status}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_serves_through_an_outage_silent_connections_and_a_one_way_partition() {
+    let services = vec![ServicePlan::lookups("view", "/view", 3)];
+    let testbed = Testbed::start(TestbedPlan::small(services)).await.unwrap();
+    let (_process, address) = start("faults", &testbed);
+    wait_serving(address).await;
+    testbed
+        .platform
+        .set_faults(PlatformFaults {
+            outage: true,
+            lose_answers: 0,
+        })
+        .await;
+    let mut client = CallerClient::new(address);
+    for number in 0..60 {
+        assert_eq!(
+            client
+                .call(ClientRequest::get(format!("/view/{number}")))
+                .await
+                .status,
+            200
+        );
+    }
+    time::sleep(Duration::from_millis(2_200)).await;
+    for upstream in testbed.upstreams.values() {
+        upstream.link.silence_open_connections();
+    }
+    for number in 0..10 {
+        let answer = client
+            .call(ClientRequest::get(format!("/view/s{number}")))
+            .await;
+        assert!(
+            answer.status == 200 || answer.outcome() == Some("unknown"),
+            "{}",
+            answer.status
+        );
+    }
+    assert_eq!(
+        client.call(ClientRequest::get("/view/new")).await.status,
+        200
+    );
+    testbed
+        .upstream("view-1")
+        .link
+        .change(|faults| faults.drop_back = true);
+    for number in 0..20 {
+        let answer = client
+            .call(ClientRequest::get(format!("/view/p{number}")))
+            .await;
+        assert!(
+            answer.status == 200 || answer.outcome() == Some("unknown"),
+            "{}",
+            answer.status
+        );
+    }
+    for number in 0..20 {
+        let answer = client
+            .call(ClientRequest::get(format!("/view/q{number}")))
+            .await;
+        assert_eq!(answer.status, 200, "{:?}", answer.outcome());
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_action_in_flight_at_a_killed_node_runs_at_most_once_and_reads_as_claimed() {
     let testbed = slow_testbed().await;
--- a/crates/policy/src/retry/decide.rs
+++ b/crates/policy/src/retry/decide.rs
@@ -32,6 +32,8 @@
         Truncated = "truncated",
         /// A used connection fell silent; a new one may work.
         Silent = "silent",
+        /// A hedge answered first, though it started later.
+        Outpaced = "outpaced",
         /// The caller ended the attempt or left it too little time.
         Withdrawn = "withdrawn",
     }
@@ -55,7 +57,8 @@
             | Self::ConnectFailed
             | Self::TimedOut
             | Self::Broken
-            | Self::Truncated => Some(false),
+            | Self::Truncated
+            | Self::Outpaced => Some(false),
             Self::Shed | Self::NotSent | Self::Silent | Self::Withdrawn => None,
         }
     }
--- a/crates/policy/src/service/balancer/mod.rs
+++ b/crates/policy/src/service/balancer/mod.rs
@@ -58,6 +58,8 @@
     pub exclude: Vec<ids::UpstreamId>,
     /// Why it is asked for.
     pub purpose: Purpose,
+    /// What pays for a hedge.
+    pub payer: retry::RetryPayer,
 }
 
 /// Leave to send one attempt.
@@ -172,7 +174,10 @@
 
     /// Finds an upstream for an attempt.
     pub fn admit(&mut self, now: Instant, ask: &Ask) -> Admission {
-        if ask.purpose == Purpose::Hedge && !self.budget.pay() {
+        let paid = ask.purpose != Purpose::Hedge
+            || ask.payer == retry::RetryPayer::Trial
+            || self.budget.pay();
+        if !paid {
             return Admission::Refuse(error::ErrorKind::Overload);
         }
         let Some(key) = self.choose(now, ask) else {
--- a/crates/policy/tests/balancer.rs
+++ b/crates/policy/tests/balancer.rs
@@ -28,6 +28,7 @@
         repeatable,
         exclude: Vec::new(),
         purpose: Purpose::First,
+        payer: RetryPayer::Budget,
     }
 }
 
@@ -194,6 +195,19 @@
     assert!(balancer.tick(Instant::now()).is_none());
 }
 
+#[tokio::test(start_paused = true)]
+async fn an_attempt_that_a_hedge_outpaced_is_evidence_unless_its_connection_was_old() {
+    let mut balancer = balancer(3);
+    let grant = go(&mut balancer, false);
+    balancer.suspect(grant.ticket);
+    finish(&mut balancer, &grant, AttemptEnd::Outpaced);
+    assert!(balancer.tick(Instant::now()).is_none());
+    let grant = go(&mut balancer, false);
+    finish(&mut balancer, &grant, AttemptEnd::Outpaced);
+    let report = balancer.tick(Instant::now()).expect("a report is due");
+    assert_eq!(report.counts[&grant.upstream.id].bad, 1);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_slow_caller_of_a_long_body_is_no_evidence() {
     let mut balancer = balancer(1);
--- a/crates/upstream/src/dispatch/dispatcher.rs
+++ b/crates/upstream/src/dispatch/dispatcher.rs
@@ -270,6 +270,7 @@
             repeatable: self.case.repeatable,
             exclude: self.tried.clone(),
             purpose,
+            payer: RetryPayer::Budget,
         }
     }
 
--- a/crates/upstream/src/dispatch/race.rs
+++ b/crates/upstream/src/dispatch/race.rs
@@ -1,15 +1,17 @@
 //! An attempt and, when it is slow and may be repeated, a second one beside it.
 
 use std::pin::pin;
+use std::sync::atomic::Ordering;
 
 use model::call::CallAnswer;
-use policy::service::Purpose;
+use policy::retry::RetryPayer;
+use policy::service::{Ask, Purpose};
 use tokio::time::{self, Instant};
 
 use super::body::PlanBody;
 use super::dispatcher::{CallPlan, run_attempt};
 use crate::attempt::AttemptFailure;
-use crate::service::AttemptLease;
+use crate::service::{AttemptLease, Outpaced};
 
 /// Part of the time left that one attempt may take when another could follow,
 /// unless that is less than attempts usually take.
@@ -31,6 +33,8 @@
             case.head_deadline = now + half;
         }
     }
+    let payer = lease.payer();
+    let outpaced = lease.outpaced();
     let delay = lease.hedge_delay().filter(|_| hedgeable);
     let handle = plan.handle.clone();
     let result = {
@@ -44,7 +48,7 @@
         };
         match early {
             Some(result) => result,
-            None => hedge(plan, first, body).await,
+            None => hedge(plan, first, body, payer, &outpaced).await,
         }
     };
     body.put_back(taken);
@@ -56,10 +60,14 @@
     plan: &mut CallPlan,
     mut first: std::pin::Pin<&mut impl Future<Output = Result<CallAnswer, AttemptFailure>>>,
     body: &mut PlanBody,
+    payer: RetryPayer,
+    outpaced: &Outpaced,
 ) -> Result<CallAnswer, AttemptFailure> {
-    let admitting = plan
-        .handle
-        .admit(plan.ask(Purpose::Hedge), plan.case.deadline);
+    let ask = Ask {
+        payer,
+        ..plan.ask(Purpose::Hedge)
+    };
+    let admitting = plan.handle.admit(ask, plan.case.deadline);
     let lease = tokio::select! {
         result = &mut first => return result,
         lease = admitting => lease,
@@ -83,7 +91,10 @@
             }
         },
         result = &mut second => match result {
-            Ok(answer) => Ok(answer),
+            Ok(answer) => {
+                outpaced.store(true, Ordering::Relaxed);
+                Ok(answer)
+            }
             Err(failure) => {
                 plan.count(failure.end);
                 first.await
--- a/crates/upstream/src/service/handle.rs
+++ b/crates/upstream/src/service/handle.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use model::error::{ErrorKind, FleetError};
@@ -206,8 +207,12 @@
     pub(super) overdue: Duration,
     pub(super) events: mpsc::UnboundedSender<FlightEvent>,
     pub(super) ended: bool,
+    pub(super) outpaced: Outpaced,
 }
 
+/// Set when a hedge answered first; the attempt then ends as outpaced.
+pub type Outpaced = Arc<AtomicBool>;
+
 impl AttemptLease {
     /// The upstream to send to.
     pub fn upstream(&self) -> &config::Upstream {
@@ -238,6 +243,11 @@
         }
     }
 
+    /// The flag to set when a hedge answers first.
+    pub fn outpaced(&self) -> Outpaced {
+        Outpaced::clone(&self.outpaced)
+    }
+
     /// The latency beyond which an attempt counts as overdue.
     pub const fn overdue(&self) -> Duration {
         self.overdue
@@ -267,7 +277,13 @@
 impl Drop for AttemptLease {
     fn drop(&mut self) {
         if !self.ended {
-            self.send_end(AttemptEnd::Withdrawn);
+            let outpaced = self.outpaced.load(Ordering::Relaxed);
+            let end = if outpaced {
+                AttemptEnd::Outpaced
+            } else {
+                AttemptEnd::Withdrawn
+            };
+            self.send_end(end);
         }
     }
 }
--- a/crates/upstream/src/service/task.rs
+++ b/crates/upstream/src/service/task.rs
@@ -13,7 +13,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{self, Instant};
 
-use super::handle::{AttemptLease, FlightEvent, ServiceCommand, ServiceHandle};
+use super::handle::{AttemptLease, FlightEvent, Outpaced, ServiceCommand, ServiceHandle};
 use crate::pool::ConnectionPool;
 
 /// Orders that wait for the task; senders wait when it is full.
@@ -246,6 +246,7 @@
             overdue: self.balancer.overdue_bound(),
             events: self.events.clone(),
             ended: false,
+            outpaced: Outpaced::default(),
         };
         if let Err(Ok(mut lease)) = reply.send(Ok(lease)) {
             lease.ended = true;
--- a/testing/lab/src/detect/ours.rs
+++ b/testing/lab/src/detect/ours.rs
@@ -13,7 +13,7 @@
     EvidenceCount, EvidenceReport, OutlierDetector, ServiceLatency, Verdict, VerdictChange,
 };
 use policy::ejection::{EjectionPlan, EjectionRecord, PlanInput};
-use policy::retry::AttemptEnd;
+use policy::retry::{AttemptEnd, RetryPayer};
 use policy::service::{Admission, Ask, Purpose, ServiceBalancer, TicketKey, UpstreamStatus};
 use tokio::time::Instant;
 
@@ -124,6 +124,7 @@
             repeatable,
             exclude: Vec::new(),
             purpose: Purpose::First,
+            payer: RetryPayer::Budget,
         };
         let Admission::Go(grant) = self.balancers[node].admit(now, &ask) else {
             return None;
