fix(detection): spare an old connection's silence when a hedge answers first

Change: an outpaced attempt over such a connection is no evidence. Conclusion: the rule for silent connections holds for hedges too.

--- a/crates/policy/src/service/balancer/mod.rs
+++ b/crates/policy/src/service/balancer/mod.rs
@@ -277,8 +277,10 @@
             }
             _ => {}
         }
+        let silent = ticket.suspect && end == AttemptEnd::Outpaced;
         let good = end
             .speaks_for()
+            .filter(|_| !silent)
             .map(|good| good && (!overdue || ticket.suspect));
         if let Some(good) = good.filter(|_| !ticket.counted) {
             self.count_outcome(now, ticket.member, good);
