refactor(upstream): drop what nothing reads from attempts

Cause: a read of the whole change found a function that nothing calls, a field of a failed attempt that nothing reads, and a retry case built with one payer to be overwritten with another. Change: the function and the field are gone; the payer is given where the case is built.

--- a/crates/upstream/src/attempt.rs
+++ b/crates/upstream/src/attempt.rs
@@ -11,7 +11,7 @@
 use http1::client::{AnswerBody, ExchangeError};
 use hyper::body::{Body, Frame, SizeHint};
 use model::call::{BodyError, BodyStream, CallAnswer, CallHead};
-use model::{error, ids};
+use model::ids;
 use policy::invariant::{self, Invariant};
 use policy::retry::AttemptEnd;
 use tokio::time::{self, Instant, Sleep};
@@ -50,17 +50,11 @@
     pub end: AttemptEnd,
     /// The upstream's own answer, when it gave a whole head.
     pub answer: Option<CallAnswer>,
-    /// Whether the body was taken.
-    pub body_taken: bool,
 }
 
 impl AttemptFailure {
-    const fn new(end: AttemptEnd, body_taken: bool) -> Self {
-        Self {
-            end,
-            answer: None,
-            body_taken,
-        }
+    const fn new(end: AttemptEnd) -> Self {
+        Self { end, answer: None }
     }
 }
 
@@ -84,7 +78,7 @@
     let taking = time::timeout_at(case.head_deadline, lease.pool().take(freshness));
     let Ok(Ok(pooled)) = taking.await else {
         lease.end(AttemptEnd::ConnectFailed);
-        return Err(AttemptFailure::new(AttemptEnd::ConnectFailed, false));
+        return Err(AttemptFailure::new(AttemptEnd::ConnectFailed));
     };
     let PooledConnection {
         connection,
@@ -109,7 +103,7 @@
             lease.pool().flush().await;
         }
         lease.end(end);
-        return Err(AttemptFailure::new(end, true));
+        return Err(AttemptFailure::new(end));
     };
     let (response, given_back) = match exchanged {
         Ok(exchange) => exchange,
@@ -121,7 +115,7 @@
                 ExchangeError::Broken => AttemptEnd::Broken,
             };
             lease.end(end);
-            return Err(AttemptFailure::new(end, true));
+            return Err(AttemptFailure::new(end));
         }
     };
     let pool = lease.pool().clone();
@@ -177,7 +171,7 @@
     });
     if foreign || !is_framed(case, &parts, &body) {
         lease.end(AttemptEnd::Broken);
-        return Err(AttemptFailure::new(AttemptEnd::Broken, true));
+        return Err(AttemptFailure::new(AttemptEnd::Broken));
     }
     let mut headers = parts.headers;
     http1::header::strip_hop_by_hop(&mut headers);
@@ -201,7 +195,6 @@
     Err(AttemptFailure {
         end,
         answer: Some(answer),
-        body_taken: true,
     })
 }
 
@@ -317,13 +310,3 @@
         self.inner.size_hint()
     }
 }
-
-/// The error that a failed attempt gives the caller.
-pub fn error_of(
-    end: AttemptEnd,
-    shed_is_not_run: bool,
-    service: &ids::ServiceId,
-) -> error::FleetError {
-    let kind = end.error(shed_is_not_run);
-    error::FleetError::new(kind, format!("the last attempt at {service} ended: {end}"))
-}
--- a/crates/upstream/src/dispatch/dispatcher.rs
+++ b/crates/upstream/src/dispatch/dispatcher.rs
@@ -251,10 +251,7 @@
             self.count(failure.end);
             let not_run = failure.end.is_not_run(self.service.shed_is_not_run);
             self.may_have_run |= !not_run;
-            let case = RetryCase {
-                payer,
-                ..self.retry_case(failure.end, body)
-            };
+            let case = self.retry_case(failure.end, payer, body);
             let decision = self.handle.decide_retry(case).await;
             if let Err(reason) = decision {
                 log::debug!(target: "dispatch", "No further attempt: {reason}.");
@@ -278,12 +275,12 @@
         self.metrics.attempt(&self.service.id, end.as_str());
     }
 
-    pub(super) fn retry_case(&self, end: AttemptEnd, body: &PlanBody) -> RetryCase {
+    fn retry_case(&self, end: AttemptEnd, payer: RetryPayer, body: &PlanBody) -> RetryCase {
         RetryCase {
             end,
             repeatable: self.case.repeatable,
             shed_is_not_run: self.service.shed_is_not_run,
-            payer: RetryPayer::Budget,
+            payer,
             body_kept: body.is_at_hand(),
             attempts: self.attempts,
             left: self.case.deadline.saturating_duration_since(Instant::now()),
