fix(replica): keep what left during a cut from coming back

Cause: 17 nodes were cut off for 12 s. When such a node reads the source again it holds back the removal of whatever is missing, since entries lapse while the source is away. Its book was the newest by revision, so every node took it over with the upstreams that had left long ago, until the holding time was over.

Ruled out: the watch of the other relays (their books lacked the two since 4.3 s), late pushes, and a lower mark that would replace a higher one.

Change: a book tells which entries are held and at which revision the source last listed them. A node whose own copy is at least that new and lacks the entry has seen it leave and drops it. A node holds back only what its newest copy lists.

--- a/crates/model/src/config/books.rs
+++ b/crates/model/src/config/books.rs
@@ -56,6 +56,9 @@
         pub mark: UpstreamMark,
         /// Upstreams by name.
         pub entries: BTreeMap<ids::UpstreamId, ListedUpstream>,
+        /// Entries whose removal is held back, with the revision at which the
+        /// platform last listed them.
+        pub held: BTreeMap<ids::UpstreamId, sizes::ObjectVersion>,
     }
 }
 
--- a/crates/node/src/replica/task.rs
+++ b/crates/node/src/replica/task.rs
@@ -8,7 +8,7 @@
 use model::ids;
 use policy::invariant::{self, Invariant};
 use policy::membership::Member;
-use policy::replica::{ChangeResult, UpstreamChange};
+use policy::replica::{self, ChangeResult, UpstreamChange};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
@@ -262,7 +262,10 @@
         if book.mark <= mark {
             return;
         }
-        let book = Arc::new(book);
+        let book = Arc::new(match &before {
+            Some(before) => replica::without_refuted(book, before),
+            None => book,
+        });
         self.publish
             .send_modify(|books| books.upstreams = Some(Arc::clone(&book)));
         match before {
--- a/crates/policy/src/replica/change.rs
+++ b/crates/policy/src/replica/change.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use model::config::{ListedUpstream, UpstreamBook, UpstreamMark};
-use model::ids;
+use model::{ids, sizes};
 
 model::record! {
     /// What changed from one mark to another.
@@ -16,6 +16,8 @@
         pub put: Vec<ListedUpstream>,
         /// Upstreams that went away.
         pub removed: Vec<ids::UpstreamId>,
+        /// Entries whose removal is held back, as in the book.
+        pub held: BTreeMap<ids::UpstreamId, sizes::ObjectVersion>,
     }
 }
 
@@ -48,6 +50,7 @@
             mark: new.mark,
             put: put.collect(),
             removed: removed.collect(),
+            held: new.held.clone(),
         }
     }
 
@@ -70,6 +73,7 @@
         ChangeResult::Made(UpstreamBook {
             mark: self.mark,
             entries,
+            held: self.held.clone(),
         })
     }
 }
--- a/crates/policy/src/replica/view.rs
+++ b/crates/policy/src/replica/view.rs
@@ -24,6 +24,14 @@
     }
 }
 
+/// An entry whose removal is held back.
+#[derive(Debug)]
+struct HeldEntry {
+    entry: ListedUpstream,
+    /// The revision at which the source last listed it.
+    listed_at: sizes::ObjectVersion,
+}
+
 /// Entries by their names at the source.
 ///
 /// Entries lapse while the source is away, though their upstreams live. A
@@ -33,7 +41,7 @@
 pub struct SourceView {
     revision: sizes::ObjectVersion,
     entries: BTreeMap<Arc<str>, ListedUpstream>,
-    held: BTreeMap<Arc<str>, ListedUpstream>,
+    held: BTreeMap<Arc<str>, HeldEntry>,
     doubtful_until: Option<Instant>,
 }
 
@@ -59,13 +67,14 @@
         known: Option<&UpstreamBook>,
     ) {
         let mut before = std::mem::take(&mut self.entries);
-        let known = known.into_iter().flat_map(|book| book.entries.values());
-        for entry in known {
-            if let Some(name) = &entry.upstream.instance {
-                before
-                    .entry(Arc::clone(name))
-                    .or_insert_with(|| entry.clone());
-            }
+        let mut listed_at = self.revision;
+        if let Some(known) = known.filter(|book| book.mark.revision >= self.revision) {
+            listed_at = known.mark.revision;
+            let entries = known.entries.values().filter_map(|entry| {
+                let name = entry.upstream.instance.clone()?;
+                Some((name, entry.clone()))
+            });
+            before = entries.collect();
         }
         self.revision = revision;
         for event in listed {
@@ -76,7 +85,7 @@
         self.held.retain(|name, _| !self.entries.contains_key(name));
         for (name, entry) in before {
             if !self.entries.contains_key(&name) {
-                self.hold(now, name, entry);
+                self.hold(now, name, entry, listed_at);
             }
         }
     }
@@ -88,7 +97,7 @@
         revision: sizes::ObjectVersion,
         events: Vec<SourceEvent>,
     ) {
-        self.revision = revision;
+        let listed_at = std::mem::replace(&mut self.revision, revision);
         for SourceEvent { name, entry } in events {
             let before = match entry {
                 Some(entry) => {
@@ -99,14 +108,20 @@
                 None => self.entries.remove(&name),
             };
             if let Some(before) = before {
-                self.hold(now, name, before);
+                self.hold(now, name, before, listed_at);
             }
         }
     }
 
-    fn hold(&mut self, now: Instant, name: Arc<str>, entry: ListedUpstream) {
+    fn hold(
+        &mut self,
+        now: Instant,
+        name: Arc<str>,
+        entry: ListedUpstream,
+        listed_at: sizes::ObjectVersion,
+    ) {
         if self.doubtful_until.is_some_and(|until| now < until) {
-            self.held.insert(name, entry);
+            self.held.insert(name, HeldEntry { entry, listed_at });
         }
     }
 
@@ -125,16 +140,23 @@
 
     /// The book that the view makes.
     pub fn book(&self) -> UpstreamBook {
-        let entries = self.held.values().chain(self.entries.values());
+        let held = self.held.values();
+        let entries = held
+            .clone()
+            .map(|held| &held.entry)
+            .chain(self.entries.values());
         let mark = match u32::try_from(self.held.len()) {
             Ok(0) => UpstreamMark::settled_at(self.revision),
-            held => UpstreamMark::holding(self.revision, held.unwrap_or(u32::MAX)),
+            count => UpstreamMark::holding(self.revision, count.unwrap_or(u32::MAX)),
         };
         UpstreamBook {
             mark,
             entries: entries
                 .map(|entry| (entry.upstream.id.clone(), entry.clone()))
                 .collect(),
+            held: held
+                .map(|held| (held.entry.upstream.id.clone(), held.listed_at))
+                .collect(),
         }
     }
 }
--- a/crates/policy/tests/replica.rs
+++ b/crates/policy/tests/replica.rs
@@ -1,9 +1,10 @@
 //! Books: which copy is newer, and which removals are believed.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use gooseberrydyke_policy::replica::{ChangeResult, SourceEvent, SourceView, UpstreamChange};
+use gooseberrydyke_policy::replica::{self, ChangeResult, SourceEvent, SourceView, UpstreamChange};
 use model::config::{ListedUpstream, Upstream, UpstreamBook, UpstreamMark, UpstreamState};
 use model::sizes::{ObjectVersion, SlotCount};
 use quickcheck::quickcheck;
@@ -90,6 +91,59 @@
     assert_eq!(view.book().entries.len(), 1, "three seconds after the cut");
 }
 
+#[tokio::test(start_paused = true)]
+async fn what_left_during_a_cut_does_not_come_back_to_those_who_saw_it_leave() {
+    let mut cut_off = SourceView::default();
+    cut_off.replace(Instant::now(), revision(5), listed(&["a", "b", "c"]), None);
+    let stale = cut_off.book();
+    let mut other = SourceView::default();
+    other.replace(Instant::now(), revision(5), listed(&["a", "b", "c"]), None);
+    other.update(Instant::now(), revision(7), vec![removed("b")]);
+    cut_off.source_returned(Instant::now());
+    cut_off.replace(Instant::now(), revision(9), listed(&["a"]), Some(&stale));
+    let returned = cut_off.book();
+    assert_eq!(returned.entries.len(), 3, "it cannot tell what lapsed");
+    assert!(returned.mark > other.book().mark);
+    let taken = replica::without_refuted(returned.clone(), &other.book());
+    let left: Vec<_> = taken.entries.into_keys().collect();
+    assert_eq!(left, [name("a:1"), name("c:1")], "b was seen to leave");
+    assert_eq!(taken.mark, returned.mark);
+    let change = UpstreamChange::between(&stale, &returned);
+    let ChangeResult::Made(made) = change.apply(Some(&stale)) else {
+        panic!("the change applies to its base");
+    };
+    assert_eq!(made, returned, "a change tells what is held");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_copy_older_than_the_last_list_proves_nothing_gone() {
+    let mut early = SourceView::default();
+    early.replace(Instant::now(), revision(4), listed(&["a"]), None);
+    let mut late = SourceView::default();
+    late.replace(Instant::now(), revision(5), listed(&["a", "b"]), None);
+    let before = late.book();
+    late.source_returned(Instant::now());
+    late.replace(Instant::now(), revision(9), listed(&["a"]), Some(&before));
+    let taken = replica::without_refuted(late.book(), &early.book());
+    assert_eq!(taken.entries.len(), 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_node_holds_back_only_what_its_newest_copy_lists() {
+    let mut view = SourceView::default();
+    view.replace(Instant::now(), revision(5), listed(&["a", "b"]), None);
+    let mut other = SourceView::default();
+    other.replace(Instant::now(), revision(7), listed(&["a"]), None);
+    view.source_returned(Instant::now());
+    view.replace(
+        Instant::now(),
+        revision(9),
+        listed(&["a"]),
+        Some(&other.book()),
+    );
+    assert_eq!(view.book().entries.len(), 1);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_restarted_node_takes_what_others_know_for_what_lapsed() {
     let mut old = SourceView::default();
@@ -133,6 +187,7 @@
     UpstreamBook {
         mark: UpstreamMark::settled_at(revision(mark)),
         entries: entries.collect(),
+        held: BTreeMap::new(),
     }
 }
 
