fix(http1): bound heads from their first byte, answer 408, 400 and 413 as they are due

Cause: the timeout of a head ran from the end of the last answer, so it could not be in force beside a longer idle timeout, and a slow head was cut without a word. A chunk that cannot be read ended as 499, a body of unknown length was not bounded at all, and a deadline that passed before anything was sent said 504, which promises nothing although the request certainly did not run.

Wrong chunks are 400, a body that outgrows its bound 413, both without a claim that nothing ran. A deadline that passed unsent is 503.

Length beside chunks stays as RFC 9112, 6.3 allows: the library drops the length before we see the head, the chunks win, and the connection closes.

--- a/bins/entry/src/books.rs
+++ b/bins/entry/src/books.rs
@@ -53,6 +53,7 @@
 fn apply_bounds(limits: &mut CallerLimits, bounds: &CallerBounds) {
     let head = usize::try_from(bounds.head.get()).unwrap_or(usize::MAX);
     limits.connection.head_bytes = head;
+    limits.connection.head_timeout = bounds.head_timeout.get();
     limits.connection.idle_timeout = bounds.idle_timeout.get();
     limits.body = Some(bounds.body);
 }
--- a/bins/entry/src/gateway.rs
+++ b/bins/entry/src/gateway.rs
@@ -3,7 +3,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use caller::wire::CallerHeaders;
 use caller::{CallerFront, CallerLimits, CallerSettings};
@@ -24,10 +23,6 @@
 use crate::ops::OpsEndpoint;
 use crate::server::dispatch_to;
 
-/// Bound on the time from accepting a connection to its first head, beyond the
-/// idle timeout that the configuration sets.
-const HEAD_TIMEOUT: Duration = Duration::from_mins(2);
-
 /// News of other nodes that wait for the services; when it is full the newest
 /// are dropped, since suspicion fades and loads are told again.
 const NEWS_MAX: usize = 1_024;
@@ -99,12 +94,10 @@
         let fleet = start_fleet(&settings, news)?;
         let (publish, directory) = watch::channel(Arc::new(ServiceDirectory::default()));
         tokio::spawn(pass_news(news_inbox, directory.clone()));
-        let mut limits = CallerLimits {
+        let (limits, limits_watch) = watch::channel(CallerLimits {
             connections: settings.connections,
             ..CallerLimits::default()
-        };
-        limits.connection.head_timeout = HEAD_TIMEOUT;
-        let (limits, limits_watch) = watch::channel(limits);
+        });
         let parts = BookParts {
             fleet: fleet.clone(),
             sink: service_sink(&settings, &fleet),
--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -136,9 +136,8 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(target: "caller", "No delay cannot be set: {error}.");
     }
-    let bounds = limits.borrow().connection;
-    let idle_timeout = move || limits.borrow().connection.idle_timeout;
-    server::serve(stream, bounds, idle_timeout, handler, stopping).await;
+    let bounds = move || limits.borrow().connection;
+    server::serve(stream, bounds, handler, stopping).await;
 }
 
 fn handler(
--- a/crates/caller/src/wire.rs
+++ b/crates/caller/src/wire.rs
@@ -1,14 +1,16 @@
 //! Calls and answers as HTTP/1.1 messages.
 
+use std::error::Error as _;
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
 use http::{
     HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Version, header,
 };
-use http_body_util::BodyExt as _;
+use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use http1::header as hop;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use model::call::{self, BodyError, BodyStream, Call, CallAnswer, CallHead};
 use model::error::{ErrorKind, FleetError, Outcome};
 use model::sizes;
@@ -94,7 +96,7 @@
     for name in ended.into_iter().flatten() {
         headers.remove(name);
     }
-    let body = incoming.map_err(|_| BodyError::Broken).boxed_unsync();
+    let body = bound_body(incoming, body_bound);
     let head = CallHead {
         method: parts.method,
         target,
@@ -108,6 +110,38 @@
     Ok(Call { head, body })
 }
 
+/// Bounds a body whose length is not told beforehand.
+fn bound_body(incoming: Incoming, bound: Option<sizes::ByteSize>) -> BodyStream {
+    let unbounded = incoming.size_hint().exact().is_none();
+    match bound.filter(|_| unbounded) {
+        Some(bound) => {
+            let bound = usize::try_from(bound.get()).unwrap_or(usize::MAX);
+            Limited::new(incoming, bound)
+                .map_err(|error| {
+                    if error.is::<LengthLimitError>() {
+                        return BodyError::TooLarge;
+                    }
+                    error
+                        .downcast_ref()
+                        .map_or(BodyError::Broken, find_body_error)
+                })
+                .boxed_unsync()
+        }
+        None => incoming
+            .map_err(|error| find_body_error(&error))
+            .boxed_unsync(),
+    }
+}
+
+/// Tells wrong framing from a connection that broke.
+fn find_body_error(error: &hyper::Error) -> BodyError {
+    let cause = error.source().and_then(|cause| cause.downcast_ref());
+    match cause.map(io::Error::kind) {
+        Some(io::ErrorKind::InvalidInput | io::ErrorKind::InvalidData) => BodyError::Malformed,
+        _ => BodyError::Broken,
+    }
+}
+
 /// Refuses a body that is too large. Framing itself is checked by the library:
 /// chunks win over a length beside them, which is then not passed on, and two
 /// lengths that differ are refused.
@@ -254,7 +288,14 @@
             headers.insert(header::RETRY_AFTER, seconds);
         }
     }
-    if matches!(kind, ErrorKind::BadRequest | ErrorKind::BodyTooLarge) {
+    let ends_connection = matches!(
+        kind,
+        ErrorKind::BadRequest
+            | ErrorKind::BodyTooLarge
+            | ErrorKind::BodyMalformed
+            | ErrorKind::BodyOverrun
+    );
+    if ends_connection {
         let close = HeaderValue::from_static("close");
         headers.insert(header::CONNECTION, close);
     }
--- a/crates/caller/tests/bad_input.rs
+++ b/crates/caller/tests/bad_input.rs
@@ -172,9 +172,70 @@
     let mut rest = Vec::new();
     let closed = time::timeout(Duration::from_secs(5), stream.read_to_end(&mut rest)).await;
     assert!(closed.is_ok(), "the connection stayed open");
+    assert_eq!(status(&String::from_utf8_lossy(&rest)), "408");
     assert_others_are_served(&testbed).await;
 }
 
+#[tokio::test]
+async fn a_pause_before_a_head_is_no_slow_head() {
+    let services = vec![ServicePlan::lookups("stock", "/stock", 1)];
+    let mut plan = TestbedPlan::small(services);
+    plan.head_timeout = Duration::from_millis(300);
+    let testbed = Testbed::start(plan).await.unwrap();
+    let mut stream = TcpStream::connect(testbed.caller_addresses()[0])
+        .await
+        .unwrap();
+    for number in 0..2 {
+        time::sleep(Duration::from_millis(600)).await;
+        let request = format!("GET /stock/{number} HTTP/1.1\r\nHost: h\r\n\r\n");
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut piece = [0; 4096];
+        let reading = time::timeout(Duration::from_secs(2), stream.read(&mut piece)).await;
+        let size = reading.unwrap().unwrap();
+        let answer = String::from_utf8_lossy(&piece[..size]).into_owned();
+        assert_eq!(status(&answer), "200", "{answer}");
+    }
+}
+
+#[tokio::test]
+async fn wrong_chunks_are_refused_and_blame_no_upstream() {
+    let testbed = testbed().await;
+    let address = testbed.caller_addresses()[0];
+    let head = "POST /dues/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for body in [
+        "zz\r\nhello\r\n",
+        "fffffffffffffffff\r\n",
+        "5\r\nhelloworld\r\n0\r\n\r\n",
+    ] {
+        let answer = raw(address, format!("{head}{body}").as_bytes()).await;
+        assert_eq!(status(&answer), "400", "{body:?}: {answer}");
+        assert!(
+            answer.to_lowercase().contains("connection: close"),
+            "{answer}"
+        );
+    }
+    assert!(
+        testbed
+            .wait_avoided("dues-0", Duration::from_millis(300))
+            .await
+            .is_none()
+    );
+    assert_others_are_served(&testbed).await;
+}
+
+#[tokio::test]
+async fn the_authority_of_an_absolute_target_goes_before_host() {
+    let testbed = testbed().await;
+    let address = testbed.caller_addresses()[0];
+    let request =
+        b"GET http://named.example/stock/1 HTTP/1.1\r\nHost: other\r\nConnection: close\r\n\r\n";
+    assert_eq!(status(&raw(address, request).await), "200");
+    let seen = testbed.ledger.last_headers().await;
+    let hosts: Vec<_> = seen.iter().filter(|(name, _)| name == "host").collect();
+    assert_eq!(hosts.len(), 1, "{seen:?}");
+    assert_eq!(hosts[0].1, "named.example");
+}
+
 #[tokio::test]
 async fn hop_by_hop_headers_end_here() {
     let testbed = testbed().await;
--- a/crates/model/src/call/body.rs
+++ b/crates/model/src/call/body.rs
@@ -8,8 +8,12 @@
     /// Why a body ended before its end.
     #[derive(Debug, Clone, Copy, PartialEq, Eq)]
     pub enum BodyError {
-        /// The sender's connection broke or its framing was wrong.
+        /// The sender's connection broke.
         Broken { display("the body broke off") }
+        /// The framing of the body is wrong.
+        Malformed { display("the framing of the body is wrong") }
+        /// The body is larger than allowed.
+        TooLarge { display("the body is larger than allowed") }
         /// The deadline passed while the body was streaming.
         Deadline { display("the deadline passed within the body") }
     }
--- a/crates/model/src/error/kind.rs
+++ b/crates/model/src/error/kind.rs
@@ -21,6 +21,10 @@
         HeadTooLarge = "head-too-large",
         /// The body of the request is too large.
         BodyTooLarge = "body-too-large",
+        /// The framing of the body is wrong, which showed while it was passed on.
+        BodyMalformed = "body-malformed",
+        /// The body outgrew its bound while it was passed on.
+        BodyOverrun = "body-overrun",
         /// The request took too long to arrive.
         RequestTimeout = "request-timeout",
         /// No route matches the request.
@@ -97,6 +101,8 @@
             Self::BadRequest | Self::Invalid => (400, NotRun, false),
             Self::HeadTooLarge => (431, NotRun, false),
             Self::BodyTooLarge => (413, NotRun, false),
+            Self::BodyMalformed => (400, Unknown, false),
+            Self::BodyOverrun => (413, Unknown, false),
             Self::RequestTimeout => (408, NotRun, true),
             Self::NoRoute | Self::NotFound => (404, NotRun, false),
             Self::UnknownWorkspace | Self::Forbidden => (403, NotRun, false),
@@ -109,8 +115,8 @@
             | Self::ClaimUnavailable
             | Self::PlatformAway
             | Self::PeerAway
-            | Self::ConnectFailed => (503, NotRun, true),
-            Self::DeadlineUnsent => (504, NotRun, true),
+            | Self::ConnectFailed
+            | Self::DeadlineUnsent => (503, NotRun, true),
             Self::DeadlineSent => (504, Unknown, false),
             Self::AnswerLost | Self::WriteUnknown => (502, Unknown, false),
             Self::CallerGone => (499, Unknown, false),
--- a/crates/model/tests/values.rs
+++ b/crates/model/tests/values.rs
@@ -79,6 +79,8 @@
 #[test]
 fn every_kind_has_an_answer_and_only_certain_ones_say_not_run() {
     let may_have_run = [
+        ErrorKind::BodyMalformed,
+        ErrorKind::BodyOverrun,
         ErrorKind::DeadlineSent,
         ErrorKind::AnswerLost,
         ErrorKind::CallerGone,
--- a/crates/upstream/src/attempt.rs
+++ b/crates/upstream/src/attempt.rs
@@ -2,8 +2,7 @@
 
 use std::collections::VecDeque;
 use std::pin::Pin;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
@@ -36,12 +35,12 @@
     pub head_deadline: Instant,
     /// When the whole request ends.
     pub deadline: Instant,
-    /// Whether the caller's body broke off.
-    pub caller_broke: CallerBroke,
+    /// What is wrong with the caller's body, once that shows.
+    pub body_fault: BodyFault,
 }
 
-/// Set when the caller's body breaks off, which no upstream is to blame for.
-pub type CallerBroke = Arc<AtomicBool>;
+/// Set when the caller's body ends early, which no upstream is to blame for.
+pub type BodyFault = Arc<OnceLock<BodyError>>;
 
 /// An attempt without a usable answer.
 #[derive(Debug)]
@@ -111,7 +110,7 @@
         Err(error) => {
             let end = match error {
                 ExchangeError::NotSent => AttemptEnd::NotSent,
-                _ if case.caller_broke.load(Ordering::Relaxed) => AttemptEnd::Withdrawn,
+                _ if case.body_fault.get().is_some() => AttemptEnd::Withdrawn,
                 ExchangeError::Broken if suspect => AttemptEnd::Silent,
                 ExchangeError::Broken => AttemptEnd::Broken,
             };
@@ -238,7 +237,7 @@
             Ok(Ok(data)) => data,
             Ok(Err(_)) => continue,
             Err(BodyError::Deadline) => return Err(AttemptFailure::new(AttemptEnd::TimedOut)),
-            Err(BodyError::Broken) => return Err(AttemptFailure::new(AttemptEnd::Truncated)),
+            Err(_) => return Err(AttemptFailure::new(AttemptEnd::Truncated)),
         };
         size += data.len() as u64;
         held.push_back(data);
--- a/crates/upstream/src/dispatch/body.rs
+++ b/crates/upstream/src/dispatch/body.rs
@@ -1,7 +1,6 @@
 //! Request bodies: small ones are kept for another attempt, others pass once.
 
 use std::pin::Pin;
-use std::sync::atomic::Ordering;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
@@ -11,7 +10,7 @@
 use model::error::{ErrorKind, FleetError};
 use tokio::time::{self, Instant};
 
-use crate::attempt::CallerBroke;
+use crate::attempt::BodyFault;
 
 /// The largest body that is kept for another attempt.
 const KEPT_BYTES_MAX: u64 = 64 * 1024;
@@ -29,7 +28,7 @@
     pub(super) async fn prepare(
         body: BodyStream,
         deadline: Instant,
-        broke: &CallerBroke,
+        fault: &BodyFault,
     ) -> Result<Self, FleetError> {
         let small = body
             .size_hint()
@@ -38,14 +37,20 @@
         if !small {
             let watched = WatchedBody {
                 inner: body,
-                broke: CallerBroke::clone(broke),
+                fault: BodyFault::clone(fault),
             };
             return Ok(Self::Passing(Some(watched.boxed_unsync())));
         }
         let collected = time::timeout_at(deadline, body.collect()).await;
         let slow =
             |_| FleetError::new(ErrorKind::RequestTimeout, "the body did not arrive in time");
-        let broken = |_| FleetError::new(ErrorKind::BadRequest, "the body broke off");
+        let broken = |error: BodyError| {
+            let kind = match error {
+                BodyError::TooLarge => ErrorKind::BodyTooLarge,
+                _ => ErrorKind::BadRequest,
+            };
+            FleetError::new(kind, error.to_string())
+        };
         Ok(Self::Kept(
             collected.map_err(slow)?.map_err(broken)?.to_bytes(),
         ))
@@ -80,10 +85,10 @@
     }
 }
 
-/// A body that notes when its sender breaks it off.
+/// A body that notes why it ended early.
 struct WatchedBody {
     inner: BodyStream,
-    broke: CallerBroke,
+    fault: BodyFault,
 }
 
 impl Body for WatchedBody {
@@ -95,8 +100,9 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let polled = Pin::new(&mut self.inner).poll_frame(context);
-        if let Poll::Ready(Some(Err(_))) = polled {
-            self.broke.store(true, Ordering::Relaxed);
+        if let Poll::Ready(Some(Err(error))) = &polled {
+            // The first fault is the cause, later ones follow from it.
+            let _ = self.fault.set(*error);
         }
         polled
     }
--- a/crates/upstream/src/dispatch/dispatcher.rs
+++ b/crates/upstream/src/dispatch/dispatcher.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use http::Method;
-use model::call::{Call, CallAnswer, CallHead};
+use model::call::{BodyError, Call, CallAnswer, CallHead};
 use model::error::{ErrorKind, FleetError, Outcome};
 use model::{clock, config, digest, ids};
 use policy::claim::{ClaimAttempt, ClaimKey, ClaimState, ClaimToken};
@@ -19,7 +19,7 @@
 use super::body::PlanBody;
 use super::claim_gate::{self, ClaimGate, ClaimGuard};
 use super::{race, resume};
-use crate::attempt::{self, AttemptCase, AttemptFailure, CallerBroke};
+use crate::attempt::{self, AttemptCase, AttemptFailure, BodyFault};
 use crate::service::{ServiceDirectory, ServiceHandle};
 
 /// Time after a deadline at which a claimed request is settled for certain.
@@ -162,8 +162,8 @@
         let bound = terms.timeout.unwrap_or(target.service.deadline).get();
         let timeout = call.head.timeout.unwrap_or(Duration::MAX).min(bound);
         let deadline = started + timeout;
-        let caller_broke = CallerBroke::default();
-        let mut body = PlanBody::prepare(call.body, deadline, &caller_broke).await?;
+        let body_fault = BodyFault::default();
+        let mut body = PlanBody::prepare(call.body, deadline, &body_fault).await?;
         let request = request_hash(&call.head, &body);
         let guard = self.claim(&call.head, &target, request, deadline).await?;
         let case = AttemptCase {
@@ -172,7 +172,7 @@
             head: call.head,
             head_deadline: deadline,
             deadline,
-            caller_broke,
+            body_fault,
         };
         let attempts_max = terms.attempts.map_or(retry::ATTEMPTS_MAX, |most| {
             usize::try_from(most)
@@ -292,7 +292,7 @@
             let decision = self.handle.decide_retry(case).await;
             if let Err(reason) = decision {
                 log::debug!(target: "dispatch", "No further attempt: {reason}.");
-                let kind = failure.end.error(self.service.shed_is_not_run);
+                let kind = self.error_of(failure.end);
                 return self.give_up(Some(failure), kind);
             }
             last = Some(failure);
@@ -327,6 +327,15 @@
         }
     }
 
+    /// The error that an end means, by the fault of the caller's body where there is one.
+    fn error_of(&self, end: AttemptEnd) -> ErrorKind {
+        match (end, self.case.body_fault.get()) {
+            (AttemptEnd::Withdrawn, Some(BodyError::Malformed)) => ErrorKind::BodyMalformed,
+            (AttemptEnd::Withdrawn, Some(BodyError::TooLarge)) => ErrorKind::BodyOverrun,
+            _ => end.error(self.service.shed_is_not_run),
+        }
+    }
+
     /// Ends the request with the upstream's own answer where there is one, or an error.
     fn give_up(
         &self,
--- a/testing/standin/src/upstream/server.rs
+++ b/testing/standin/src/upstream/server.rs
@@ -182,7 +182,7 @@
         });
         let stop = connection_stop.clone();
         let limits = ServeLimits::default();
-        let serving = server::serve(stream, limits, move || limits.idle_timeout, handler, stop);
+        let serving = server::serve(stream, move || limits, handler, stop);
         let mut stop = connection_stop.clone();
         tokio::spawn(async move {
             tokio::select! {
