feat(ctl): explain a request by its id from the logs of many nodes

Cause: on-call had to join the lines of 48 nodes by hand, lines did not name their node, and requests that were refused before routing (no configuration yet, no service task, unknown workspace) had no line at all.

Change: every line names its node. One place writes how a request ended, whatever stage it reached. `ctl explain ID [FILE...]` reads log lines from files or standard input and prints the request's lines, what the nodes believed of the upstreams it met, the books of a node that refused, and for a 404 the newer configuration of another node.

--- a/bins/ctl/src/commands.rs
+++ b/bins/ctl/src/commands.rs
@@ -1,5 +1,7 @@
 //! What each command does.
 
+use std::fs::File;
+use std::io::{BufRead, BufReader};
 use std::path::Path;
 
 use model::config::UpstreamState;
@@ -13,8 +15,9 @@
 use serde_json::Value;
 
 use crate::client::{AdminClient, Call, Failure};
+use crate::explain::{LogLine, RequestStory};
 use crate::flags::{
-    Drain, GooseberrydykeCtl, GooseberrydykeCtlCmd, Put, Remove, SheetCmd, TokenCmd,
+    Drain, Explain, GooseberrydykeCtl, GooseberrydykeCtlCmd, Put, Remove, SheetCmd, TokenCmd,
 };
 use crate::output::Output;
 
@@ -66,6 +69,7 @@
         GooseberrydykeCtlCmd::Put(command) => output.change(&put(&client()?, &command)?),
         GooseberrydykeCtlCmd::Remove(command) => output.change(&remove(&client()?, &command)?),
         GooseberrydykeCtlCmd::Token(command) => run_token(command.subcommand, &output, &client()?)?,
+        GooseberrydykeCtlCmd::Explain(command) => explain(&command, &output)?,
         GooseberrydykeCtlCmd::NewCa(command) => new_ca(&command.folder)?,
     }
     Ok(())
@@ -191,6 +195,36 @@
     Ok(())
 }
 
+fn explain(command: &Explain, output: &Output) -> Result<(), Failure> {
+    let mut lines = Vec::new();
+    for path in &command.file {
+        let named = |error| Failure::Usage(format!("{}: {error}", path.display()));
+        let file = File::open(path).map_err(named)?;
+        read_lines(BufReader::new(file), &mut lines).map_err(named)?;
+    }
+    if command.file.is_empty() {
+        let named = |error| Failure::Usage(format!("standard input: {error}"));
+        read_lines(std::io::stdin().lock(), &mut lines).map_err(named)?;
+    }
+    let Some(story) = RequestStory::find(&command.request, &lines) else {
+        return Err(Failure::Usage(format!(
+            "none of {} lines names request {}",
+            lines.len(),
+            command.request
+        )));
+    };
+    output.story(&story);
+    Ok(())
+}
+
+/// Collects the log lines of one source; whatever is no log line is passed over.
+fn read_lines(source: impl BufRead, lines: &mut Vec<LogLine>) -> std::io::Result<()> {
+    for piece in source.split(b'\n') {
+        lines.extend(LogLine::read(&String::from_utf8_lossy(&piece?)));
+    }
+    Ok(())
+}
+
 fn read(path: &Path) -> Result<Vec<u8>, Failure> {
     std::fs::read(path).map_err(|error| Failure::Usage(format!("{}: {error}", path.display())))
 }
--- a/bins/ctl/src/flags.rs
+++ b/bins/ctl/src/flags.rs
@@ -89,6 +89,13 @@
                 required operator: String
             }
         }
+        /// Tell a request's story from log lines of many nodes; asks no API
+        cmd explain {
+            /// The request's id
+            required request: String
+            /// Files with log lines as JSON; standard input when none is given
+            repeated file: PathBuf
+        }
         /// Make a certificate authority for the fleet, as ca.pem and ca-key.pem in a folder
         cmd new-ca {
             required folder: PathBuf
--- a/bins/ctl/src/main.rs
+++ b/bins/ctl/src/main.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod commands;
+mod explain;
 mod flags;
 mod output;
 
--- a/bins/ctl/src/output.rs
+++ b/bins/ctl/src/output.rs
@@ -3,6 +3,9 @@
 use std::time::{Duration, UNIX_EPOCH};
 
 use operator::api::wire::{AuditAnswer, ChangeAnswer, IssuedToken, Listing, StatusAnswer};
+use serde_json::json;
+
+use crate::explain::RequestStory;
 
 /// Prints answers.
 pub(crate) struct Output {
@@ -172,6 +175,29 @@
         }
     }
 
+    pub(crate) fn story(&self, story: &RequestStory) {
+        let conclusions = story.conclude();
+        if self.json {
+            let lines: Vec<_> = story
+                .lines
+                .iter()
+                .map(|line| {
+                    let time = humantime::format_rfc3339_millis(line.time).to_string();
+                    json!({"time": time, "part": line.part, "message": line.message, "facts": line.facts})
+                })
+                .collect();
+            println!("{}", json!({"lines": lines, "conclusions": conclusions}));
+            return;
+        }
+        for line in &story.lines {
+            println!("{}", line.show(story.start));
+        }
+        println!();
+        for sentence in conclusions {
+            println!("{sentence}");
+        }
+    }
+
     pub(crate) fn token(&self, issued: &IssuedToken) {
         if !self.as_json(issued) {
             println!("{}", issued.token);
--- a/crates/node/src/replica/task.rs
+++ b/crates/node/src/replica/task.rs
@@ -245,6 +245,7 @@
         );
         log::info!(
             target: "replica",
+            generation = book.generation.get();
             "Configuration {} is in force, {current} before, with {} routes.",
             book.generation,
             book.routes.len()
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -65,6 +65,7 @@
 }
 
 static QUEUE: OnceLock<SyncSender<LogCommand>> = OnceLock::new();
+static NODE: OnceLock<String> = OnceLock::new();
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
 /// Lines that were dropped since the process started, because the output was slow.
@@ -72,6 +73,12 @@
     DROPPED.load(Ordering::Relaxed)
 }
 
+/// Names the node in every further line, so that lines of many nodes can be read together.
+pub fn name_node(node: &str) {
+    // The first name stays: a process is one node.
+    let _ = NODE.set(node.to_owned());
+}
+
 /// Starts logging to standard output.
 ///
 /// # Errors
@@ -212,6 +219,9 @@
             line.insert("level".to_owned(), json!(level.as_str()));
             line.insert("part".to_owned(), json!(part));
             line.insert("message".to_owned(), json!(message.to_string()));
+            if let Some(node) = NODE.get() {
+                line.insert("node".to_owned(), json!(node));
+            }
             line.extend(facts.0);
             serde_json::Value::Object(line).to_string()
         }
--- a/crates/upstream/src/dispatch/dispatcher.rs
+++ b/crates/upstream/src/dispatch/dispatcher.rs
@@ -85,40 +85,51 @@
     /// # Errors
     /// The kind says what the caller may conclude.
     pub async fn serve(&self, call: Call) -> Result<CallAnswer, FleetError> {
-        let started = Instant::now();
-        let result = self.route_and_serve(started, call).await;
+        let directory = Arc::clone(&self.directory.borrow());
+        let given = call.head.request.clone();
+        let mut trace = CallTrace {
+            started: Instant::now(),
+            request: given.unwrap_or_else(|| self.next_request()),
+            generation: directory.config.generation.get(),
+            host: Arc::clone(&call.head.host),
+            route: None,
+            service: None,
+        };
+        let result = self.route_and_serve(&directory, &mut trace, call).await;
+        if let Some(service) = &trace.service {
+            let status = result.as_ref().map_or_else(
+                |error| error.kind().answer().status,
+                |answer| answer.status.as_u16(),
+            );
+            self.metrics
+                .request(service, status, trace.started.elapsed());
+        }
         if let Err(error) = &result {
             self.metrics.refusal(error.kind());
         }
+        trace.log_end(&result);
         result
     }
 
     async fn route_and_serve(
         &self,
-        started: Instant,
+        directory: &ServiceDirectory,
+        trace: &mut CallTrace,
         call: Call,
     ) -> Result<CallAnswer, FleetError> {
-        let directory = Arc::clone(&self.directory.borrow());
-        if directory.config.generation.get() == 0 {
+        if trace.generation == 0 {
             return Err(FleetError::new(
                 ErrorKind::NotReady,
                 "no configuration is in force yet",
             ));
         }
-        let given = call.head.request.clone();
-        let request = given.unwrap_or_else(|| self.next_request());
         let Some(found) = directory.routes.find(&call.head) else {
             let detail = format!("no route for {} {}", call.head.method, call.head.path());
-            log::info!(
-                target: "failure",
-                request:%,
-                generation = directory.config.generation.get(),
-                host = call.head.host.as_ref();
-                "A request failed: {detail}."
-            );
             return Err(FleetError::new(ErrorKind::NoRoute, detail));
         };
+        trace.route = Some(found.route.id.clone());
         let drawn = found.service_for(rand::random());
+        trace.service = Some(drawn.id.clone());
         let Some(handle) = directory.handles.get(&drawn.id) else {
             let detail = format!("service {} has no task", drawn.id);
             return Err(FleetError::new(ErrorKind::NoUpstream, detail));
@@ -128,28 +139,13 @@
             Some(workspace) => Some(handle.enter(workspace).await?),
             None => None,
         };
-        let service = drawn.id.clone();
         let target = CallTarget {
             handle: handle.clone(),
-            request: request.clone(),
+            request: trace.request.clone(),
             route: Arc::clone(&found.route),
             service: Arc::clone(drawn),
         };
-        let result = self.serve_at(started, target, call).await;
-        let status = result.as_ref().map_or_else(
-            |error| error.kind().answer().status,
-            |answer| answer.status.as_u16(),
-        );
-        self.metrics.request(&service, status, started.elapsed());
-        log_end(
-            started,
-            &found.route.id,
-            &service,
-            &directory,
-            &request,
-            &result,
-        );
-        result
+        self.serve_at(trace.started, target, call).await
     }
 
     async fn serve_at(
@@ -374,32 +370,48 @@
     }
 }
 
-/// Writes how a request ended; failed ones in a part of their own, so that
-/// good ones never crowd them out.
-fn log_end(
+/// What the logs tell of a request besides how it ended.
+struct CallTrace {
     started: Instant,
-    route: &ids::RouteId,
-    service: &ids::ServiceId,
-    directory: &ServiceDirectory,
-    request: &ids::RequestId,
-    result: &Result<CallAnswer, FleetError>,
-) {
-    let age_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
-    let generation = directory.config.generation.get();
-    match result {
-        Ok(answer) => log::info!(
-            target: "answer",
-            request:%, route:%, service:%, generation, age_ms,
-            status = answer.status.as_u16();
-            "A request is answered."
-        ),
-        Err(error) => log::info!(
-            target: "failure",
-            request:%, route:%, service:%, generation, age_ms,
-            kind:% = error.kind(),
-            outcome:% = error.kind().answer().outcome;
-            "A request failed: {}.", error.detail()
-        ),
+    request: ids::RequestId,
+    /// The configuration by which it was routed.
+    generation: u64,
+    host: Arc<str>,
+    route: Option<ids::RouteId>,
+    service: Option<ids::ServiceId>,
+}
+
+impl CallTrace {
+    /// Writes how the request ended; failed ones in a part of their own, so that
+    /// good ones never crowd them out.
+    fn log_end(&self, result: &Result<CallAnswer, FleetError>) {
+        let Self {
+            started,
+            request,
+            generation,
+            host,
+            route,
+            service,
+        } = self;
+        let age_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let route = route.as_ref().map_or("none", ids::RouteId::as_str);
+        let service = service.as_ref().map_or("none", ids::ServiceId::as_str);
+        match result {
+            Ok(answer) => log::info!(
+                target: "answer",
+                request:%, route, service, generation, age_ms,
+                status = answer.status.as_u16();
+                "A request is answered."
+            ),
+            Err(error) => log::info!(
+                target: "failure",
+                request:%, route, service, generation, age_ms,
+                host = host.as_ref(),
+                kind:% = error.kind(),
+                outcome:% = error.kind().answer().outcome;
+                "A request failed: {}.", error.detail()
+            ),
+        }
     }
 }
 
