--- a/bins/ctl/src/output.rs
+++ b/bins/ctl/src/output.rs
@@ -39,7 +39,7 @@
             services,
         } = status;
         println!(
-            "generation {generation}, {nodes} nodes, {routes} routes, {workspaces} workspaces"
+            "generation {generation}, {nodes} VMs listed, {routes} routes, {workspaces} workspaces"
         );
         let mut table = Table::new(&[
             "service",
--- a/bins/entry/src/ops.rs
+++ b/bins/entry/src/ops.rs
@@ -9,6 +9,8 @@
 use model::call::{self, BodyStream};
 use node::members::MemberSet;
 use policy::invariant::{self, Invariant};
+use policy::service::UpstreamStatus;
+use telemetry::logs;
 use telemetry::metrics::NodeMetrics;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -53,7 +55,7 @@
         }
         match path {
             "/status" => self.status().await,
-            "/metrics" => self.metrics_page(),
+            "/metrics" => self.metrics_page().await,
             _ => text(
                 StatusCode::NOT_FOUND,
                 "text/plain",
@@ -98,7 +100,20 @@
         text(StatusCode::OK, "application/json", &format!("{page}\n"))
     }
 
-    fn metrics_page(&self) -> Response<BodyStream> {
+    async fn metrics_page(&self) -> Response<BodyStream> {
+        let directory = Arc::clone(&self.directory.borrow());
+        for (service, handle) in directory.handles.iter() {
+            let views = handle.views().await;
+            let in_flight = views.values().map(|view| u64::from(view.in_flight)).sum();
+            self.metrics.in_flight(service, in_flight);
+            for status in UpstreamStatus::ALL {
+                let alike = views.values().filter(|view| view.status == *status);
+                self.metrics
+                    .upstreams(service, status.as_str(), alike.count() as u64);
+            }
+        }
+        self.metrics.nodes(self.members.table().len() as u64);
+        self.metrics.dropped_lines(logs::dropped_lines());
         for invariant in Invariant::ALL {
             self.metrics
                 .breaches(invariant.as_str(), invariant::breaches(*invariant));
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -29,6 +29,10 @@
     generation: Gauge<u64>,
     platform_calls: Counter<u64>,
     node_bytes: Counter<u64>,
+    upstreams: Gauge<u64>,
+    in_flight: Gauge<u64>,
+    nodes: Gauge<u64>,
+    dropped_lines: Gauge<u64>,
 }
 
 impl NodeMetrics {
@@ -89,6 +93,22 @@
                 .with_unit("By")
                 .with_description("Bytes of messages sent to other nodes.")
                 .build(),
+            upstreams: meter
+                .u64_gauge("upstream.count")
+                .with_description("Upstreams by service and by how this node treats them.")
+                .build(),
+            in_flight: meter
+                .u64_gauge("upstream.in_flight")
+                .with_description("Requests of this node in flight, by service.")
+                .build(),
+            nodes: meter
+                .u64_gauge("fleet.nodes")
+                .with_description("Other nodes that this node knows.")
+                .build(),
+            dropped_lines: meter
+                .u64_gauge("log.dropped")
+                .with_description("Log lines dropped since the start, as the output was slow.")
+                .build(),
             provider,
             registry,
         })
@@ -144,6 +164,29 @@
             .add(1, &[KeyValue::new("operation", operation)]);
     }
 
+    /// Sets how many upstreams of a service are treated alike.
+    pub fn upstreams(&self, service: &ids::ServiceId, status: &'static str, count: u64) {
+        let service = KeyValue::new("service", service.as_str().to_owned());
+        self.upstreams
+            .record(count, &[service, KeyValue::new("status", status)]);
+    }
+
+    /// Sets the requests in flight at a service.
+    pub fn in_flight(&self, service: &ids::ServiceId, count: u64) {
+        let service = KeyValue::new("service", service.as_str().to_owned());
+        self.in_flight.record(count, &[service]);
+    }
+
+    /// Sets the number of other nodes.
+    pub fn nodes(&self, count: u64) {
+        self.nodes.record(count, &[]);
+    }
+
+    /// Sets the number of dropped log lines.
+    pub fn dropped_lines(&self, count: u64) {
+        self.dropped_lines.record(count, &[]);
+    }
+
     /// Counts bytes sent to other nodes.
     pub fn node_sent(&self, bytes: u64) {
         self.node_bytes.add(bytes, &[]);
