feat(retry): repeats from a pool of the data centre; strong nodes relay the books

Two changes that share the messages between nodes.

Ruled out: hedges that are asked for too late (they were refused, again each 100 ms).

Now the strongest nodes relay, another node is asked after 0.3 s, and a node that was told of a newer book for 0.8 s without getting it reads the source itself.

--- a/bins/entry/src/gateway.rs
+++ b/bins/entry/src/gateway.rs
@@ -7,7 +7,7 @@
 use caller::wire::CallerHeaders;
 use caller::{CallerFront, CallerLimits, CallerSettings};
 use model::error::{ErrorKind, FleetError};
-use model::{ids, span};
+use model::{ids, sizes, span};
 use node::keys::{FleetCa, NodeKeys};
 use node::replica::{FleetSource, NodeNews, ReplicaFleet, ReplicaSettings, StartPatience};
 use policy::membership::Member;
@@ -16,7 +16,7 @@
 use tokio::task::JoinHandle;
 use tokio::time;
 use upstream::dispatch::{ClaimGate, Dispatcher};
-use upstream::service::{ServiceDirectory, ServiceSettings, ServiceSink};
+use upstream::service::{RepeatSource, ServiceDirectory, ServiceSettings, ServiceSink};
 use upstream::wire::UpstreamHeaders;
 
 use crate::books::BookParts;
@@ -33,6 +33,8 @@
     pub node: ids::NodeId,
     /// Its data centre.
     pub data_centre: ids::DataCentreId,
+    /// What it can do for other nodes.
+    pub capacity: sizes::NodeCapacity,
     /// Where callers reach it.
     pub caller_address: SocketAddr,
     /// Where other nodes reach it.
@@ -189,6 +191,7 @@
             address: settings.node_address,
             data_centre: settings.data_centre.clone(),
             leaving: false,
+            capacity: settings.capacity,
         },
         seeds: settings.seeds.clone(),
         patience: if settings.first_start {
@@ -200,6 +203,7 @@
         source: settings.source.clone(),
         sent: Arc::new(move |bytes| sent.node_sent(bytes as u64)),
         news,
+        first_start: settings.first_start,
     })
 }
 
@@ -208,8 +212,9 @@
     let home = settings.data_centre.clone();
     let headers = Arc::new(settings.upstream_headers.clone());
     let fleet = fleet.clone();
-    Arc::new(move |_| {
-        let (fleet, neighbours) = (fleet.clone(), fleet.clone());
+    Arc::new(move |service| {
+        let (fleet, neighbours, pool) = (fleet.clone(), fleet.clone(), fleet.clone());
+        let service = service.clone();
         ServiceSettings {
             node: node.clone(),
             home: home.clone(),
@@ -217,7 +222,11 @@
             evidence: Arc::new(|_| {}),
             drains: Arc::new(|_, _| {}),
             doubts: Arc::new(move |doubts| fleet.share(&doubts)),
-            loads: Arc::new(move |loads| neighbours.share_loads(loads)),
+            loads: Arc::new(move |report| neighbours.share_loads(report)),
+            repeats: Some(RepeatSource::new(move || {
+                let (pool, service) = (pool.clone(), service.clone());
+                Box::pin(async move { pool.draw_repeat(service).await })
+            })),
             headers: Arc::clone(&headers),
         }
     })
--- a/bins/entry/src/server.rs
+++ b/bins/entry/src/server.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use caller::{CallerFront, CallerSettings, listener::Dispatch};
-use model::ids;
+use model::{ids, sizes};
 use node::claims::BatchPace;
 use node::collector::CollectorUpdate;
 use node::keys::NodeKeys;
@@ -197,6 +197,7 @@
             address: settings.node_address,
             data_centre: settings.data_centre.clone(),
             leaving: false,
+            capacity: sizes::NodeCapacity::default(),
         },
         seeds: settings.seeds.clone(),
         keys,
@@ -229,6 +230,7 @@
             drains: Arc::new(move |service, upstream| drains.tell_drain(service, upstream)),
             doubts: Arc::new(|_| {}),
             loads: Arc::new(|_| {}),
+            repeats: None,
             headers: Arc::default(),
         }
     })
--- a/bins/entry/src/settings.rs
+++ b/bins/entry/src/settings.rs
@@ -171,6 +171,7 @@
         address: address.parse().map_err(|_| wrong())?,
         data_centre: centre.parse().map_err(|_| wrong())?,
         leaving: false,
+        capacity: sizes::NodeCapacity::default(),
     })
 }
 
--- a/crates/model/src/sizes.rs
+++ b/crates/model/src/sizes.rs
@@ -25,6 +25,10 @@
     /// The version of one object of the platform.
     ObjectVersion, u64, 0, u64::MAX, "a whole number"
 }
+crate::quantity! {
+    /// What a node can do for others, in thousandths of a core; its link counts too.
+    NodeCapacity, u32, 0, u32::MAX, "a whole number of thousandths of a core"
+}
 
 impl Generation {
     /// The generation that follows.
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use model::{clock, ids};
+use model::{clock, ids, sizes};
 use platform::PlatformClient;
 use platform::vm::{Vm, VmState};
 use policy::detection::{EvidenceReport, VerdictChange};
@@ -163,6 +163,7 @@
         address: vm.address,
         data_centre: vm.data_centre,
         leaving: vm.state == VmState::Leaving,
+        capacity: sizes::NodeCapacity::default(),
     }
 }
 
@@ -212,6 +213,7 @@
             NodeRequest::Replica(_)
             | NodeRequest::Doubts { .. }
             | NodeRequest::Loads { .. }
+            | NodeRequest::DrawRepeat(_)
             | NodeRequest::LoadSums(_) => {
                 return NodeReply::Unable("this node follows chunks, not books".to_owned());
             }
--- a/crates/node/src/replica/compare.rs
+++ b/crates/node/src/replica/compare.rs
@@ -73,6 +73,7 @@
             address: *address,
             data_centre: own.data_centre.clone(),
             leaving: false,
+            capacity: model::sizes::NodeCapacity::default(),
         }))
     });
     members.collect()
--- a/crates/node/src/replica/fleet.rs
+++ b/crates/node/src/replica/fleet.rs
@@ -3,16 +3,19 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
+use model::ids;
 use policy::membership::Member;
 use policy::membership::MemberTable;
-use policy::service::UpstreamLoad;
+use policy::service::{LoadReport, UpstreamLoad};
 use policy::suspicion::Doubt;
 use quinn::Endpoint;
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
 use super::load_hub::LoadHub;
+use super::repeat_hub::RepeatHub;
 use super::source::FleetSource;
 use super::task::{ReplicaHandle, ReplicaParts, StartPatience};
 use crate::keys::NodeKeys;
@@ -20,6 +23,10 @@
 use crate::members::MemberSet;
 use crate::wire::{NodeReply, NodeRequest};
 
+/// How long a relay may take to hand out a repeat; a hedge that waits longer is
+/// asked for again.
+const DRAW_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// What a node's part in the fleet is started from.
 pub struct ReplicaSettings {
     /// This node; its port may be zero.
@@ -36,6 +43,8 @@
     pub sent: SentObserver,
     /// Takes news of other nodes.
     pub news: mpsc::Sender<NodeNews>,
+    /// Whether the whole fleet starts for the first time.
+    pub first_start: bool,
 }
 
 /// A node's part in the fleet.
@@ -49,6 +58,7 @@
     pub address: SocketAddr,
     peers: PeerSet,
     loads: LoadHub,
+    repeats: RepeatHub,
     endpoint: Endpoint,
 }
 
@@ -72,8 +82,10 @@
             patience: settings.patience,
         });
         let loads = LoadHub::start(peers.clone(), members.clone(), settings.news.clone());
+        let repeats = RepeatHub::start(members.clone(), settings.first_start);
         let responder = ReplicaResponder {
             loads: loads.clone(),
+            repeats: repeats.clone(),
             replica: replica.clone(),
             peers: peers.clone(),
             members: members.clone(),
@@ -88,10 +100,13 @@
                         responder.take_doubts(doubts, pass_on);
                         NodeReply::Done
                     }
-                    NodeRequest::Loads { from, loads } => {
-                        responder.loads.take(from, loads);
+                    NodeRequest::Loads { from, report } => {
+                        take_report(&responder.loads, &responder.repeats, from, report);
                         NodeReply::Done
                     }
+                    NodeRequest::DrawRepeat(service) => {
+                        NodeReply::Repeat(responder.repeats.draw(service).await)
+                    }
                     NodeRequest::LoadSums(loads) => {
                         for load in loads {
                             responder.pass(NodeNews::Load(load));
@@ -109,6 +124,7 @@
             address,
             peers,
             loads,
+            repeats,
             endpoint,
         })
     }
@@ -129,16 +145,34 @@
         tell_all(&self.peers, &table, &far, &doubts_message(doubts, true));
     }
 
-    /// Tells the data centre's relay what this node has in flight.
-    pub fn share_loads(&self, loads: Vec<UpstreamLoad>) {
+    /// Tells the data centre's relay what this node has in flight and paid in.
+    pub fn share_loads(&self, report: LoadReport) {
         let table = self.members.table();
         let own = table.own();
         let from = own.node.clone();
         match table.book_relay(Instant::now(), &own.data_centre) {
             Some(relay) if relay.node != own.node => {
-                self.peers.tell(&relay, &NodeRequest::Loads { from, loads });
+                self.peers
+                    .tell(&relay, &NodeRequest::Loads { from, report });
+            }
+            _ => take_report(&self.loads, &self.repeats, from, report),
+        }
+    }
+
+    /// Draws a repeat from the data centre's pool, which its relay holds.
+    pub async fn draw_repeat(&self, service: ids::ServiceId) -> bool {
+        let table = self.members.table();
+        let own = table.own();
+        match table.book_relay(Instant::now(), &own.data_centre) {
+            Some(relay) if relay.node != own.node => {
+                let request = NodeRequest::DrawRepeat(service);
+                let reply = self.peers.ask(&relay, &request, DRAW_TIMEOUT).await;
+                if let Err(error) = &reply {
+                    log::debug!(target: "replica", "{} keeps its repeats: {error}.", relay.node);
+                }
+                matches!(reply, Ok(NodeReply::Repeat(true)))
             }
-            _ => self.loads.take(from, loads),
+            _ => self.repeats.draw(service).await,
         }
     }
 
@@ -164,10 +198,18 @@
     }
 }
 
+fn take_report(loads: &LoadHub, repeats: &RepeatHub, from: ids::NodeId, report: LoadReport) {
+    if let Some(deposit) = report.deposit {
+        repeats.deposit(deposit);
+    }
+    loads.take(from, report.loads);
+}
+
 /// Answers other nodes.
 #[derive(Clone)]
 struct ReplicaResponder {
     loads: LoadHub,
+    repeats: RepeatHub,
     replica: ReplicaHandle,
     peers: PeerSet,
     members: MemberSet,
--- a/crates/node/src/replica/mod.rs
+++ b/crates/node/src/replica/mod.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod load_hub;
 mod relay;
+mod repeat_hub;
 mod source;
 mod task;
 
--- a/crates/node/src/replica/relay.rs
+++ b/crates/node/src/replica/relay.rs
@@ -24,6 +24,9 @@
 /// Silence of all relays after which a node reads the source itself: three lost
 /// heartbeats, within the time in which a leaving upstream must get no more work.
 const RELAY_SILENCE_MAX: Duration = Duration::from_millis(1_300);
+/// How long a node may know of a newer book that nobody sends it before it reads
+/// the source itself; a relay whose link is choked can still send heartbeats.
+const LAG_MAX: Duration = Duration::from_millis(800);
 /// Age of the last answer from the source up to which a relay vouches for its books.
 const PROOF_SPAN: Duration = Duration::from_millis(2_200);
 /// Pause before a failed read is made again, at first and at most, by a relay
@@ -145,13 +148,14 @@
         if self.relays() {
             return age >= patience.relay;
         }
-        let books = self.replica.snapshot();
-        let lacks = match book {
-            Book::Routes => books.routes.is_none(),
-            Book::Upstreams => books.upstreams.is_none(),
+        let (books, lag) = (self.replica.snapshot(), self.replica.lag());
+        let (lacks, behind) = match book {
+            Book::Routes => (books.routes.is_none(), lag.routes),
+            Book::Upstreams => (books.upstreams.is_none(), lag.upstreams),
         };
+        let behind = behind.is_some_and(|since| since.elapsed() > LAG_MAX);
         let unserved = self.replica.relay_silence() > RELAY_SILENCE_MAX;
-        age >= patience.other && (lacks || unserved)
+        age >= patience.other && (lacks || behind || unserved)
     }
 
     fn relays(&self) -> bool {
--- a/crates/node/src/replica/task.rs
+++ b/crates/node/src/replica/task.rs
@@ -20,6 +20,8 @@
 
 /// Messages that wait for the task; senders wait when it is full.
 const COMMANDS_MAX: usize = 256;
+/// How long a node is waited for before another one is asked for the same book.
+const FETCH_PATIENCE: Duration = Duration::from_millis(300);
 /// How long a node may take to send a book.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How long a node may take to acknowledge a change.
@@ -106,6 +108,7 @@
     snapshot: watch::Receiver<ReplicaSnapshot>,
     /// When a relay of this data centre last proved that it reads the source.
     relay_seen: watch::Sender<Instant>,
+    lags: watch::Receiver<ReplicaLag>,
     members: MemberSet,
 }
 
@@ -114,18 +117,22 @@
     pub fn start(parts: &ReplicaParts) -> Self {
         let (commands, inbox) = mpsc::channel(COMMANDS_MAX);
         let (publish, snapshot) = watch::channel(ReplicaSnapshot::default());
+        let (lag, lags) = watch::channel(ReplicaLag::default());
         let handle = Self {
             commands: commands.clone(),
             snapshot,
             relay_seen: watch::channel(Instant::now()).0,
+            lags,
             members: parts.members.clone(),
         };
         let task = ReplicaTask {
             parts: parts.clone(),
             commands,
             publish,
-            fetching_routes: false,
-            fetching_upstreams: false,
+            fetching_routes: None,
+            fetching_upstreams: None,
+            heard: ReplicaMark::default(),
+            lag,
         };
         tokio::spawn(task.run(inbox));
         tokio::spawn(compare::run(parts.clone(), handle.clone()));
@@ -188,6 +195,11 @@
         self.relay_seen.borrow().elapsed()
     }
 
+    /// Since when this node has been told of newer books than its own.
+    pub(super) fn lag(&self) -> ReplicaLag {
+        *self.lags.borrow()
+    }
+
     pub(super) async fn tell(&self, command: ReplicaCommand) {
         let _ = self.commands.send(command).await;
     }
@@ -197,12 +209,28 @@
     }
 }
 
+/// Since when a node has been told of books newer than its own.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct ReplicaLag {
+    pub(super) routes: Option<Instant>,
+    pub(super) upstreams: Option<Instant>,
+}
+
+/// Whether a book may be fetched from a node while it is fetched from another.
+fn may_fetch(present: Option<&(ids::NodeId, Instant)>, from: &Member) -> bool {
+    present.is_none_or(|(node, since)| *node != from.node && since.elapsed() > FETCH_PATIENCE)
+}
+
 struct ReplicaTask {
     parts: ReplicaParts,
     commands: mpsc::Sender<ReplicaCommand>,
     publish: watch::Sender<ReplicaSnapshot>,
-    fetching_routes: bool,
-    fetching_upstreams: bool,
+    /// From which node each book is fetched, and since when.
+    fetching_routes: Option<(ids::NodeId, Instant)>,
+    fetching_upstreams: Option<(ids::NodeId, Instant)>,
+    /// The newest books that some node was heard to have.
+    heard: ReplicaMark,
+    lag: watch::Sender<ReplicaLag>,
 }
 
 impl ReplicaTask {
@@ -214,13 +242,13 @@
                 ReplicaCommand::Change(change, from) => self.take_change(&change, &from),
                 ReplicaCommand::Heard(mark, from) => self.compare(mark, &from),
                 ReplicaCommand::RoutesFetched(book) => {
-                    self.fetching_routes = false;
+                    self.fetching_routes = None;
                     if let Some(book) = book {
                         self.take_routes(book);
                     }
                 }
                 ReplicaCommand::UpstreamsFetched(book) => {
-                    self.fetching_upstreams = false;
+                    self.fetching_upstreams = None;
                     if let Some(book) = book {
                         self.take_upstreams(book);
                     }
@@ -252,6 +280,7 @@
         );
         self.publish
             .send_modify(|books| books.routes = Some(Arc::new(book)));
+        self.note_lag();
         self.announce();
     }
 
@@ -269,6 +298,7 @@
         });
         self.publish
             .send_modify(|books| books.upstreams = Some(Arc::clone(&book)));
+        self.note_lag();
         match before {
             Some(before) => self.push(UpstreamChange::between(&before, &book)),
             None => self.announce(),
@@ -293,16 +323,32 @@
     /// Fetches from a node what it has in a newer form.
     fn compare(&mut self, mark: ReplicaMark, from: &Arc<Member>) {
         let own = self.mark();
-        if mark.generation > own.generation && !self.fetching_routes {
-            self.fetching_routes = true;
+        self.heard.generation = self.heard.generation.max(mark.generation);
+        self.heard.upstreams = self.heard.upstreams.max(mark.upstreams);
+        self.note_lag();
+        if mark.generation > own.generation && may_fetch(self.fetching_routes.as_ref(), from) {
+            self.fetching_routes = Some((from.node.clone(), Instant::now()));
             self.fetch(from, ReplicaRequest::Routes);
         }
-        if mark.upstreams > own.upstreams && !self.fetching_upstreams {
-            self.fetching_upstreams = true;
+        if mark.upstreams > own.upstreams && may_fetch(self.fetching_upstreams.as_ref(), from) {
+            self.fetching_upstreams = Some((from.node.clone(), Instant::now()));
             self.fetch(from, ReplicaRequest::Upstreams);
         }
     }
 
+    /// Notes since when each book is older than one that was heard of.
+    fn note_lag(&self) {
+        let (own, heard) = (self.mark(), self.heard);
+        let now = Instant::now();
+        self.lag.send_if_modified(|lag| {
+            let before = *lag;
+            let since = |behind: bool, since: Option<Instant>| behind.then(|| since.unwrap_or(now));
+            lag.routes = since(heard.generation > own.generation, lag.routes);
+            lag.upstreams = since(heard.upstreams > own.upstreams, lag.upstreams);
+            *lag != before
+        });
+    }
+
     fn fetch(&self, from: &Arc<Member>, request: ReplicaRequest) {
         let peers = self.parts.peers.clone();
         let commands = self.commands.clone();
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -9,7 +9,7 @@
 use policy::ejection::EjectionRecord;
 use policy::membership::Member;
 use policy::replica::UpstreamChange;
-use policy::service::UpstreamLoad;
+use policy::service::{LoadReport, UpstreamLoad};
 use policy::suspicion::Doubt;
 use quick_error::quick_error;
 
@@ -135,9 +135,11 @@
         Loads {
             /// The neighbour.
             from: ids::NodeId,
-            /// Its requests in flight.
-            loads: Vec<UpstreamLoad>,
+            /// What it tells of one service.
+            report: LoadReport,
         },
+        /// Draw a repeat from the data centre's pool.
+        DrawRepeat(ids::ServiceId),
         /// Take what the data centre has in flight.
         LoadSums(Vec<UpstreamLoad>),
         /// Keep the books in line.
@@ -160,6 +162,8 @@
         Claim(ClaimVerdict),
         /// A reply about the books.
         Replica(ReplicaReply),
+        /// Whether there was a repeat.
+        Repeat(bool),
         /// It cannot do what was asked.
         Unable(String),
     }
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use model::ids;
+use model::{ids, sizes};
 use tokio::time::Instant;
 
 use crate::claim::ShardId;
@@ -18,6 +18,9 @@
 const SUSPECT_SPAN: Duration = Duration::from_secs(10);
 /// Nodes of one data centre that watch the platform for the others.
 const RELAYS_PER_CENTRE: usize = 2;
+/// A partner has at least this part of the most capacity in its data centre: it
+/// passes what it is told on to all its neighbours.
+const PARTNER_DIVISOR: u32 = 2;
 /// Data centres from which an upstream is probed.
 const PROBING_CENTRES: usize = 3;
 
@@ -33,6 +36,8 @@
         pub data_centre: ids::DataCentreId,
         /// Whether it is about to stop.
         pub leaving: bool,
+        /// What it can do for others; zero when nobody said.
+        pub capacity: sizes::NodeCapacity,
     }
 }
 
@@ -212,10 +217,11 @@
         relays.iter().any(|member| member.node == self.own.node)
     }
 
-    /// The node that reads the books of routes and upstreams for a data centre.
+    /// The node that reads the books of routes and upstreams for a data centre, one
+    /// of its strongest: it tells all the others of each change.
     pub fn book_relay(&self, now: Instant, centre: &ids::DataCentreId) -> Option<Arc<Member>> {
-        let near = self.able_in(now, centre);
-        rendezvous::first("relay", &near, |member| member.node.as_str()).cloned()
+        let strong = self.strong_in(now, centre, 1);
+        rendezvous::first("relay", &strong, |member| member.node.as_str()).cloned()
     }
 
     /// The node of another data centre through which this one tells it things.
@@ -223,10 +229,8 @@
     /// Each node has a partner of its own, so that passing on is spread evenly.
     pub fn partner(&self, now: Instant, centre: &ids::DataCentreId) -> Option<Arc<Member>> {
         let job = format!("partner/{}", self.own.node);
-        rendezvous::first(&job, &self.able_in(now, centre), |member| {
-            member.node.as_str()
-        })
-        .cloned()
+        let strong = self.strong_in(now, centre, PARTNER_DIVISOR);
+        rendezvous::first(&job, &strong, |member| member.node.as_str()).cloned()
     }
 
     /// Whether this node reads the books for its data centre.
@@ -272,6 +276,20 @@
         near.cloned().collect()
     }
 
+    /// Able members of a data centre with at least a part of the most capacity there.
+    fn strong_in(
+        &self,
+        now: Instant,
+        centre: &ids::DataCentreId,
+        divisor: u32,
+    ) -> Vec<Arc<Member>> {
+        let mut able = self.able_in(now, centre);
+        let most = able.iter().map(|member| member.capacity.get()).max();
+        let least = most.unwrap_or(0) / divisor;
+        able.retain(|member| member.capacity.get() >= least);
+        able
+    }
+
     fn able_in(&self, now: Instant, centre: &ids::DataCentreId) -> Vec<Arc<Member>> {
         let mut able = self.able(now);
         able.retain(|member| member.data_centre == *centre);
--- a/crates/policy/src/retry/mod.rs
+++ b/crates/policy/src/retry/mod.rs
@@ -2,6 +2,8 @@
 
 mod budget;
 mod decide;
+mod pool;
 
 pub use budget::RetryBudget;
 pub use decide::{ATTEMPTS_MAX, AttemptEnd, RetryCase, RetryPayer, RetryRefusal, decide};
+pub use pool::{RepeatDeposit, RepeatPool};
--- a/crates/policy/src/service/balancer/doubts.rs
+++ b/crates/policy/src/service/balancer/doubts.rs
@@ -172,7 +172,7 @@
 
     /// Draws whether this request tries a suspect out, and which.
     pub(super) fn draw_trial(&mut self, now: Instant, ask: &Ask) -> Option<MemberKey> {
-        if ask.repeatable && !self.budget.can_pay() {
+        if ask.repeatable && !self.budget.can_pay(now) {
             // Without a hedge beside it a trial could cost the request.
             return None;
         }
--- a/crates/policy/src/service/balancer/loads.rs
+++ b/crates/policy/src/service/balancer/loads.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use super::ServiceBalancer;
+use crate::retry;
 
 /// How long a count holds; while requests are in flight it is told again before.
 const LOAD_SPAN: Duration = Duration::from_secs(3);
@@ -27,6 +28,17 @@
     }
 }
 
+model::record! {
+    /// What a node tells its data centre's relay of one service.
+    #[derive(Eq)]
+    pub struct LoadReport {
+        /// Requests in flight, where they changed.
+        pub loads: Vec<UpstreamLoad>,
+        /// What its requests paid in for repeats.
+        pub deposit: Option<retry::RepeatDeposit>,
+    }
+}
+
 /// What a data centre has in flight at one upstream, this node's own included.
 #[derive(Debug, Clone, Copy)]
 pub(in crate::service) struct CentreLoad {
@@ -55,14 +67,16 @@
         }
     }
 
-    /// Whether the neighbours were told another count than the present one.
+    /// Whether the relay was told another count than the present one, or lacks a deposit.
     pub fn has_untold_load(&self) -> bool {
         let mut members = self.members.values();
-        self.shares_doubts() && members.any(|member| member.in_flight != member.told_in_flight)
+        self.shares_doubts()
+            && (self.budget.has_untold()
+                || members.any(|member| member.in_flight != member.told_in_flight))
     }
 
-    /// Counts that the neighbours do not know.
-    pub fn take_loads(&mut self) -> Vec<UpstreamLoad> {
+    /// What the relay does not know.
+    pub fn take_loads(&mut self) -> LoadReport {
         let mut loads = Vec::new();
         for member in self.members.values_mut() {
             if member.in_flight == member.told_in_flight {
@@ -75,6 +89,9 @@
                 in_flight: member.in_flight,
             });
         }
-        loads
+        LoadReport {
+            loads,
+            deposit: self.take_deposit(),
+        }
     }
 }
--- a/crates/policy/src/service/balancer/mod.rs
+++ b/crates/policy/src/service/balancer/mod.rs
@@ -14,7 +14,7 @@
 use slotmap::SlotMap;
 use tokio::time::Instant;
 
-pub use loads::UpstreamLoad;
+pub use loads::{LoadReport, UpstreamLoad};
 
 use super::choose::{self, ChoiceWidth};
 use super::member::{Member, MemberView, UpstreamStatus};
@@ -91,6 +91,8 @@
     Go(Grant),
     /// Every upstream is full.
     Wait,
+    /// Nothing pays for it now.
+    Unpaid,
     /// It cannot be sent.
     Refuse(error::ErrorKind),
 }
@@ -201,15 +203,15 @@
             self.budget.deposit();
             self.late.count_request(now, f64::from(self.nodes));
         }
+        let Some(key) = self.choose(now, ask) else {
+            return self.turn_away(ask);
+        };
         let paid = ask.purpose != Purpose::Hedge
             || (ask.payer == retry::RetryPayer::Trial && !self.shares_doubts())
             || self.budget.pay();
         if !paid {
-            return Admission::Refuse(error::ErrorKind::Overload);
+            return Admission::Unpaid;
         }
-        let Some(key) = self.choose(now, ask) else {
-            return self.turn_away(ask);
-        };
         Admission::Go(self.grant(now, key, ask))
     }
 
@@ -295,6 +297,26 @@
         }
     }
 
+    /// Whether repeats come from the data centre's pool.
+    pub const fn pools_repeats(&self) -> bool {
+        self.budget.is_pooled()
+    }
+
+    /// What requests paid in that the pool was not told of.
+    fn take_deposit(&mut self) -> Option<retry::RepeatDeposit> {
+        let (millis, fleet_most_millis) = self.budget.take_untold()?;
+        Some(retry::RepeatDeposit {
+            service: self.service.id.clone(),
+            millis,
+            fleet_most_millis,
+        })
+    }
+
+    /// Takes the pool's reply: one repeat, or none.
+    pub fn take_drawn(&mut self, now: Instant, drawn: bool) {
+        self.budget.take_drawn(now, drawn);
+    }
+
     /// Takes the head of an answer.
     pub fn head(&mut self, now: Instant, key: TicketKey) {
         if let Some(ticket) = self.tickets.get_mut(key) {
--- a/crates/policy/src/service/balancer/updates.rs
+++ b/crates/policy/src/service/balancer/updates.rs
@@ -21,7 +21,7 @@
     /// Takes new settings; members that stay keep their state.
     pub fn configure(&mut self, now: Instant, service: Arc<config::Service>) {
         self.costs = TestCosts::of(service.profile);
-        self.budget.set_allowance(service.retries, self.nodes);
+        self.budget.set_allowance(service.retries);
         let known: BTreeSet<_> = service.upstreams.iter().map(|up| up.id.clone()).collect();
         for up in &service.upstreams {
             self.put_member(now, Arc::new(up.clone()));
@@ -62,7 +62,6 @@
     /// Sets how many nodes share the trials of an upstream.
     pub fn set_fleet_size(&mut self, nodes: u32) {
         self.nodes = nodes;
-        self.budget.set_allowance(self.service.retries, nodes);
         let seconds = f64::from(nodes) / FLEET_TRIAL_RATE.get();
         self.trial_interval = Duration::from_secs_f64(seconds).max(TRIAL_INTERVAL_MIN);
         self.buffer.set_fleet_size(nodes);
--- a/crates/policy/src/service/mod.rs
+++ b/crates/policy/src/service/mod.rs
@@ -6,7 +6,9 @@
 mod member;
 mod subset;
 
-pub use balancer::{Admission, Ask, Grant, Purpose, ServiceBalancer, TicketKey, UpstreamLoad};
+pub use balancer::{
+    Admission, Ask, Grant, LoadReport, Purpose, ServiceBalancer, TicketKey, UpstreamLoad,
+};
 pub use load_sum::LoadSum;
 pub use member::{MemberView, UpstreamStatus};
 pub use subset::choose_subset;
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -13,7 +13,7 @@
 use gooseberrydyke_policy::routing::RouteTable;
 use model::call::CallHead;
 use model::config::{FleetConfig, RepeatRule, Route, RouteShare, RouteTerms};
-use model::sizes::{Generation, RequestCount, SlotCount};
+use model::sizes::{Generation, NodeCapacity, RequestCount, SlotCount};
 use tokio::time::{self, Instant};
 
 fn head(method: &str, host: &str, target: &str) -> CallHead {
@@ -131,6 +131,7 @@
         address: ([127, 0, 0, 1], 7400).into(),
         data_centre: name(CENTRES[number % 3]),
         leaving: false,
+        capacity: NodeCapacity::default(),
     }
 }
 
@@ -236,3 +237,37 @@
     let taken = (0..1_000).filter(|draw| found.service_for(*draw).id == name("new"));
     assert_eq!(taken.count(), 100);
 }
+
+#[tokio::test(start_paused = true)]
+async fn books_are_relayed_by_the_strongest_and_passed_on_by_the_strong() {
+    let now = Instant::now();
+    let with_capacity = |number: usize, capacity: u32| Member {
+        data_centre: name("ikeja"),
+        capacity: NodeCapacity::new(capacity),
+        ..member(number)
+    };
+    let weak = (1..20).map(|number| with_capacity(number, 100));
+    let middle = (20..25).map(|number| with_capacity(number, 300));
+    let strong = (25..27).map(|number| with_capacity(number, 500));
+    let members: Vec<_> = weak.chain(middle).chain(strong).collect();
+    for own in 0..3 {
+        let mut table = MemberTable::new(Member {
+            data_centre: name("lekki"),
+            ..member(100 + own)
+        });
+        table.replace(members.clone());
+        let relay = table.book_relay(now, &name("ikeja")).unwrap();
+        assert_eq!(relay.capacity.get(), 500);
+        let partner = table.partner(now, &name("ikeja")).unwrap();
+        assert!(partner.capacity.get() >= 300, "{partner:?}");
+        for number in [25, 26] {
+            table.suspect(now, &member(number).node);
+        }
+        let next = table.book_relay(now, &name("ikeja")).unwrap();
+        assert_eq!(
+            next.capacity.get(),
+            300,
+            "those that do not answer are passed over"
+        );
+    }
+}
--- a/crates/upstream/src/service/handle.rs
+++ b/crates/upstream/src/service/handle.rs
@@ -15,6 +15,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
+use super::repeats::RepeatSource;
 use crate::pool::ConnectionPool;
 use crate::wire::UpstreamHeaders;
 
@@ -62,6 +63,7 @@
     Fleet(FleetSize),
     Doubt(Doubt),
     CentreLoad(UpstreamLoad),
+    Drawn(bool),
     Views(oneshot::Sender<BTreeMap<ids::UpstreamId, MemberView>>),
 }
 
@@ -81,6 +83,7 @@
     pub(super) commands: mpsc::Sender<ServiceCommand>,
     pub(super) events: mpsc::UnboundedSender<FlightEvent>,
     pub(super) headers: Arc<UpstreamHeaders>,
+    pub(super) repeats: Option<RepeatSource>,
 }
 
 impl ServiceHandle {
@@ -91,9 +94,31 @@
 
     /// Asks for an upstream; waits in the service's line when all are full.
     ///
+    /// A hedge that this node cannot pay for is paid for from the data centre's pool.
+    ///
     /// # Errors
     /// The kind of refusal; the request was not sent.
     pub async fn admit(&self, ask: Ask, deadline: Instant) -> Result<AttemptLease, ErrorKind> {
+        let hedges = ask.purpose == Purpose::Hedge;
+        let admitted = self.ask_once(ask.clone(), deadline).await;
+        let unpaid = hedges && matches!(admitted, Err(ErrorKind::Overload));
+        if unpaid && self.draw_repeat().await {
+            return self.ask_once(ask, deadline).await;
+        }
+        admitted
+    }
+
+    /// Draws a repeat from the data centre's pool; tells whether there was one.
+    async fn draw_repeat(&self) -> bool {
+        let Some(source) = &self.repeats else {
+            return false;
+        };
+        let drawn = source.draw().await;
+        self.tell(ServiceCommand::Drawn(drawn)).await;
+        drawn
+    }
+
+    async fn ask_once(&self, ask: Ask, deadline: Instant) -> Result<AttemptLease, ErrorKind> {
         let (reply, answer) = oneshot::channel();
         let command = ServiceCommand::Admit {
             ask,
@@ -130,11 +155,20 @@
         })
     }
 
-    /// Decides on a repeated attempt.
+    /// Decides on a repeated attempt; one that this node cannot pay for is paid for
+    /// from the data centre's pool.
     ///
     /// # Errors
     /// Why none is made.
     pub async fn decide_retry(&self, case: RetryCase) -> Result<(), RetryRefusal> {
+        let decision = self.decide_once(case).await;
+        if decision == Err(RetryRefusal::Budget) && self.draw_repeat().await {
+            return self.decide_once(case).await;
+        }
+        decision
+    }
+
+    async fn decide_once(&self, case: RetryCase) -> Result<(), RetryRefusal> {
         let (reply, answer) = oneshot::channel();
         let sent = self
             .commands
--- a/crates/upstream/src/service/task.rs
+++ b/crates/upstream/src/service/task.rs
@@ -9,7 +9,7 @@
 use model::{config, ids};
 use policy::detection::EvidenceReport;
 use policy::limit::RequestQueue;
-use policy::service::{self, Admission, Ask, Grant, ServiceBalancer, UpstreamLoad};
+use policy::service::{self, Admission, Ask, Grant, LoadReport, ServiceBalancer};
 use policy::suspicion::Doubt;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{self, Instant};
@@ -17,6 +17,7 @@
 use super::handle::{
     AttemptLease, FleetSize, FlightEvent, Outpaced, ServiceCommand, ServiceHandle,
 };
+use super::repeats::RepeatSource;
 use crate::pool::ConnectionPool;
 use crate::wire::UpstreamHeaders;
 
@@ -39,8 +40,8 @@
 /// Takes doubts that the other nodes are to hear of.
 pub type DoubtSink = Arc<dyn Fn(Vec<Doubt>) + Send + Sync>;
 
-/// Takes counts of requests in flight that the neighbours are to hear of.
-pub type LoadSink = Arc<dyn Fn(Vec<UpstreamLoad>) + Send + Sync>;
+/// Takes what the data centre's relay is to hear of.
+pub type LoadSink = Arc<dyn Fn(LoadReport) + Send + Sync>;
 
 /// What a service's task needs to know of its node.
 #[derive(Clone)]
@@ -57,8 +58,10 @@
     pub drains: DrainSink,
     /// Takes doubts for the other nodes.
     pub doubts: DoubtSink,
-    /// Takes counts of requests in flight for the neighbours.
+    /// Takes counts of requests in flight, and deposits, for the relay.
     pub loads: LoadSink,
+    /// Draws repeats from the data centre's pool; none where each node has its own.
+    pub repeats: Option<RepeatSource>,
     /// The names of headers that upstreams use.
     pub headers: Arc<UpstreamHeaders>,
 }
@@ -89,6 +92,7 @@
     let balancer = ServiceBalancer::new(now, service, settings.home.clone(), settings.seed);
     let pools = HashMap::new();
     let headers = Arc::clone(&settings.headers);
+    let repeats = settings.repeats.clone();
     let mut task = ServiceTask {
         settings,
         balancer,
@@ -103,6 +107,7 @@
         commands,
         events,
         headers,
+        repeats,
     }
 }
 
@@ -230,6 +235,7 @@
             ServiceCommand::Doubt(doubt) => {
                 self.balancer.take_doubt(now, &doubt.upstream, doubt.kind);
             }
+            ServiceCommand::Drawn(drawn) => self.balancer.take_drawn(now, drawn),
             ServiceCommand::Views(reply) => {
                 let _ = reply.send(self.balancer.views());
             }
@@ -284,6 +290,9 @@
             Admission::Refuse(kind) => {
                 let _ = waiter.reply.send(Err(kind));
             }
+            Admission::Unpaid => {
+                let _ = waiter.reply.send(Err(ErrorKind::Overload));
+            }
             Admission::Wait => {
                 if let Some(dropped) = self.queue.push(waiter.deadline, waiter) {
                     let _ = dropped.reply.send(Err(ErrorKind::Overload));
@@ -337,6 +346,9 @@
                 Admission::Refuse(kind) => {
                     let _ = waiter.reply.send(Err(kind));
                 }
+                Admission::Unpaid => {
+                    let _ = waiter.reply.send(Err(ErrorKind::Overload));
+                }
                 Admission::Wait => return self.queue.push_front(waiter.deadline, waiter),
             }
         }
--- a/testing/lab/src/control.rs
+++ b/testing/lab/src/control.rs
@@ -8,7 +8,7 @@
     FleetConfig, RepeatRule, Route, RouteTerms, Service, Upstream, UpstreamState, Workspace,
 };
 use model::ids;
-use model::sizes::{Generation, SlotCount};
+use model::sizes::{Generation, NodeCapacity, SlotCount};
 use policy::detection::{EvidenceCount, EvidenceReport, OutlierDetector};
 use policy::membership::{Member, MemberTable};
 use policy::routing::RouteTable;
@@ -268,6 +268,7 @@
         address: ([127, 0, 0, 1], 7400).into(),
         data_centre: parse(&format!("centre-{}", number % 7)),
         leaving: false,
+        capacity: NodeCapacity::default(),
     };
     let mut table = MemberTable::new(member(0));
     table.replace((0..count).map(member).collect());
--- a/testing/testbed/src/fleet.rs
+++ b/testing/testbed/src/fleet.rs
@@ -213,6 +213,7 @@
             address: vm.address,
             data_centre: vm.data_centre.clone(),
             leaving: false,
+            capacity: model::sizes::NodeCapacity::default(),
         });
         members.collect()
     }
