--- a/crates/model/src/config/service.rs
+++ b/crates/model/src/config/service.rs
@@ -55,8 +55,8 @@
         pub start_millis: u32,
         /// The most that is saved up, in thousandths.
         pub most_millis: u32,
-        /// Repeats that the whole fleet may save up, in thousandths; each node
-        /// holds its part of them, and no bound when zero.
+        /// Repeats that the whole fleet may save up, in thousandths. Each data centre
+        /// holds its part in a pool; when zero, each node has a budget of its own.
         pub fleet_most_millis: u32,
     }
 
