fix(upstream): check again that an answer belongs to its request

Cause: when faulty answers came to be dropped as they arrive, the check of OwnAnswer went with the old code. The invariant stayed in the list, on the metrics page and in two pages of the docs, and could never count anything.

Ruled out: checking where an answer is read. A foreign answer there is the upstream's fault and is dropped, not a breach of ours.

Change: the name that an answer echoes is compared once more as it is about to be passed on, after retries and hedges had their say. Behaviour stays; a breach is counted, logged, and fatal in tests.

--- a/crates/upstream/src/dispatch/dispatcher.rs
+++ b/crates/upstream/src/dispatch/dispatcher.rs
@@ -277,6 +277,7 @@
             let failure = match result {
                 Ok(answer) => {
                     self.count(AttemptEnd::Answered);
+                    self.check_own(&answer);
                     return Ok(answer);
                 }
                 Err(failure) => failure,
@@ -323,6 +324,18 @@
         }
     }
 
+    /// Checks that an answer about to be passed on names no other request.
+    fn check_own(&self, answer: &CallAnswer) {
+        let name = self.handle.headers().request_id.as_str();
+        let echoed = http1::header::text(&answer.headers, name);
+        let own = self.case.request.as_str();
+        invariant::check(
+            Invariant::OwnAnswer,
+            echoed.is_none_or(|id| id == own),
+            || format!("request {own} would get the answer to {echoed:?}"),
+        );
+    }
+
     /// The error that an end means, by the fault of the caller's body where there is one.
     fn error_of(&self, end: AttemptEnd) -> ErrorKind {
         match (end, self.case.body_fault.get()) {
