fix(upstream): a response body without end is given up at the deadline

Callers of a backend that sends a body without end got bytes for as long as the backend sent them: the deadline was looked at only while no data was there, so a body that always has some was forwarded past it. Three gateways of the test were still at it after ten minutes, with 0.75 of a core each.

The deadline is now also checked when data has arrived. Test: six bodies (chunks, slow chunks, chunk extension, trailers, no length, a failure's body), eight callers each, against the real program. Before: chunks, no length and the failure's body had no end 0.5 s past the route's timeout. After: all end, and the process stays under 64 MB.

--- a/crates/upstream/src/attempt.rs
+++ b/crates/upstream/src/attempt.rs
@@ -393,6 +393,10 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let frame = match Pin::new(&mut self.inner).poll_frame(context) {
+            // A body that always has data would never come to the timer below.
+            Poll::Ready(Some(Ok(_))) if Instant::now() >= self.deadline => {
+                Some(Err(BodyError::Deadline))
+            }
             Poll::Ready(frame) => frame,
             Poll::Pending => {
                 let Poll::Ready(error) = self.poll_stall(context) else {
