fix(http1): informational heads without end do not keep a node busy

A backend that sends informational heads (1xx) without end kept the connection's task parsing: the library skips them without a bound, and on a node with one thread all other requests waited.

What arrives before the head of a response is complete is now bounded at 256 KiB for an exchange; beyond it the connection fails and the attempt counts as broken. A head that is too long was bounded at 64 KiB already and stays so.

--- a/crates/http1/src/client/connection.rs
+++ b/crates/http1/src/client/connection.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{self, Instant};
 
+use super::head_limit::{HeadLimit, HeadLimitedStream};
 use super::response_body::ResponseBody;
 
 /// The largest response head.
@@ -82,6 +83,7 @@
         .map_err(|_| OpenError::TimedOut)?
         .map_err(OpenError::Failed)?;
     stream.set_nodelay(true).map_err(OpenError::Failed)?;
+    let (stream, head_limit) = HeadLimitedStream::new(stream);
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(HEAD_BYTES_MAX)
         .max_headers(HEADERS_MAX)
@@ -89,7 +91,7 @@
         .await
         .map_err(|error| OpenError::Failed(io::Error::other(error)))?;
     let (commands, inbox) = mpsc::channel(1);
-    tokio::spawn(run(sender, connection, inbox));
+    tokio::spawn(run(sender, connection, head_limit, inbox));
     Ok(Connection {
         commands,
         last_verified: Instant::now(),
@@ -144,11 +146,16 @@
 }
 
 type Sender = http1::SendRequest<BodyStream>;
-type Driver = http1::Connection<TokioIo<TcpStream>, BodyStream>;
+type Driver = http1::Connection<TokioIo<HeadLimitedStream>, BodyStream>;
 
 /// Drives the connection and serves commands until the peer closes it or the handle is
 /// dropped.
-async fn run(mut sender: Sender, driver: Driver, mut inbox: mpsc::Receiver<ExchangeCommand>) {
+async fn run(
+    mut sender: Sender,
+    driver: Driver,
+    head_limit: HeadLimit,
+    mut inbox: mpsc::Receiver<ExchangeCommand>,
+) {
     let mut driver = pin!(driver);
     loop {
         let command = tokio::select! {
@@ -159,7 +166,7 @@
         let Some(command) = command else {
             return reject_pending(&mut inbox);
         };
-        if !serve(&mut sender, driver.as_mut(), command).await {
+        if !serve(&mut sender, driver.as_mut(), &head_limit, command).await {
             return;
         }
     }
@@ -177,6 +184,7 @@
 async fn serve(
     sender: &mut Sender,
     mut driver: Pin<&mut Driver>,
+    head_limit: &HeadLimit,
     command: ExchangeCommand,
 ) -> bool {
     let ExchangeCommand {
@@ -184,6 +192,7 @@
         mut reply,
         finished,
     } = command;
+    head_limit.start();
     let mut pending = pin!(sender.try_send_request(request));
     let mut driving = true;
     let result = loop {
@@ -207,6 +216,7 @@
             return false;
         }
     };
+    head_limit.lift();
     let (complete, body_complete) = oneshot::channel();
     let response = response.map(|incoming| ResponseBody::new(incoming, complete));
     if reply.send(Ok(response)).is_err() {
--- a/crates/http1/src/client/mod.rs
+++ b/crates/http1/src/client/mod.rs
@@ -1,6 +1,7 @@
 //! Outgoing connections, each owned by a task that receives requests as messages.
 
 mod connection;
+mod head_limit;
 mod response_body;
 
 pub use connection::{Connection, ExchangeError, OpenError, ReusableConnection, open};
