fix(policy): avoided upstreams stay in service by offers in turn

Cause: avoidance had its own bound, half of the upstreams, which does not know the floor, and nobody was responsible for an avoided upstream. Each node drew trials by itself at a rate that falls to 0.018 a second with the suspicion; suspects beyond the bound got no trials at all. Class: a promise about the fleet left to independent random draws.

Change: whatever is not ejected or draining gets a request within 2 s. The node that sent the last one sends the next after 1.8 s; the other nodes of the upstream's data centre, who learn of requests from the load totals, take over in a random order if it does not; other data centres take over when no signal tells of a request. Every offer is an ordinary request, repeatable ones first and sooner, and at most a quarter of a node's requests. The drawn trials are gone. No new messages. The status page and the gauge upstream_unoffered show upstreams without requests; part offers logs when they are too many.

Ruled out: a longer list of avoided upstreams (the bound moves, the wait does not); an interval that grows when few are suspect (0.07 without a request, groups of ten still broke); a random order without an owner (a fifth of the offers came twice).

--- a/bins/entry/src/ops.rs
+++ b/bins/entry/src/ops.rs
@@ -86,6 +86,7 @@
                     "status": view.status.as_str(),
                     "in_flight": view.in_flight,
                     "limit": view.limit,
+                    "unoffered": view.unoffered,
                 })
             });
             services.insert(id.to_string(), upstreams.collect());
@@ -107,6 +108,8 @@
             let views = handle.views().await;
             let in_flight = views.values().map(|view| u64::from(view.in_flight)).sum();
             self.metrics.set_in_flight(service, in_flight);
+            let unoffered = views.values().filter(|view| view.unoffered).count();
+            self.metrics.set_unoffered_count(service, unoffered as u64);
             for status in UpstreamStatus::ALL {
                 let matching = views.values().filter(|view| view.status == *status);
                 self.metrics
--- a/crates/policy/src/service/balancer/loads.rs
+++ b/crates/policy/src/service/balancer/loads.rs
@@ -60,11 +60,17 @@
 impl ServiceBalancer {
     /// Applies the number of requests of the data centre in flight at an upstream.
     pub fn apply_data_centre_load(&mut self, now: Instant, load: &UpstreamLoad) {
-        if let Some(key) = self.by_id.get(&load.upstream) {
-            self.upstreams[*key].data_centre_load = Some(DataCentreLoad {
-                in_flight: load.in_flight,
-                at: now,
-            });
+        let Some(key) = self.by_id.get(&load.upstream).copied() else {
+            return;
+        };
+        let entry = &mut self.upstreams[key];
+        let before = entry.in_flight_of_other_nodes(now);
+        entry.data_centre_load = Some(DataCentreLoad {
+            in_flight: load.in_flight,
+            at: now,
+        });
+        if entry.in_flight_of_other_nodes(now) > before {
+            self.record_other_offer(now, key);
         }
     }
 
--- a/crates/policy/src/service/balancer/mod.rs
+++ b/crates/policy/src/service/balancer/mod.rs
@@ -2,6 +2,7 @@
 //! collects evidence of failing upstreams.
 
 pub(super) mod loads;
+pub(super) mod offers;
 mod signals;
 mod updates;
 
@@ -16,6 +17,7 @@
 use tokio::time::Instant;
 
 pub use loads::{LoadReport, UpstreamLoad};
+pub use offers::OfferCount;
 
 use super::choose::{self, ChoiceWidth};
 use super::entry::{UpstreamEntry, UpstreamStatus, UpstreamView};
@@ -144,6 +146,10 @@
     signals: Vec<SuspicionSignal>,
     late_share: LateShare,
     fleet_nodes: u32,
+    /// Share of the fleet's nodes that are in this node's data centre.
+    local_node_share: f64,
+    /// Offers to suspect upstreams that this node may make now.
+    offer_credit: f64,
     /// Probability that a request prefers the upstreams of this node's data centre.
     local_share: f64,
     rng: SmallRng,
@@ -175,6 +181,8 @@
             signals: Vec::new(),
             late_share: LateShare::new(now),
             fleet_nodes: 1,
+            local_node_share: 1.0,
+            offer_credit: 0.0,
             local_share: 1.0,
             rng: SmallRng::seed_from_u64(seed),
         };
@@ -227,13 +235,9 @@
     fn choose(&mut self, now: Instant, request: &AttemptRequest) -> Option<UpstreamKey> {
         if self.shares_signals() {
             self.mark_avoided(now);
-            let trial = if request.purpose == AttemptPurpose::First {
-                self.draw_trial(now, request)
-            } else {
-                None
-            };
-            if trial.is_some() {
-                return trial;
+            let due = self.pick_due_offer(now, request);
+            if due.is_some() {
+                return due;
             }
         }
         let upstreams = self.upstreams.iter();
@@ -279,6 +283,7 @@
 
     fn grant(&mut self, now: Instant, key: UpstreamKey, request: &AttemptRequest) -> AttemptGrant {
         let overdue_after = self.overdue_after(request);
+        self.record_own_offer(now, key);
         let entry = &mut self.upstreams[key];
         let status = entry.status();
         invariant::check(
@@ -365,6 +370,9 @@
             }
             _ => {}
         }
+        if end == AttemptEnd::ConnectFailed {
+            self.record_missed_offer(attempt.upstream);
+        }
         if self.shares_signals() {
             return self.signal_attempt_end(now, &attempt, end);
         }
@@ -503,8 +511,11 @@
     }
 
     /// State of each upstream, for the status page.
-    pub fn views(&self) -> BTreeMap<ids::UpstreamId, UpstreamView> {
-        let views = self.upstreams.values().map(UpstreamEntry::view);
+    pub fn views(&self, now: Instant) -> BTreeMap<ids::UpstreamId, UpstreamView> {
+        let views = self.upstreams.values().map(|entry| {
+            let is_local = entry.upstream.data_centre == self.local_data_centre;
+            entry.view(now, is_local)
+        });
         views.map(|view| (view.upstream.clone(), view)).collect()
     }
 
--- a/crates/policy/src/service/balancer/signals.rs
+++ b/crates/policy/src/service/balancer/signals.rs
@@ -3,8 +3,7 @@
 
 use std::time::Duration;
 
-use model::{config, ids, sizes};
-use rand::Rng as _;
+use model::{config, ids};
 use tokio::time::Instant;
 
 use super::{AttemptRequest, InFlightAttempt, ServiceBalancer, UpstreamKey};
@@ -16,17 +15,6 @@
 /// three tenths of their time in episodes; with more than half of them avoided, the
 /// rest could not carry the load.
 const AVOIDED_SHARE_MAX: f64 = 0.5;
-/// Trials of one suspect upstream by repeatable requests, per second over the whole
-/// fleet. A hedge serves the request if the trial fails, so the rate does not depend on the
-/// suspicion.
-const REPEATABLE_TRIAL_RATE: sizes::Rate = sizes::Rate::per_second(0.7);
-/// Trials of one suspect upstream by once-only requests, per second over the whole fleet.
-/// A failed trial loses the request, so the rate is scaled by the probability that the
-/// upstream is healthy.
-const ONCE_ONLY_TRIAL_RATE: sizes::Rate = sizes::Rate::per_second(0.6);
-/// Maximum time since a node last considered a trial that counts towards the probability
-/// of one. Without it, an idle node would start with several trials at once.
-const TRIAL_ELAPSED_MAX: Duration = Duration::from_secs(3);
 /// Quantile of the usual latency beyond which an attempt is overdue.
 const OVERDUE_QUANTILE: f64 = 0.9;
 /// Share of a route's target latency after which an attempt is overdue while the usual
@@ -69,6 +57,7 @@
     pub fn apply_signal(&mut self, now: Instant, upstream: &ids::UpstreamId, kind: SignalKind) {
         if let Some(key) = self.by_id.get(upstream).copied() {
             self.apply_to_score(now, key, kind, SignalOrigin::OtherNode);
+            self.record_signalled_offer(now, key);
         }
     }
 
@@ -137,7 +126,6 @@
                 probability = score.probability(now);
                 "An upstream is {}.", if is_suspect { "avoided" } else { "trusted again" }
             );
-            entry.trial_considered_at = now;
         }
         entry.suspicion = is_suspect.then_some(UpstreamSuspicion { score, avoided });
     }
@@ -197,44 +185,6 @@
         }
     }
 
-    /// Draws whether this request is a trial of a suspect upstream, and of which one.
-    pub(super) fn draw_trial(
-        &mut self,
-        now: Instant,
-        request: &AttemptRequest,
-    ) -> Option<UpstreamKey> {
-        if request.repeatable && !self.budget.can_spend(now) {
-            // Without a hedge, a failed trial would fail the request.
-            return None;
-        }
-        let fleet_nodes = f64::from(self.fleet_nodes.max(1));
-        let mut drawn = None;
-        for (key, entry) in &mut self.upstreams {
-            let Some(UpstreamSuspicion {
-                score,
-                avoided: true,
-            }) = entry.suspicion
-            else {
-                continue;
-            };
-            let elapsed = now.saturating_duration_since(entry.trial_considered_at);
-            entry.trial_considered_at = now;
-            let elapsed_seconds = elapsed.min(TRIAL_ELAPSED_MAX).as_secs_f64();
-            let rate = if request.repeatable {
-                REPEATABLE_TRIAL_RATE.get()
-            } else {
-                ONCE_ONLY_TRIAL_RATE.get() * (1.0 - score.probability(now))
-            };
-            let expected = rate * elapsed_seconds / fleet_nodes;
-            let due = self.rng.random::<f64>() < expected;
-            let untried = !request.exclude.contains(&entry.upstream.id);
-            if due && untried && entry.has_room() {
-                drawn = Some(key);
-            }
-        }
-        drawn
-    }
-
     /// Time at which the next attempt in flight becomes overdue.
     pub fn next_overdue_at(&self) -> Option<Instant> {
         let pending = self.attempts.values().filter(|attempt| {
--- a/crates/policy/src/service/balancer/updates.rs
+++ b/crates/policy/src/service/balancer/updates.rs
@@ -72,6 +72,7 @@
     /// If the data centre has a smaller share of the service's slots, some requests skip the
     /// preference for local upstreams, so that those are not overloaded.
     pub fn set_local_node_share(&mut self, share: f64) {
+        self.local_node_share = share;
         let eligible = self.upstreams.values().filter(|entry| entry.is_eligible());
         let slots = |local_only: bool| -> u32 {
             let counted = eligible.clone().filter(|entry| {
--- a/crates/policy/src/service/entry.rs
+++ b/crates/policy/src/service/entry.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use super::balancer::loads::DataCentreLoad;
+use super::balancer::offers::{LastOffer, OFFER_WINDOW};
 use crate::detection;
 use crate::limit;
 use crate::suspicion::SuspicionScore;
@@ -49,6 +50,9 @@
     pub in_flight: u32,
     /// Maximum number of requests that this node keeps in flight there.
     pub limit: f64,
+    /// Whether it should get requests from this node's data centre, which is also its own,
+    /// but is not known to have got one lately.
+    pub unoffered: bool,
 }
 
 /// Suspicion of an upstream, and whether it is avoided for it. If too many upstreams are
@@ -80,12 +84,12 @@
     /// Whether the configuration no longer contains the upstream.
     pub(super) unconfigured: bool,
     /// Earliest time of this node's next trial; unused if the nodes share signals, since
-    /// trials are then drawn at random.
+    /// offers are then due at the time of the last one.
     pub(super) next_trial_at: Instant,
     /// Suspicion from the signals of all nodes; `None` if the upstream is not suspect.
     pub(super) suspicion: Option<UpstreamSuspicion>,
-    /// Time at which this node last considered a trial because of the suspicion.
-    pub(super) trial_considered_at: Instant,
+    /// The last request that this node knows of, from any node of the data centre.
+    pub(super) last_offer: LastOffer,
     /// Requests in flight from all nodes of the data centre.
     pub(super) data_centre_load: Option<DataCentreLoad>,
     /// This node's requests in flight as last reported to the snapshot relay.
@@ -109,7 +113,7 @@
             unconfigured: false,
             next_trial_at: now,
             suspicion: None,
-            trial_considered_at: now,
+            last_offer: LastOffer::none(now),
             data_centre_load: None,
             reported_in_flight: 0,
             ramp_start: None,
@@ -175,6 +179,17 @@
         self.limit.has_room(self.in_flight) && !(trial_only && self.in_flight > 0)
     }
 
+    /// Requests in flight from the other nodes of the data centre.
+    pub(super) fn in_flight_of_other_nodes(&self, now: Instant) -> u32 {
+        self.data_centre_load
+            .map_or(0, |load| load.of_other_nodes(now, self.reported_in_flight))
+    }
+
+    /// Whether the data centre has fewer requests in flight than the upstream has slots.
+    pub(super) fn has_free_slot(&self, now: Instant) -> bool {
+        self.in_flight + self.in_flight_of_other_nodes(now) < self.upstream.slots.get()
+    }
+
     /// Starts the ramp of an upstream that returns to service.
     pub(super) const fn start_ramp(&mut self, now: Instant) {
         self.ramp_start = Some(now);
@@ -184,10 +199,8 @@
     /// value is preferred.
     pub(super) fn load_per_slot(&self, now: Instant) -> f64 {
         let slots = f64::from(self.upstream.slots.get()).max(1.0);
-        let of_other_nodes = self
-            .data_centre_load
-            .map_or(0, |load| load.of_other_nodes(now, self.reported_in_flight));
-        let requests = (f64::from(self.in_flight + of_other_nodes) + 1.0) / slots;
+        let in_flight = self.in_flight + self.in_flight_of_other_nodes(now);
+        let requests = (f64::from(in_flight) + 1.0) / slots;
         let healthy_probability = self
             .suspicion
             .map_or(1.0, |suspicion| 1.0 - suspicion.score.probability(now));
@@ -203,12 +216,19 @@
         (RAMP_INITIAL_SHARE + grown).min(1.0)
     }
 
-    pub(super) fn view(&self) -> UpstreamView {
+    /// Whether the upstream, which is in this node's data centre, is out of service although
+    /// it may get requests.
+    pub(super) fn is_unoffered(&self, now: Instant) -> bool {
+        self.is_eligible() && self.last_offer.age(now) >= OFFER_WINDOW
+    }
+
+    pub(super) fn view(&self, now: Instant, is_local: bool) -> UpstreamView {
         UpstreamView {
             upstream: self.upstream.id.clone(),
             status: self.status(),
             in_flight: self.in_flight,
             limit: self.limit.get(),
+            unoffered: is_local && self.is_unoffered(now),
         }
     }
 }
--- a/crates/policy/src/service/mod.rs
+++ b/crates/policy/src/service/mod.rs
@@ -7,7 +7,7 @@
 mod subset;
 
 pub use balancer::{
-    Admission, AttemptGrant, AttemptKey, AttemptPurpose, AttemptRequest, LoadReport,
+    Admission, AttemptGrant, AttemptKey, AttemptPurpose, AttemptRequest, LoadReport, OfferCount,
     ServiceBalancer, UpstreamLoad,
 };
 pub use entry::{UpstreamStatus, UpstreamView};
--- a/crates/policy/src/suspicion/late_share.rs
+++ b/crates/policy/src/suspicion/late_share.rs
@@ -56,6 +56,13 @@
         share.clamp(SHARE_MIN, SHARE_MAX)
     }
 
+    /// Requests of the fleet per second, from those of the last few seconds.
+    pub fn requests_per_second(&self, now: Instant) -> f64 {
+        let mut current = *self;
+        current.decay(now);
+        current.requests / DECAY_TIME.as_secs_f64()
+    }
+
     fn decay(&mut self, now: Instant) {
         let age = now.saturating_duration_since(self.updated_at).as_secs_f64();
         let remaining = (-age / DECAY_TIME.as_secs_f64()).exp();
--- a/crates/policy/tests/balancer.rs
+++ b/crates/policy/tests/balancer.rs
@@ -164,13 +164,13 @@
     let mut balancer = balancer(3);
     balancer.apply_verdict(Instant::now(), &name("up-0"), &Verdict::Eject);
     assert_eq!(
-        balancer.views()[&name("up-0")].status,
+        balancer.views(Instant::now())[&name("up-0")].status,
         UpstreamStatus::Avoided
     );
     time::advance(Duration::from_secs(11)).await;
     balancer.tick(Instant::now());
     assert_eq!(
-        balancer.views()[&name("up-0")].status,
+        balancer.views(Instant::now())[&name("up-0")].status,
         UpstreamStatus::Healthy
     );
 }
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -31,6 +31,7 @@
     platform_calls: Counter<u64>,
     node_bytes: Counter<u64>,
     upstreams: Gauge<u64>,
+    unoffered: Gauge<u64>,
     in_flight: Gauge<u64>,
     nodes: Gauge<u64>,
     dropped_lines: Gauge<u64>,
@@ -98,6 +99,12 @@
                 .u64_gauge("upstream.count")
                 .with_description("Upstreams by service and by how this node treats them.")
                 .build(),
+            unoffered: meter
+                .u64_gauge("upstream.unoffered")
+                .with_description(
+                    "Upstreams of the node's data centre without a request for two seconds.",
+                )
+                .build(),
             in_flight: meter
                 .u64_gauge("upstream.in_flight")
                 .with_description("Requests of this node in flight, by service.")
@@ -172,6 +179,12 @@
             .record(count, &[service, KeyValue::new("status", status)]);
     }
 
+    /// Sets the number of a service's upstreams that may get requests but got none lately.
+    pub fn set_unoffered_count(&self, service: &ids::ServiceId, count: u64) {
+        let service = KeyValue::new("service", service.as_str().to_owned());
+        self.unoffered.record(count, &[service]);
+    }
+
     /// Sets the number of requests in flight at a service.
     pub fn set_in_flight(&self, service: &ids::ServiceId, count: u64) {
         let service = KeyValue::new("service", service.as_str().to_owned());
--- a/crates/upstream/src/service/task.rs
+++ b/crates/upstream/src/service/task.rs
@@ -83,6 +83,8 @@
     pools: HashMap<SocketAddr, ConnectionPool>,
     events: mpsc::UnboundedSender<RequestEvent>,
     size: FleetSize,
+    /// Whether too many upstreams of the data centre were without requests at the last tick.
+    under_floor: bool,
 }
 
 /// Starts the task of a service; it ends when the last handle is dropped.
@@ -102,6 +104,7 @@
         pools,
         events: events.clone(),
         size: FleetSize { nodes: 1, local: 1 },
+        under_floor: false,
     };
     task.sync_pools();
     tokio::spawn(task.run(inbox, event_inbox));
@@ -183,9 +186,31 @@
         if let Some(report) = self.balancer.tick(now) {
             (self.settings.evidence)(report);
         }
+        self.log_unoffered(now);
         self.admit_queued();
     }
 
+    /// Logs when too many upstreams are without requests, and when that ends.
+    fn log_unoffered(&mut self, now: Instant) {
+        if self.balancer.service().profile != config::DetectionProfile::Episodes {
+            return;
+        }
+        let count = self.balancer.count_unoffered(now);
+        let under_floor = count.is_under_floor();
+        if under_floor == self.under_floor {
+            return;
+        }
+        self.under_floor = under_floor;
+        let state = if under_floor { "too few" } else { "enough" };
+        log::info!(
+            target: "offers",
+            service:% = self.balancer.service().id,
+            unoffered = count.unoffered,
+            eligible = count.eligible;
+            "In this data centre, {state} upstreams got a request within the last two seconds."
+        );
+    }
+
     fn handle_event(&mut self, event: RequestEvent) {
         let now = Instant::now();
         match event {
@@ -251,7 +276,7 @@
             }
             ServiceCommand::RetryTokenDrawn(drawn) => self.balancer.record_token_draw(now, drawn),
             ServiceCommand::Views(reply) => {
-                let _ = reply.send(self.balancer.views());
+                let _ = reply.send(self.balancer.views(now));
             }
         }
     }
--- a/testing/lab/src/detect/fleet.rs
+++ b/testing/lab/src/detect/fleet.rs
@@ -164,7 +164,7 @@
     }
 
     fn is_avoided(&self, node: usize, upstream: usize) -> bool {
-        let views = self.balancers[node].views();
+        let views = self.balancers[node].views(Instant::now());
         views[&self.service.upstreams[upstream].id].status != UpstreamStatus::Healthy
     }
 
