fix(claim): keep the last sealed segment of a shard until its successor is stored

A once-only key could be granted twice. A batcher that had sealed a shard's last segment took the next number as open. When the sealed one expired before anything was written there, another batcher deleted it, and whoever loaded the shard then opened segment 0. Both updates were creations of different objects, so both took effect.

take_expired now leaves the newest stored segment, whose number tells every batcher which one is open. Test with two batchers: two grants before, one after.

--- a/crates/policy/src/claim/batch.rs
+++ b/crates/policy/src/claim/batch.rs
@@ -306,13 +306,16 @@
 
     /// Removes the oldest sealed segment from the batcher if all its claims have expired;
     /// the caller deletes the object.
+    ///
+    /// The newest stored segment stays, since its number tells every batcher which segment
+    /// is open.
     pub fn take_expired(
         &mut self,
         now: clock::UnixMillis,
     ) -> Option<(SegmentNumber, sizes::ObjectVersion)> {
         let (number, (version, expires)) = self.sealed.first_key_value()?;
         let (number, version) = (*number, *version);
-        if expires.is_some_and(|expires| expires > now) {
+        if expires.is_some_and(|expires| expires > now) || !self.has_stored_successor(number) {
             return None;
         }
         self.sealed.remove(&number);
@@ -320,6 +323,16 @@
         Some((number, version))
     }
 
+    /// Whether a segment after this one is known to be stored.
+    fn has_stored_successor(&self, number: SegmentNumber) -> bool {
+        let is_open_stored = self
+            .open
+            .as_ref()
+            .is_some_and(|open| open.condition != WriteCondition::Absent);
+        let is_newest_sealed = self.sealed.keys().next_back() == Some(&number);
+        is_open_stored || !is_newest_sealed
+    }
+
     /// Number of keys and outcomes that wait for an update.
     pub fn pending(&self) -> usize {
         self.attempts.len() + self.settlements.len()
--- a/crates/policy/tests/claims.rs
+++ b/crates/policy/tests/claims.rs
@@ -206,6 +206,44 @@
     );
 }
 
+/// The successor of a sealed segment may not be stored yet. Without the sealed one, a
+/// batcher would open segment 0 again while another still opens the successor.
+#[test]
+fn a_key_is_granted_once_after_the_last_sealed_segment_expired() {
+    let mut platform = Platform::default();
+    let mut early = loaded_batcher(&platform);
+    for number in 0..SEGMENT_ENTRIES_MAX {
+        early.claim(NOW, attempt(&format!("k{number}"), "a"));
+    }
+    for _ in 0..2 {
+        let write = early.next_write(NOW).unwrap();
+        early.write_committed(NOW, platform.apply(&write).unwrap());
+        early.claim(NOW, attempt("next", "a"));
+    }
+    early.withdraw(&name("next"), &name("a"));
+    assert!(platform.read()[0].segment.sealed);
+
+    let expired = UnixMillis::new(LATER.get() + 1);
+    let mut collector = loaded_batcher(&platform);
+    while let Some((number, _)) = collector.take_expired(expired) {
+        platform.objects.remove(&number);
+    }
+    let mut granted = 0;
+    let late = loaded_batcher(&platform);
+    for (mut batcher, token) in [(early, "b"), (late, "c")] {
+        let mut attempt = attempt("again", token);
+        attempt.settled_by = UnixMillis::new(LATER.get() + 1_000);
+        attempt.expires = attempt.settled_by;
+        batcher.claim(expired, attempt);
+        let write = batcher.next_write(expired).unwrap();
+        if let Some(version) = platform.apply(&write) {
+            let decided = batcher.write_committed(expired, version);
+            granted += usize::from(verdict(&decided, token) == Some(ClaimVerdict::Granted));
+        }
+    }
+    assert_eq!(granted, 1);
+}
+
 /// A claim whose deadline has passed before it is written is of no use, so it must not
 /// cost an update.
 #[test]
