fix(retry): a retry is not refused because its deposit has not arrived yet

Callers got 503 for a lookup that another upstream would have served, just after the first start: the data centre's pool holds nothing for a service before the first deposit for it, and a draw can overtake the deposit of the same request.

A node now reports its deposits before it draws, and a pool that starts filled advances its first token, which counts like any other once the deposit tells how many there are.

--- a/crates/node/src/replica/retry_pool.rs
+++ b/crates/node/src/replica/retry_pool.rs
@@ -62,7 +62,7 @@
             }
             RetryPoolCommand::Draw(service, sender) => {
                 // When the requesting node has timed out, the drawn token is lost.
-                let _ = sender.send(pool.draw(&service));
+                let _ = sender.send(pool.draw(Instant::now(), &service));
             }
         }
     }
--- a/crates/policy/src/retry/pool.rs
+++ b/crates/policy/src/retry/pool.rs
@@ -1,6 +1,6 @@
 //! Retry tokens shared by the nodes of a data centre.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use model::ids;
@@ -37,6 +37,9 @@
 #[derive(Debug)]
 pub struct RetryPool {
     balances: BTreeMap<ids::ServiceId, u32>,
+    /// Services whose first token was drawn before their first deposit, which tells how
+    /// many there are.
+    advanced: BTreeSet<ids::ServiceId>,
     started_at: Instant,
     first_start: bool,
 }
@@ -47,6 +50,7 @@
     pub const fn new(now: Instant, first_start: bool) -> Self {
         Self {
             balances: BTreeMap::new(),
+            advanced: BTreeSet::new(),
             started_at: now,
             first_start,
         }
@@ -55,31 +59,45 @@
     /// Adds a deposit; `share` is the data centre's share of the fleet's nodes.
     pub fn deposit(&mut self, now: Instant, deposit: &RetryDeposit, share: f64) {
         let limit_millitokens = fraction_of(deposit.fleet_max_millitokens, share);
-        let age = now.saturating_duration_since(self.started_at);
-        let initial = if self.first_start && age <= INITIAL_FILL_AGE_MAX {
+        let initial = if self.starts_filled(now) {
             limit_millitokens / 2
         } else {
             0
         };
+        let advance = if self.advanced.remove(&deposit.service) {
+            RETRY_COST_MILLITOKENS
+        } else {
+            0
+        };
         let balance = self
             .balances
             .entry(deposit.service.clone())
-            .or_insert(initial);
+            .or_insert(initial.saturating_sub(advance));
         *balance = balance
             .saturating_add(deposit.millitokens)
             .min(limit_millitokens);
     }
 
     /// Draws a retry token; returns false if the balance is too low.
-    pub fn draw(&mut self, service: &ids::ServiceId) -> bool {
+    ///
+    /// A draw may overtake the deposit of the same request. If the balance starts filled, the
+    /// first token is therefore advanced.
+    pub fn draw(&mut self, now: Instant, service: &ids::ServiceId) -> bool {
         match self.balances.get_mut(service) {
             Some(balance) if *balance >= RETRY_COST_MILLITOKENS => {
                 *balance -= RETRY_COST_MILLITOKENS;
                 true
             }
-            _ => false,
+            Some(_) => false,
+            None => self.starts_filled(now) && self.advanced.insert(service.clone()),
         }
     }
+
+    /// Whether the balance of a service without deposits starts half full.
+    fn starts_filled(&self, now: Instant) -> bool {
+        let age = now.saturating_duration_since(self.started_at);
+        self.first_start && age <= INITIAL_FILL_AGE_MAX
+    }
 }
 
 #[expect(
--- a/crates/policy/tests/retry_pool.rs
+++ b/crates/policy/tests/retry_pool.rs
@@ -31,7 +31,7 @@
 
 fn draw_until_empty(pool: &mut RetryPool) -> u32 {
     let mut drawn = 0;
-    while pool.draw(&service()) {
+    while pool.draw(Instant::now(), &service()) {
         drawn += 1;
     }
     drawn
@@ -74,10 +74,10 @@
     let mut budget = RetryBudget::new(ALLOWANCE);
     for _ in 0..7 {
         assert!(!budget.spend(), "a node has no tokens of its own");
-        budget.record_token_draw(Instant::now(), pool.draw(&service()));
+        budget.record_token_draw(Instant::now(), pool.draw(Instant::now(), &service()));
         assert!(budget.spend());
     }
-    budget.record_token_draw(Instant::now(), pool.draw(&service()));
+    budget.record_token_draw(Instant::now(), pool.draw(Instant::now(), &service()));
     assert!(!budget.spend() && !budget.can_spend(Instant::now()));
     time::advance(Duration::from_secs(1)).await;
     assert!(
@@ -123,7 +123,7 @@
         let (mut deposited, mut drawn) = (0_u64, 0_u64);
         for (draws, millitokens) in steps {
             if draws {
-                drawn += u64::from(pool.draw(&service())) * 1_000;
+                drawn += u64::from(pool.draw(Instant::now(), &service())) * 1_000;
             } else {
                 deposited += u64::from(millitokens);
                 pool.deposit(Instant::now(), &deposit(u32::from(millitokens)), 1.0);
@@ -132,3 +132,17 @@
         drawn <= deposited
     }
 }
+
+/// A node draws a token as soon as its first request fails, and its deposit may arrive later.
+/// The token must be granted then, and must count like any other.
+#[tokio::test(start_paused = true)]
+async fn the_first_token_of_a_filled_pool_may_be_drawn_before_the_first_deposit() {
+    let mut pool = RetryPool::new(Instant::now(), true);
+    assert!(pool.draw(Instant::now(), &service()));
+    assert!(!pool.draw(Instant::now(), &service()));
+    pool.deposit(Instant::now(), &deposit(190), 1.0);
+    assert_eq!(1 + draw_until_empty(&mut pool), 30);
+
+    let mut later = RetryPool::new(Instant::now(), false);
+    assert!(!later.draw(Instant::now(), &service()));
+}
--- a/crates/upstream/src/service/task.rs
+++ b/crates/upstream/src/service/task.rs
@@ -9,6 +9,7 @@
 use model::{config, ids};
 use policy::detection::EvidenceReport;
 use policy::limit::RequestQueue;
+use policy::retry::RetryRefusal;
 use policy::service::{self, Admission, AttemptGrant, AttemptRequest, LoadReport, ServiceBalancer};
 use policy::suspicion::SuspicionSignal;
 use tokio::sync::{mpsc, oneshot};
@@ -248,7 +249,11 @@
                 }
             }
             ServiceCommand::DecideRetry { context, reply } => {
-                let _ = reply.send(self.balancer.decide_retry(&context));
+                let decision = self.balancer.decide_retry(&context);
+                if decision == Err(RetryRefusal::Budget) {
+                    self.report_before_draw();
+                }
+                let _ = reply.send(decision);
             }
             ServiceCommand::Verdict { upstream, verdict } => {
                 self.balancer.apply_verdict(now, &upstream, &verdict);
@@ -334,6 +339,7 @@
                 let _ = pending.reply.send(Err(kind));
             }
             Admission::NoBudget => {
+                self.report_before_draw();
                 let _ = pending.reply.send(Err(ErrorKind::Overload));
             }
             Admission::Wait => {
@@ -344,6 +350,14 @@
         }
     }
 
+    /// Reports the deposits of the last requests, since a token is about to be drawn from
+    /// the pool that they fill.
+    fn report_before_draw(&mut self) {
+        if self.settings.retry_tokens.is_some() && self.balancer.has_unreported_load() {
+            (self.settings.loads)(self.balancer.take_load_report());
+        }
+    }
+
     fn grant_lease(&mut self, now: Instant, grant: AttemptGrant, pending: PendingRequest) {
         let PendingRequest { request, reply, .. } = pending;
         let attempt = grant.attempt;
