test(testbed): two tests of the request path no longer depend on random choices

Both asked for more than the design promises, or for luck. - a_truncated_download_is_resumed_on_another_upstream: eight downloads, three retry tokens. When the random choice sent four to the truncating upstream before it was avoided, the fourth was not resumed, as the retry budget demands. The budget of the test now covers each of the eight; every one must still be complete and equal. - a_lookup_is_retried_and_an_action_is_not: in one run of 256 none of eight actions reached the failing upstream, and nothing was tested. Actions are now sent until one does, and every request there must show as one error and no second run, where one error was enough before.

--- a/testing/testbed/src/fleet.rs
+++ b/testing/testbed/src/fleet.rs
@@ -116,6 +116,7 @@
         let mut service = Service::new(parse_id(plan.name), sizes::SlotCount::new(plan.floor));
         service.profile = plan.profile;
         service.deadline = plan.deadline;
+        service.retry_allowance = plan.retry_allowance;
         for number in 0..plan.upstreams {
             let upstream = self.start_upstream(plan, number).await?;
             service.upstreams.push(upstream);
--- a/testing/testbed/src/plan.rs
+++ b/testing/testbed/src/plan.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use model::config::{DetectionProfile, RetryRule};
+use model::config::{DetectionProfile, RetryAllowance, RetryRule};
 use model::span::TimeSpan;
 use standin::upstream_server::Behaviour;
 
@@ -25,6 +25,8 @@
     pub profile: DetectionProfile,
     /// Which requests may run more than once.
     pub retry_rule: RetryRule,
+    /// The retry budget.
+    pub retry_allowance: RetryAllowance,
     /// Deadline of a request, over all attempts.
     pub deadline: TimeSpan,
     /// Initial behaviour of every upstream.
@@ -41,6 +43,7 @@
             floor: 4,
             profile: DetectionProfile::Detection,
             retry_rule: RetryRule::SafeMethods,
+            retry_allowance: RetryAllowance::default(),
             deadline: TimeSpan::from_secs(4),
             behaviour: Behaviour::default(),
         }
--- a/testing/testbed/tests/request_path.rs
+++ b/testing/testbed/tests/request_path.rs
@@ -10,6 +10,11 @@
 
 use gooseberrydyke_testbed as testbed;
 
+/// Downloads of one test.
+const DOWNLOADS: u32 = 8;
+/// Actions that a test sends until one reaches the failing upstream.
+const ACTIONS_MAX: u64 = 64;
+
 async fn start_lookup_testbed(upstreams: usize) -> Testbed {
     let services = vec![ServicePlan::lookups("docs", "/download", upstreams)];
     Testbed::start(TestbedPlan::single_node(services))
@@ -34,13 +39,18 @@
 // closes the connection within the body, and the rest comes from the other one.
 #[tokio::test]
 async fn a_truncated_download_is_resumed_on_another_upstream() {
-    let testbed = start_lookup_testbed(2).await;
+    let mut service = ServicePlan::lookups("docs", "/download", 2);
+    // Which upstream gets a download is random; the budget covers a resumption of each.
+    service.retry_allowance.initial_millitokens = DOWNLOADS * 1_000;
+    let testbed = Testbed::start(TestbedPlan::single_node(vec![service]))
+        .await
+        .unwrap();
     testbed
         .upstream("docs-0")
         .standin
         .change_behaviour(|behaviour| behaviour.gray = GrayMode::Truncate);
     let mut client = testbed.client(0);
-    for _ in 0..8 {
+    for _ in 0..DOWNLOADS {
         let response = client.call(ClientRequest::get("/download/200000")).await;
         assert!(
             response.complete && response.status == 200,
@@ -103,19 +113,28 @@
             .await;
         assert_eq!(response.status, 200);
     }
-    let mut errors = 0;
-    for number in 0..8 {
+    // Which upstream gets an action is random, so actions are sent until the failing one
+    // got one.
+    let failing = || testbed.upstream("book-0").standin.request_count();
+    let (mut sent, mut errors) = (0, 0);
+    while sent < 8 || (failing() == 0 && sent < ACTIONS_MAX) {
         let response = client
-            .call(ClientRequest::post(format!("/book/{number}"), "slot"))
+            .call(ClientRequest::post(format!("/book/{sent}"), "slot"))
             .await;
-        errors += u32::from(response.status == 500);
+        sent += 1;
+        errors += u64::from(response.status == 500);
     }
-    assert!(errors > 0, "an action was retried after it may have run");
+    assert!(failing() > 0, "no action reached the failing upstream");
+    assert_eq!(
+        errors,
+        failing(),
+        "an action was retried after it may have run"
+    );
     let served: u64 = ["book-0", "book-1"]
         .iter()
         .map(|id| testbed.upstream(id).standin.request_count())
         .sum();
-    assert_eq!(served, 8, "not every action ran exactly once");
+    assert_eq!(served, sent, "not every action ran exactly once");
 }
 
 // Guards against failing an action that provably did not run: a refused connection means
