fix(http1): a stop does not reset requests that are on their way

Callers of a node that stops as planned got no response to a request that they sent just then: idle connections were closed at once, and so were connections that the system had accepted for the listener, so a request that arrived at that moment was reset.

--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -15,13 +15,19 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time;
+use tokio::time::{self, Instant};
 
 use crate::wire::{self, CallerHeaders};
 
 /// Delay before the next `accept` after the system failed to provide a connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// How long connections are accepted after the stop has begun.
+const STOP_LINGER: Duration = Duration::from_millis(50);
+/// Connections that are accepted after the stop has begun: as many as usually fit the
+/// queue of the system.
+const BACKLOG_MAX: usize = 1_024;
+
 /// The pending response to a call.
 pub type CallFuture = Pin<Box<dyn Future<Output = Result<CallResponse, FleetError>> + Send>>;
 
@@ -100,6 +106,14 @@
         let connection_stop = stopping.clone();
         let limits = self.settings.limits.clone();
         let handler = handler(self.settings, self.draining);
+        let admit = |connections: &mut JoinSet<()>, stream, peer| {
+            if connections.len() < limits.borrow().connections {
+                let stop = connection_stop.clone();
+                connections.spawn(serve(stream, limits.clone(), Arc::clone(&handler), stop));
+            } else {
+                log::warn!(target: "caller", "Too many connections; closed the one from {peer}.");
+            }
+        };
         loop {
             let accepted = tokio::select! {
                 accepted = self.listener.accept() => accepted,
@@ -107,20 +121,22 @@
                 _ = stopping.wait_for(|stopping| *stopping) => break,
             };
             match accepted {
-                Ok((stream, _)) if connections.len() < limits.borrow().connections => {
-                    let handler = Arc::clone(&handler);
-                    let stop = connection_stop.clone();
-                    connections.spawn(serve(stream, limits.clone(), handler, stop));
-                }
-                Ok((_, peer)) => {
-                    log::warn!(target: "caller", "Too many connections; closed the one from {peer}.");
-                }
+                Ok((stream, peer)) => admit(&mut connections, stream, peer),
                 Err(error) => {
                     log::warn!(target: "caller", "Cannot accept a connection: {error}.");
                     time::sleep(ACCEPT_RETRY_DELAY).await;
                 }
             }
         }
+        // Callers may have sent requests on connections that the system has accepted.
+        let stop_accepting = Instant::now() + STOP_LINGER;
+        for _ in 0..BACKLOG_MAX {
+            let accepting = time::timeout_at(stop_accepting, self.listener.accept());
+            let Ok(Ok((stream, peer))) = accepting.await else {
+                break;
+            };
+            admit(&mut connections, stream, peer);
+        }
         drop(self.listener);
         log::info!(target: "caller", "Stopped accepting connections; {} are still open.", connections.len());
         while connections.join_next().await.is_some() {}
--- a/crates/http1/src/server/mod.rs
+++ b/crates/http1/src/server/mod.rs
@@ -22,6 +22,9 @@
 /// How long to wait before the next accept when the system could not provide a
 /// connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// How long an idle connection stays open after a stop has begun. A caller that has just
+/// received a response may have sent its next request already.
+const STOP_LINGER: Duration = Duration::from_millis(250);
 /// The smallest buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// The response to a request head that does not arrive within the head timeout.
@@ -62,8 +65,9 @@
         + Sync,
 >;
 
-/// Serves a connection until it closes. After `stopping` turns true or the idle timeout
-/// passes, it closes once the request in progress is complete. A head that does not
+/// Serves a connection until it closes. After the idle timeout it closes. After `stopping`
+/// turns true it closes once the request in progress is complete, and an idle one once no
+/// further request has arrived for a short time. A head that does not
 /// arrive within the head timeout gets a response with status 408.
 ///
 /// `limits` is called again whenever the connection changes its phase, so timeouts may
@@ -104,7 +108,11 @@
         exceeded = wait_for_timeout(&mut phases, &limits) => Some(exceeded),
     };
     match exceeded {
-        None | Some(TimeoutKind::Idle) => {}
+        None => tokio::select! {
+            result = &mut connection => return log_end(result),
+            () = wait_until_unused(&mut phases, &limits) => {}
+        },
+        Some(TimeoutKind::Idle) => {}
         Some(TimeoutKind::Head) => {
             let stream = connection.into_parts().io.into_inner().stream;
             return respond_head_timeout(stream).await;
@@ -160,6 +168,26 @@
     }
 }
 
+/// Waits until no request is about to arrive on a connection that is to be closed: one is
+/// being handled, or none has arrived in time.
+async fn wait_until_unused(
+    phases: &mut watch::Receiver<ConnectionPhase>,
+    limits: impl Fn() -> ServeLimits,
+) {
+    let stopped = Instant::now();
+    loop {
+        let end = match *phases.borrow_and_update() {
+            ConnectionPhase::Idle(since) => since.max(stopped) + STOP_LINGER,
+            ConnectionPhase::Head(since) => since + limits().head_timeout,
+            ConnectionPhase::Busy | ConnectionPhase::Flushing(_) => return,
+        };
+        tokio::select! {
+            () = time::sleep_until(end) => return,
+            () = next_phase(phases) => {}
+        }
+    }
+}
+
 /// Waits for the next phase; never returns after the connection has ended.
 async fn next_phase(phases: &mut watch::Receiver<ConnectionPhase>) {
     if phases.changed().await.is_err() {
