feat(policy): an upstream whose requests get no response counts as more loaded

Each usual latency without a response from an upstream with requests in flight now counts as one more request in flight.

--- a/crates/policy/src/service/balancer/loads.rs
+++ b/crates/policy/src/service/balancer/loads.rs
@@ -72,7 +72,11 @@
             in_flight: load.in_flight,
             at: now,
         });
-        if entry.in_flight_of_other_nodes(now) > before {
+        let after = entry.in_flight_of_other_nodes(now);
+        if after < before || (before == 0 && entry.in_flight == 0) {
+            entry.progress_at = now;
+        }
+        if after > before {
             self.record_other_offer(now, key);
         }
     }
--- a/crates/policy/src/service/balancer/mod.rs
+++ b/crates/policy/src/service/balancer/mod.rs
@@ -259,12 +259,14 @@
         } else {
             ChoiceWidth::Two
         };
+        // Only with the requests of the whole data centre does a lack of responses say much.
+        let usual_latency = self.estimate.median().filter(|_| width == ChoiceWidth::All);
         choose::pick(
             &untried,
             &self.local_data_centre,
             explores,
             width,
-            now,
+            |entry| entry.load_per_slot(now, usual_latency),
             &mut self.rng,
         )
     }
@@ -292,6 +294,9 @@
             || format!("upstream {} was selected while draining", entry.upstream.id),
         );
         let in_flight_before = entry.in_flight;
+        if entry.in_flight + entry.in_flight_of_other_nodes(now) == 0 {
+            entry.progress_at = now;
+        }
         entry.in_flight += 1;
         let upstream = Arc::clone(&entry.upstream);
         let attempt = InFlightAttempt {
@@ -361,6 +366,7 @@
         entry.in_flight = entry.in_flight.saturating_sub(1);
         match end {
             AttemptEnd::Answered => {
+                entry.progress_at = now;
                 entry.limit.on_success(attempt.in_flight_before);
                 self.estimate.observe(latency);
                 self.latency_sample = Some(latency);
--- a/crates/policy/src/service/choose.rs
+++ b/crates/policy/src/service/choose.rs
@@ -34,13 +34,13 @@
 }
 
 /// Picks an upstream with room from the first group that has one; `explores` skips the
-/// group of local upstreams.
+/// group of local upstreams. `load` gives the load that is compared.
 pub(super) fn pick<'a, K: Copy>(
     upstreams: &(impl Iterator<Item = (K, &'a UpstreamEntry)> + Clone),
     local_data_centre: &ids::DataCentreId,
     explores: bool,
     width: ChoiceWidth,
-    now: Instant,
+    load: impl Fn(&UpstreamEntry) -> f64,
     rng: &mut impl Rng,
 ) -> Option<K> {
     let first_tier = usize::from(explores);
@@ -54,8 +54,8 @@
             .filter(|(_, entry)| entry.has_room())
             .collect();
         match width {
-            ChoiceWidth::Two => less_loaded_of_two(&with_room, now, rng),
-            ChoiceWidth::All => least_loaded(&with_room, now, rng),
+            ChoiceWidth::Two => less_loaded_of_two(&with_room, &load, rng),
+            ChoiceWidth::All => least_loaded(&with_room, &load, rng),
         }
     })
 }
@@ -73,7 +73,7 @@
 
 fn less_loaded_of_two<K: Copy>(
     with_room: &[(K, &UpstreamEntry)],
-    now: Instant,
+    load: impl Fn(&UpstreamEntry) -> f64,
     rng: &mut impl Rng,
 ) -> Option<K> {
     if with_room.is_empty() {
@@ -81,13 +81,13 @@
     }
     let (first, first_entry) = with_room[rng.random_range(0..with_room.len())];
     let (second, second_entry) = with_room[rng.random_range(0..with_room.len())];
-    let second_wins = second_entry.load_per_slot(now) < first_entry.load_per_slot(now);
+    let second_wins = load(second_entry) < load(first_entry);
     Some(if second_wins { second } else { first })
 }
 
 fn least_loaded<K: Copy>(
     with_room: &[(K, &UpstreamEntry)],
-    now: Instant,
+    load: impl Fn(&UpstreamEntry) -> f64,
     rng: &mut impl Rng,
 ) -> Option<K> {
     // If several are equally loaded, a random start spreads the nodes over them.
@@ -96,7 +96,7 @@
     let least = tail
         .iter()
         .chain(head)
-        .map(|(key, entry)| (*key, entry.load_per_slot(now)))
+        .map(|(key, entry)| (*key, load(entry)))
         .min_by(|(_, a), (_, b)| a.total_cmp(b));
     least.map(|(key, _)| key)
 }
--- a/crates/policy/src/service/entry.rs
+++ b/crates/policy/src/service/entry.rs
@@ -92,6 +92,9 @@
     pub(super) last_offer: LastOffer,
     /// Requests in flight from all nodes of the data centre.
     pub(super) data_centre_load: Option<DataCentreLoad>,
+    /// Time of the last response, or of the first request in flight after none was; of this
+    /// data centre's requests.
+    pub(super) progress_at: Instant,
     /// This node's requests in flight as last reported to the snapshot relay.
     pub(super) reported_in_flight: u32,
     /// How many more reports are to contain that number.
@@ -117,6 +120,7 @@
             suspicion: None,
             last_offer: LastOffer::none(now),
             data_centre_load: None,
+            progress_at: now,
             reported_in_flight: 0,
             reports_due: 0,
             ramp_start: None,
@@ -200,10 +204,20 @@
 
     /// Load per slot, raised by suspicion and during a ramp. The upstream with the lowest
     /// value is preferred.
-    pub(super) fn load_per_slot(&self, now: Instant) -> f64 {
+    ///
+    /// Each usual latency that passes without a response counts like a further request in
+    /// flight; a fraction of one does not, so that many upstreams are equally loaded and
+    /// the nodes spread over them.
+    pub(super) fn load_per_slot(&self, now: Instant, usual_latency: Option<Duration>) -> f64 {
         let slots = f64::from(self.upstream.slots.get()).max(1.0);
         let in_flight = self.in_flight + self.in_flight_of_other_nodes(now);
-        let requests = (f64::from(in_flight) + 1.0) / slots;
+        let stalled = usual_latency
+            .filter(|_| in_flight > 0)
+            .map_or(0.0, |usual| {
+                let waiting = now.saturating_duration_since(self.progress_at);
+                (waiting.as_secs_f64() / usual.as_secs_f64()).floor()
+            });
+        let requests = (f64::from(in_flight) + stalled + 1.0) / slots;
         let healthy_probability = self
             .suspicion
             .map_or(1.0, |suspicion| 1.0 - suspicion.score.probability(now));
--- a/crates/policy/tests/suspicion.rs
+++ b/crates/policy/tests/suspicion.rs
@@ -227,6 +227,38 @@
     assert!(count_uses(&mut balancer) > 5, "an expired count is ignored");
 }
 
+/// Until an attempt is overdue, a hanging upstream would get as many requests as others.
+#[tokio::test(start_paused = true)]
+async fn an_upstream_without_responses_gets_fewer_requests_before_one_is_overdue() {
+    // Both up-0 and up-3 are in the node's data centre.
+    let mut balancer = balancer(6, 48);
+    for _ in 0..30 {
+        let grant = admit(&mut balancer);
+        time::advance(Duration::from_millis(200)).await;
+        balancer.record_response_head(Instant::now(), grant.attempt);
+        balancer.finish(Instant::now(), grant.attempt, AttemptEnd::Answered);
+    }
+    let apply_load = |balancer: &mut ServiceBalancer, upstream, in_flight| {
+        let load = UpstreamLoad {
+            service: name("service"),
+            upstream: name(upstream),
+            in_flight,
+        };
+        balancer.apply_data_centre_load(Instant::now(), &load);
+    };
+    apply_load(&mut balancer, "up-0", 1);
+    time::advance(Duration::from_millis(600)).await;
+    apply_load(&mut balancer, "up-3", 3);
+    apply_load(&mut balancer, "up-3", 2);
+    let grant = admit(&mut balancer);
+    assert_eq!(grant.upstream.id, name("up-3"));
+    balancer.finish(Instant::now(), grant.attempt, AttemptEnd::Cancelled);
+    apply_load(&mut balancer, "up-0", 2);
+    apply_load(&mut balancer, "up-0", 1);
+    let grant = admit(&mut balancer);
+    assert_eq!(grant.upstream.id, name("up-0"), "a response arrived there");
+}
+
 /// Every node of a data centre reports to the same relay, so a report must contain only
 /// counts that changed.
 #[tokio::test(start_paused = true)]
