fix(policy): delays of load reports grow with the nodes of a data centre

Which of two nodes that sent requests at the same time makes the next offer was decided with the delays of 32 nodes. Load reports are rarer the more nodes there are (4 ms each), so at the 83 nodes of the target both would have kept or both lost it.

--- a/crates/policy/src/service/balancer/offers.rs
+++ b/crates/policy/src/service/balancer/offers.rs
@@ -22,12 +22,12 @@
 const OFFER_INTERVAL: Duration = Duration::from_millis(1_800);
 /// Interval between two offers by requests that a hedge serves if the offer fails.
 const HEDGED_OFFER_INTERVAL: Duration = Duration::from_millis(1_400);
-/// Head start of the node that made the last offer.
-const TAKEOVER_DELAY: Duration = Duration::from_millis(300);
-/// Usual and longest time until a request of another node is known, at 32 nodes in the
-/// data centre.
-const LOAD_DELAY_USUAL: Duration = Duration::from_millis(130);
-const LOAD_DELAY_MAX: Duration = Duration::from_millis(300);
+/// Minimum head start of the node that made the last offer.
+const TAKEOVER_DELAY_MIN: Duration = Duration::from_millis(300);
+/// Usual and longest time until a request of another node is known, for each node of the
+/// data centre: the more report their loads, the less often each does.
+const LOAD_DELAY_PER_NODE: Duration = Duration::from_millis(4);
+const LOAD_DELAY_MAX_PER_NODE: Duration = Duration::from_millis(9);
 /// How fast the due nodes grow in number, as the requests per second that they have
 /// together after one second. About 0.3 s pass until one of them sends a request, whatever
 /// their number.
@@ -75,6 +75,8 @@
     suspect_interval: Duration,
     /// Mean time until this node's next request.
     request_gap: Duration,
+    /// Head start of the node that made the last offer.
+    takeover_delay: Duration,
     /// Time over which the nodes of this data centre, and of the fleet, take over.
     local_spread: Duration,
     fleet_spread: Duration,
@@ -98,7 +100,7 @@
         let due = if offer.by_own_node {
             interval.saturating_sub(self.request_gap.min(interval / 2))
         } else {
-            interval + TAKEOVER_DELAY + self.local_spread.mul_f64(offer.turn)
+            interval + self.takeover_delay + self.local_spread.mul_f64(offer.turn)
         };
         Some(due)
     }
@@ -151,11 +153,17 @@
                 OFFER_INTERVAL
             },
             request_gap: Duration::from_secs_f64(gap_seconds),
+            takeover_delay: TAKEOVER_DELAY_MIN.max(self.load_delay(LOAD_DELAY_MAX_PER_NODE)),
             local_spread: spread(fleet_rate * self.local_node_share),
             fleet_spread: spread(fleet_rate),
         }
     }
 
+    /// A delay that grows with the nodes of this data centre.
+    fn load_delay(&self, per_node: Duration) -> Duration {
+        per_node.mul_f64(f64::from(self.fleet_nodes) * self.local_node_share)
+    }
+
     /// Records that this node sends a request to an upstream.
     pub(super) fn record_own_offer(&mut self, now: Instant, key: UpstreamKey) {
         self.upstreams[key].last_offer = LastOffer {
@@ -176,13 +184,15 @@
     /// Records that another node sent a request to an upstream at `at`.
     pub(super) fn record_other_offer(&mut self, at: Instant, key: UpstreamKey) {
         let turn = self.rng.random();
+        let usual_delay = self.load_delay(LOAD_DELAY_PER_NODE);
+        let max_delay = self.load_delay(LOAD_DELAY_MAX_PER_NODE);
         let offer = &mut self.upstreams[key].last_offer;
         if at <= offer.at {
             return;
         }
         // Of two nodes that sent requests at the same time, the earlier one learns of the
         // other's later. It makes the next offer, too.
-        let was_earlier = (LOAD_DELAY_USUAL..LOAD_DELAY_MAX).contains(&offer.age(at));
+        let was_earlier = (usual_delay..max_delay).contains(&offer.age(at));
         let yields = !(offer.by_own_node && was_earlier);
         if yields {
             *offer = LastOffer {
