fix(policy): load totals keep no entry for an upstream without requests in flight

A repeated report of zero made an empty entry that nothing removed, since the total did not change. A relay would keep one for each upstream that ever left. Found by reading the change again; behaviour is the same.

--- a/crates/policy/src/service/load_totals.rs
+++ b/crates/policy/src/service/load_totals.rs
@@ -34,14 +34,15 @@
     pub fn record(&mut self, now: Instant, node: &ids::NodeId, loads: Vec<UpstreamLoad>) {
         for load in loads {
             let key = (load.service, load.upstream);
-            let counts = self.counts.entry(key.clone()).or_default();
             let before = if load.in_flight == 0 {
-                counts.remove(node)
+                let counts = self.counts.get_mut(&key);
+                counts.and_then(|counts| counts.remove(node))
             } else {
                 let count = NodeCount {
                     in_flight: load.in_flight,
                     at: now,
                 };
+                let counts = self.counts.entry(key.clone()).or_default();
                 counts.insert(node.clone(), count)
             };
             if before.map_or(0, |count| count.in_flight) != load.in_flight {
