feat(upstream): the rate limit that a response names is read and logged

An upstream may name the requests per second that it takes from the whole fleet. Nothing read that header, so neither logs nor metrics could tell whether nodes know of a limit. It is decoded once into LimitSignal; values that cannot be read (NaN, negative, above a million, empty, a page long) say nothing, zero is a limit, and of several the lowest counts. Nothing acts on it yet. The product's own header is upstream-rate-limit.

--- a/crates/model/src/sizes.rs
+++ b/crates/model/src/sizes.rs
@@ -114,3 +114,48 @@
         Ok(Self(rate))
     }
 }
+
+/// The requests per second that an upstream takes from the whole fleet, written as a
+/// decimal number (`1.5`). An upstream that takes none has the limit 0.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, serde::Serialize, serde::Deserialize)]
+#[serde(transparent)]
+pub struct RateLimit(f64);
+
+impl RateLimit {
+    /// Wraps a number of requests per second without checking its range.
+    pub const fn per_second(requests: f64) -> Self {
+        Self(requests)
+    }
+
+    /// The limit in requests per second.
+    pub const fn get(self) -> f64 {
+        self.0
+    }
+
+    /// The lower of two limits.
+    #[must_use]
+    pub const fn min(self, other: Self) -> Self {
+        Self(self.0.min(other.0))
+    }
+}
+
+impl fmt::Display for RateLimit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl str::FromStr for RateLimit {
+    type Err = error::ValueError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let number = text.parse::<f64>().ok();
+        let Some(requests) = number.filter(|number| (0.0..=1_000_000.0).contains(number)) else {
+            return Err(error::ValueError::new(
+                text,
+                "a number of requests per second from 0 to 1000000",
+            ));
+        };
+        Ok(Self(requests))
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`ejection`]: which upstreams are taken out of service, within the capacity floor.
 //! - [`retry`]: when another attempt may be made.
 //! - [`limit`]: how many requests are admitted.
+//! - [`permit`]: the rate limits that upstreams name, and permits to send to such an upstream.
 //! - [`claim`]: how a request with an idempotency key runs at most once.
 //! - [`membership`]: which nodes are in the fleet, and their roles.
 //! - [`replica`]: the snapshot of upstreams, its changes, and which removals to trust.
@@ -23,6 +24,7 @@
 pub mod invariant;
 pub mod limit;
 pub mod membership;
+pub mod permit;
 pub mod rendezvous;
 pub mod replica;
 pub mod retry;
--- a/crates/upstream/src/attempt.rs
+++ b/crates/upstream/src/attempt.rs
@@ -12,6 +12,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use model::call::{BodyError, BodyStream, CallHead, CallResponse};
 use model::ids;
+use policy::permit::LimitSignal;
 use policy::retry::AttemptEnd;
 use tokio::time::{self, Instant, Sleep};
 
@@ -181,6 +182,7 @@
     let names = handle.headers();
     let signals = names.read_signals(parts.status, &parts.headers);
     report_signals(handle, &lease, signals).await;
+    log_limit(context, &lease, signals.limit);
     if let Some(reason) = rejection_reason(names, context, &parts, signals) {
         log::info!(
             target: "attempt",
@@ -294,6 +296,23 @@
     }
 }
 
+fn log_limit(context: &AttemptContext, lease: &AttemptLease, limit: LimitSignal) {
+    let (request, upstream) = (&context.request, &lease.upstream().id);
+    match limit {
+        LimitSignal::Absent => {}
+        LimitSignal::Named(limit) => log::info!(
+            target: "limits",
+            request:%, upstream:%, limit:%;
+            "An upstream names a limit on its requests per second."
+        ),
+        LimitSignal::Unreadable => log::warn!(
+            target: "limits",
+            request:%, upstream:%;
+            "An upstream names a limit that cannot be read."
+        ),
+    }
+}
+
 /// Why a response cannot be what the upstream itself returned for this request.
 fn rejection_reason(
     names: &UpstreamHeaders,
--- a/crates/upstream/src/wire.rs
+++ b/crates/upstream/src/wire.rs
@@ -4,6 +4,8 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use http1::header;
+use model::sizes;
+use policy::permit::LimitSignal;
 
 /// The id of the request; an upstream may echo it in the response.
 pub const REQUEST_ID: &str = "request-id";
@@ -13,6 +15,9 @@
 pub const STATE: &str = "upstream-state";
 /// Load of the upstream, from 0 to 1.
 pub const LOAD: &str = "upstream-load";
+/// Requests per second that the upstream takes from the whole fleet; without the header, it
+/// has no such limit.
+pub const RATE_LIMIT: &str = "upstream-rate-limit";
 /// Present on an unsuccessful response, such as 503, when the upstream did not run the
 /// request.
 pub const SHED: &str = "upstream-shed";
@@ -37,6 +42,8 @@
     pub state: Option<HeaderName>,
     /// Load of the upstream, from 0 to 1.
     pub load: Option<HeaderName>,
+    /// Requests per second that the upstream takes; see [`RATE_LIMIT`].
+    pub rate_limit: HeaderName,
     /// Statuses that callers read as a promise that the request has not run. A
     /// response of an upstream with one of them is not forwarded, since the request
     /// may have run.
@@ -53,6 +60,7 @@
             signature: None,
             state: Some(HeaderName::from_static(STATE)),
             load: Some(HeaderName::from_static(LOAD)),
+            rate_limit: HeaderName::from_static(RATE_LIMIT),
             not_run_statuses: Vec::new(),
         }
     }
@@ -78,6 +86,8 @@
     pub signed: bool,
     /// Its load, from 0 to 1, when it reports one.
     pub load: Option<f64>,
+    /// What it states about the rate of requests that it takes.
+    pub limit: LimitSignal,
 }
 
 impl UpstreamHeaders {
@@ -102,10 +112,31 @@
                 .as_ref()
                 .is_none_or(|name| headers.contains_key(name)),
             load: text(&self.load).and_then(|text| text.parse().ok()),
+            limit: self.read_limit(headers),
         }
     }
 
-    /// Removes the signals, which are internal to the fleet and its upstreams.
+    /// Reads the rate limit that an upstream names. Of several, the lowest one counts.
+    fn read_limit(&self, headers: &HeaderMap) -> LimitSignal {
+        let mut signal = LimitSignal::Absent;
+        for value in headers.get_all(&self.rate_limit) {
+            let limits = value.to_str().unwrap_or_default().split(',');
+            for limit in limits.map(|text| text.trim().parse::<sizes::RateLimit>()) {
+                signal = match (limit, signal) {
+                    (Ok(limit), LimitSignal::Named(lowest)) => {
+                        LimitSignal::Named(lowest.min(limit))
+                    }
+                    (Ok(limit), _) => LimitSignal::Named(limit),
+                    (Err(_), LimitSignal::Absent) => LimitSignal::Unreadable,
+                    (Err(_), current) => current,
+                };
+            }
+        }
+        signal
+    }
+
+    /// Removes the state, the load and the mark of a request that did not run, which are
+    /// internal to the fleet and its upstreams.
     pub fn strip_signals(&self, headers: &mut HeaderMap) {
         for name in [&self.state, &self.load].into_iter().flatten() {
             headers.remove(name);
