--- a/bins/entry/src/gateway.rs
+++ b/bins/entry/src/gateway.rs
@@ -17,7 +17,9 @@
 use tokio::task::JoinHandle;
 use tokio::time;
 use upstream::dispatch::{ClaimCallbacks, Dispatcher};
-use upstream::service::{RetryTokenSource, ServiceDirectory, ServiceSettings, SettingsFactory};
+use upstream::service::{
+    PermitSource, RetryTokenSource, ServiceDirectory, ServiceSettings, SettingsFactory,
+};
 use upstream::wire::UpstreamHeaders;
 
 use crate::ops::OpsEndpoint;
@@ -216,6 +218,7 @@
     let fleet = fleet.clone();
     Arc::new(move |service| {
         let (signal_fleet, load_fleet, retry_fleet) = (fleet.clone(), fleet.clone(), fleet.clone());
+        let (report_limits, draw_limits) = (fleet.limits.clone(), fleet.limits.clone());
         let service = service.clone();
         ServiceSettings {
             node: node.clone(),
@@ -229,6 +232,11 @@
                 let (fleet, service) = (retry_fleet.clone(), service.clone());
                 Box::pin(async move { fleet.draw_retry_token(service).await })
             })),
+            limits: Arc::new(move |report| report_limits.report(report)),
+            permits: PermitSource::new(move |request| {
+                let limits = draw_limits.clone();
+                Box::pin(async move { limits.draw(request).await })
+            }),
             headers: Arc::clone(&headers),
         }
     })
@@ -247,6 +255,11 @@
                     handle.send_signal(signal).await;
                 }
             }
+            NodeUpdate::Limit(record) => {
+                if let Some(handle) = current.handles.get(&record.service) {
+                    handle.send_limit(record.upstream, record.state).await;
+                }
+            }
             NodeUpdate::Load(load) => {
                 if let Some(handle) = current.handles.get(&load.service) {
                     handle.report_data_centre_load(load).await;
--- a/bins/entry/src/server.rs
+++ b/bins/entry/src/server.rs
@@ -13,12 +13,13 @@
 use platform::PlatformClient;
 use policy::detection::{Verdict, VerdictChange};
 use policy::membership::Member;
+use policy::permit::LimitRecord;
 use telemetry::metrics::NodeMetrics;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time;
 use upstream::dispatch::{ClaimCallbacks, Dispatcher};
-use upstream::service::{ServiceDirectory, ServiceSettings, SettingsFactory};
+use upstream::service::{PermitSource, ServiceDirectory, ServiceSettings, SettingsFactory};
 
 use crate::directory::DirectoryTask;
 use crate::ops::OpsEndpoint;
@@ -58,6 +59,7 @@
 enum ServiceUpdate {
     Collector(CollectorUpdate),
     Drained(ids::ServiceId, ids::UpstreamId),
+    Limit(LimitRecord),
 }
 
 impl EntryServer {
@@ -194,6 +196,7 @@
     let platform = PlatformClient::start(settings.platform_address, observer);
     let collector_updates = updates.clone();
     let drain_updates = updates.clone();
+    let limit_updates = updates.clone();
     let sent_metrics = Arc::clone(metrics);
     FleetHandle::start(FleetSettings {
         own: Member {
@@ -215,6 +218,9 @@
         on_drain: Arc::new(move |service, upstream| {
             let _ = drain_updates.try_send(ServiceUpdate::Drained(service, upstream));
         }),
+        on_limit: Arc::new(move |record| {
+            let _ = limit_updates.try_send(ServiceUpdate::Limit(record));
+        }),
         on_sent: Arc::new(move |bytes| sent_metrics.record_node_bytes(bytes as u64)),
     })
 }
@@ -226,6 +232,7 @@
     Arc::new(move |_| {
         let evidence_fleet = fleet.clone();
         let drain_fleet = fleet.clone();
+        let (report_limits, draw_limits) = (fleet.limits.clone(), fleet.limits.clone());
         ServiceSettings {
             node: node.clone(),
             data_centre: data_centre.clone(),
@@ -235,6 +242,11 @@
             signals: Arc::new(|_| {}),
             loads: Arc::new(|_| {}),
             retry_tokens: None,
+            limits: Arc::new(move |report| report_limits.report(report)),
+            permits: PermitSource::new(move |request| {
+                let limits = draw_limits.clone();
+                Box::pin(async move { limits.draw(request).await })
+            }),
             headers: Arc::default(),
         }
     })
@@ -288,6 +300,11 @@
                     handle.send_estimate(latency).await;
                 }
             }
+            ServiceUpdate::Limit(record) => {
+                if let Some(handle) = current.handles.get(&record.service) {
+                    handle.send_limit(record.upstream, record.state).await;
+                }
+            }
             ServiceUpdate::Drained(service, upstream) => {
                 if let Some(handle) = current.handles.get(&service) {
                     handle.report_drain(upstream).await;
--- a/crates/model/src/error/kind.rs
+++ b/crates/model/src/error/kind.rs
@@ -35,6 +35,8 @@
         WorkspaceLimit = "workspace-limit",
         /// The service's queue is full.
         Overload = "overload",
+        /// Every upstream that could take the request has reached its rate limit.
+        RateLimited = "rate-limited",
         /// No upstream of the service can take the request.
         NoUpstream = "no-upstream",
         /// A connection to the upstream could not be opened.
@@ -109,6 +111,7 @@
             Self::Unauthenticated => (401, NotRun, false),
             Self::WorkspaceLimit => (429, NotRun, true),
             Self::Overload
+            | Self::RateLimited
             | Self::NoUpstream
             | Self::Shed
             | Self::NotReady
--- a/crates/model/src/error/mod.rs
+++ b/crates/model/src/error/mod.rs
@@ -3,6 +3,7 @@
 mod kind;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use quick_error::quick_error;
 
@@ -20,6 +21,7 @@
 pub struct FleetError {
     kind: ErrorKind,
     detail: Arc<str>,
+    retry_after: Option<Duration>,
 }
 
 impl FleetError {
@@ -28,9 +30,22 @@
         Self {
             kind,
             detail: detail.into(),
+            retry_after: None,
         }
     }
 
+    /// Sets the time after which the caller should send its request again.
+    #[must_use]
+    pub const fn with_retry_after(mut self, retry_after: Option<Duration>) -> Self {
+        self.retry_after = retry_after;
+        self
+    }
+
+    /// Time after which the caller should send its request again, if it is known.
+    pub const fn retry_after(&self) -> Option<Duration> {
+        self.retry_after
+    }
+
     /// The kind, which determines the response.
     pub const fn kind(&self) -> ErrorKind {
         self.kind
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -16,6 +16,7 @@
 use crate::collector::{Collector, CollectorUpdate, UpdateSink};
 use crate::follow::ConfigFollower;
 use crate::keys::NodeKeys;
+use crate::limits::{LimitFleet, LimitParts, RecordSink};
 use crate::link::{self, PeerSet, RequestHandler, SentObserver};
 use crate::members::{MemberLister, MemberSet};
 use crate::wire::{NodeReply, NodeRequest};
@@ -42,6 +43,8 @@
     pub on_update: UpdateSink,
     /// Called when another node reports that an upstream drains.
     pub on_drain: DrainSink,
+    /// Called with rate limits that their owners announce.
+    pub on_limit: RecordSink,
     /// Called with the number of bytes of each message to another node.
     pub on_sent: SentObserver,
 }
@@ -57,6 +60,8 @@
     pub collector: Collector,
     /// The claims of idempotency keys.
     pub claims: ClaimClient,
+    /// The limits that upstreams name.
+    pub limits: LimitFleet,
     /// The address at which other nodes reach this one.
     pub address: SocketAddr,
     peers: PeerSet,
@@ -77,6 +82,7 @@
             batching,
             on_update,
             on_drain,
+            on_limit,
             on_sent,
         } = settings;
         let endpoint = link::open_endpoint(own.address, &keys)?;
@@ -96,7 +102,13 @@
         });
         let shards = ClaimShards::start(platform, clock, batching);
         let claims = ClaimClient::start(shards.clone(), peers.clone(), members.clone());
+        let limits = LimitFleet::start(LimitParts {
+            peers: peers.clone(),
+            members: members.clone(),
+            on_record: on_limit,
+        });
         let responder = NodeResponder {
+            limits: limits.clone(),
             members: members.clone(),
             follower: follower.clone(),
             collector: collector.clone(),
@@ -114,6 +126,7 @@
             follower,
             collector,
             claims,
+            limits,
             address,
             peers,
             endpoint,
@@ -170,6 +183,7 @@
 /// Handles the requests of other nodes.
 #[derive(Clone)]
 struct NodeResponder {
+    limits: LimitFleet,
     members: MemberSet,
     follower: ConfigFollower,
     collector: Collector,
@@ -192,6 +206,7 @@
             NodeRequest::Compare { from, summary } => {
                 let own = self.follower.summary().await;
                 self.members.record_contact(from.clone()).await;
+                self.limits.record_contact(&from);
                 self.follower.compare(summary, Arc::new(from)).await;
                 return NodeReply::Summary(own);
             }
@@ -210,6 +225,7 @@
                 };
             }
             NodeRequest::Settle(settlements) => self.shards.settle(settlements).await,
+            NodeRequest::Limit(request) => return self.limits.handle_request(request).await,
             NodeRequest::Replica(_)
             | NodeRequest::Signals { .. }
             | NodeRequest::Loads { .. }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`wire`]: messages between nodes and their encoding.
 //! - [`keys`]: the fleet's certificate authority and the node certificates.
 //! - [`link`]: connections to other nodes.
+//! - [`limits`]: rate limits that upstreams name, and permits to send within them.
 //! - [`members`]: the members of the fleet.
 //! - [`collector`]: sums the evidence and derives verdicts and ejections from it.
 //! - [`follow`]: the configuration in force, from the platform or other nodes.
@@ -20,6 +21,7 @@
 pub mod fleet;
 pub mod follow;
 pub mod keys;
+pub mod limits;
 pub mod link;
 pub mod members;
 pub mod replica;
--- /dev/null
+++ b/crates/node/src/limits/fleet.rs
@@ -0,0 +1,211 @@
+//! Draws permits and reports limits at their owners, and handles the same of other nodes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use model::ids;
+use policy::membership::Member;
+use policy::permit::{LimitRecord, LimitReport, PermitReply, PermitRequest};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::Instant;
+
+use super::task::{self, COMMANDS_MAX, LimitCommand};
+use crate::link::PeerSet;
+use crate::members::MemberSet;
+use crate::wire::{LimitReply, LimitRequest, NodeReply, NodeRequest};
+
+/// Timeout for a draw. A request that gets no permit in time goes to another upstream.
+const DRAW_TIMEOUT: Duration = Duration::from_millis(150);
+/// Timeout for the list of limits of another node.
+const LIST_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time without contact to another node after which announcements may have been missed.
+const CONTACT_GAP: Duration = Duration::from_secs(3);
+/// Limits in one datagram. A limit takes about 60 bytes, and a datagram of 1,200 bytes
+/// passes on every network path.
+const RECORDS_PER_DATAGRAM: usize = 16;
+
+/// Called with limits that their owners announced.
+pub type RecordSink = Arc<dyn Fn(LimitRecord) + Send + Sync>;
+
+/// What the sharing of limits depends on.
+#[derive(Clone)]
+pub struct LimitParts {
+    /// Connections to other nodes.
+    pub peers: PeerSet,
+    /// The members of the fleet.
+    pub members: MemberSet,
+    /// Called with announced limits.
+    pub on_record: RecordSink,
+}
+
+/// A handle to a node's part in the sharing of limits.
+#[derive(Clone)]
+pub struct LimitFleet {
+    parts: LimitParts,
+    commands: mpsc::Sender<LimitCommand>,
+    /// When a node last made contact; `None` before the first time.
+    last_contact: watch::Sender<Option<Instant>>,
+}
+
+impl LimitFleet {
+    /// Starts the task; it ends with the last handle.
+    pub fn start(parts: LimitParts) -> Self {
+        let (commands, inbox) = mpsc::channel(COMMANDS_MAX);
+        tokio::spawn(task::run(parts.clone(), inbox));
+        Self {
+            parts,
+            commands,
+            last_contact: watch::channel(None).0,
+        }
+    }
+
+    /// Draws a permit from the owner; returns `None` if the owner did not reply.
+    pub async fn draw(&self, request: PermitRequest) -> Option<PermitReply> {
+        let owner = self.remote_owner(&request.service, &request.data_centre);
+        let Some(owner) = owner else {
+            return self.draw_here(request).await;
+        };
+        let request = NodeRequest::Limit(LimitRequest::Draw(request));
+        let reply = self
+            .parts
+            .peers
+            .request(&owner, &request, DRAW_TIMEOUT)
+            .await;
+        match reply {
+            Ok(NodeReply::Limit(LimitReply::Drawn(reply))) => reply,
+            other => {
+                log::info!(target: "limits", "Node {} granted no permit: {other:?}.", owner.node);
+                None
+            }
+        }
+    }
+
+    /// Reports what a response stated to the owner of the limit.
+    pub fn report(&self, report: LimitReport) {
+        match self.remote_owner(&report.service, &report.data_centre) {
+            Some(owner) => {
+                let request = NodeRequest::Limit(LimitRequest::Report(report));
+                self.parts.peers.notify(&owner, &request);
+            }
+            None => self.send_or_drop(LimitCommand::Report(report)),
+        }
+    }
+
+    /// Handles the request of another node.
+    pub async fn handle_request(&self, request: LimitRequest) -> NodeReply {
+        match request {
+            LimitRequest::Draw(request) => {
+                let is_owner = self
+                    .remote_owner(&request.service, &request.data_centre)
+                    .is_none();
+                let reply = if is_owner {
+                    self.draw_here(request).await
+                } else {
+                    None
+                };
+                NodeReply::Limit(LimitReply::Drawn(reply))
+            }
+            LimitRequest::Report(report) => {
+                self.send_or_drop(LimitCommand::Report(report));
+                NodeReply::Done
+            }
+            LimitRequest::Announce { records, forward } => {
+                if forward {
+                    let table = self.parts.members.table();
+                    let message = announcement(&records, false);
+                    self.parts.peers.notify_local(&table, &message);
+                }
+                self.send_or_drop(LimitCommand::Apply(records));
+                NodeReply::Done
+            }
+            LimitRequest::List => {
+                let (sender, reply) = oneshot::channel();
+                let sent = self.commands.send(LimitCommand::List(sender)).await;
+                let records = match sent {
+                    Ok(()) => reply.await.ok(),
+                    Err(_) => None,
+                };
+                records.map_or_else(
+                    || NodeReply::Failed(task::stopping().to_string()),
+                    |records| NodeReply::Limit(LimitReply::Records(records)),
+                )
+            }
+        }
+    }
+
+    /// Records a message from another node. After a time without any, this node may have
+    /// missed announcements, so it fetches the limits that the other one knows.
+    pub fn record_contact(&self, from: &Member) {
+        let now = Instant::now();
+        let last = self.last_contact.send_replace(Some(now));
+        let is_gap = last.is_none_or(|at| now.saturating_duration_since(at) > CONTACT_GAP);
+        if is_gap {
+            let fleet = self.clone();
+            let from = Arc::new(from.clone());
+            tokio::spawn(async move { fleet.fetch(from).await });
+        }
+    }
+
+    async fn fetch(&self, from: Arc<Member>) {
+        let request = NodeRequest::Limit(LimitRequest::List);
+        let reply = self
+            .parts
+            .peers
+            .request(&from, &request, LIST_TIMEOUT)
+            .await;
+        match reply {
+            Ok(NodeReply::Limit(LimitReply::Records(records))) => {
+                self.send_or_drop(LimitCommand::Apply(records));
+            }
+            other => {
+                log::info!(target: "limits", "Node {} sent no limits: {other:?}.", from.node);
+                self.last_contact.send_replace(None);
+            }
+        }
+    }
+
+    async fn draw_here(&self, request: PermitRequest) -> Option<PermitReply> {
+        let (sender, reply) = oneshot::channel();
+        let command = LimitCommand::Draw(request, sender);
+        self.commands.send(command).await.ok()?;
+        reply.await.ok()
+    }
+
+    /// The owner of a limit if that is another node.
+    fn remote_owner(
+        &self,
+        service: &ids::ServiceId,
+        centre: &ids::DataCentreId,
+    ) -> Option<Arc<Member>> {
+        let table = self.parts.members.table();
+        let owner = table.limit_owner(Instant::now(), service, centre);
+        owner.filter(|owner| owner.node != table.own().node)
+    }
+
+    fn send_or_drop(&self, command: LimitCommand) {
+        if let Err(error) = self.commands.try_send(command) {
+            log::debug!(target: "limits", "Dropped a message about limits: {error}.");
+        }
+    }
+}
+
+impl LimitParts {
+    /// Announces limits to this node's services and to every other node.
+    pub(super) fn announce(&self, records: &[LimitRecord]) {
+        for record in records {
+            (self.on_record)(record.clone());
+        }
+        let table = self.members.table();
+        for records in records.chunks(RECORDS_PER_DATAGRAM) {
+            self.peers
+                .publish(&table, |forward| announcement(records, forward));
+        }
+    }
+}
+
+fn announcement(records: &[LimitRecord], forward: bool) -> NodeRequest {
+    NodeRequest::Limit(LimitRequest::Announce {
+        records: records.to_vec(),
+        forward,
+    })
+}
--- a/crates/node/src/link/mod.rs
+++ b/crates/node/src/link/mod.rs
@@ -6,6 +6,7 @@
 mod acceptor;
 mod endpoint;
 mod peers;
+mod publish;
 
 pub use acceptor::{ReplyFuture, RequestHandler, accept};
 pub use endpoint::open_endpoint;
--- a/crates/node/src/replica/fleet.rs
+++ b/crates/node/src/replica/fleet.rs
@@ -7,7 +7,7 @@
 
 use model::ids;
 use policy::membership::Member;
-use policy::membership::MemberTable;
+use policy::permit::LimitRecord;
 use policy::service::{LoadReport, UpstreamLoad};
 use policy::suspicion::SuspicionSignal;
 use quinn::Endpoint;
@@ -19,9 +19,10 @@
 use super::source::FleetSource;
 use super::task::{ReplicaHandle, ReplicaParts};
 use crate::keys::NodeKeys;
+use crate::limits::{LimitFleet, LimitParts};
 use crate::link::{self, PeerSet, RequestHandler, SentObserver};
 use crate::members::MemberSet;
-use crate::wire::{NodeReply, NodeRequest};
+use crate::wire::{NodeReply, NodeRequest, ReplicaRequest};
 
 /// Timeout for drawing a retry token from the relay. A hedge that gets no token in time
 /// is refused and requested again later.
@@ -52,6 +53,8 @@
     pub members: MemberSet,
     /// The copies of routes and upstreams.
     pub replica: ReplicaHandle,
+    /// The limits that upstreams name.
+    pub limits: LimitFleet,
     /// The address at which other nodes reach this one.
     pub address: SocketAddr,
     peers: PeerSet,
@@ -82,7 +85,16 @@
         let load_aggregator =
             LoadAggregator::start(peers.clone(), members.clone(), settings.updates.clone());
         let retry_pool = RetryPoolHandle::start(members.clone(), settings.first_start);
+        let limit_updates = settings.updates.clone();
+        let limits = LimitFleet::start(LimitParts {
+            peers: peers.clone(),
+            members: members.clone(),
+            on_record: Arc::new(move |record| {
+                publish_update(&limit_updates, NodeUpdate::Limit(record));
+            }),
+        });
         let responder = ReplicaResponder {
+            limits: limits.clone(),
             load_aggregator: load_aggregator.clone(),
             retry_pool: retry_pool.clone(),
             replica: replica.clone(),
@@ -92,43 +104,13 @@
         };
         let handler: RequestHandler = Arc::new(move |request| {
             let responder = responder.clone();
-            Box::pin(async move {
-                match request {
-                    NodeRequest::Replica(request) => {
-                        responder.replica.handle_request(request).await
-                    }
-                    NodeRequest::Signals { signals, forward } => {
-                        responder.handle_signals(signals, forward);
-                        NodeReply::Done
-                    }
-                    NodeRequest::Loads { from, report } => {
-                        record_report(
-                            &responder.load_aggregator,
-                            &responder.retry_pool,
-                            from,
-                            report,
-                        );
-                        NodeReply::Done
-                    }
-                    NodeRequest::DrawRetryToken(service) => {
-                        NodeReply::RetryToken(responder.retry_pool.draw(service).await)
-                    }
-                    NodeRequest::LoadSums(loads) => {
-                        for load in loads {
-                            responder.publish(NodeUpdate::Load(load));
-                        }
-                        NodeReply::Done
-                    }
-                    _ => NodeReply::Failed(
-                        "this node keeps its configuration as snapshots, not as chunks".to_owned(),
-                    ),
-                }
-            })
+            Box::pin(async move { responder.handle(request).await })
         });
         tokio::spawn(link::accept(endpoint.clone(), handler));
         Ok(Self {
             members,
             replica,
+            limits,
             address,
             peers,
             load_aggregator,
@@ -141,26 +123,8 @@
     /// and to each other data centre through a node there that forwards them.
     pub fn publish_signals(&self, signals: &[SuspicionSignal]) {
         let table = self.members.table();
-        let own = table.own();
-        let local_peers = table.local_peers();
-        notify_all(
-            &self.peers,
-            &table,
-            &local_peers,
-            &signals_message(signals, false),
-        );
-        let now = Instant::now();
-        let centres = table.data_centres().into_iter();
-        let forwarders = centres
-            .filter(|centre| *centre != own.data_centre)
-            .filter_map(|centre| table.remote_forwarder(now, &centre));
-        let forwarders: Vec<_> = forwarders.collect();
-        notify_all(
-            &self.peers,
-            &table,
-            &forwarders,
-            &signals_message(signals, true),
-        );
+        self.peers
+            .publish(&table, |forward| signals_message(signals, forward));
     }
 
     /// Reports this node's requests in flight and deposits of retry tokens to the relay
@@ -209,6 +173,8 @@
     Signal(SuspicionSignal),
     /// The requests in flight of the whole data centre.
     Load(UpstreamLoad),
+    /// The rate limit of an upstream.
+    Limit(LimitRecord),
 }
 
 fn signals_message(signals: &[SuspicionSignal], forward: bool) -> NodeRequest {
@@ -233,6 +199,7 @@
 /// Handles the requests of other nodes.
 #[derive(Clone)]
 struct ReplicaResponder {
+    limits: LimitFleet,
     load_aggregator: LoadAggregator,
     retry_pool: RetryPoolHandle,
     replica: ReplicaHandle,
@@ -242,35 +209,52 @@
 }
 
 impl ReplicaResponder {
+    async fn handle(&self, request: NodeRequest) -> NodeReply {
+        match request {
+            NodeRequest::Replica(request) => {
+                if let ReplicaRequest::Compare { from, .. }
+                | ReplicaRequest::Heartbeat { from, .. } = &request
+                {
+                    self.limits.record_contact(from);
+                }
+                return self.replica.handle_request(request).await;
+            }
+            NodeRequest::Signals { signals, forward } => self.handle_signals(signals, forward),
+            NodeRequest::Loads { from, report } => {
+                record_report(&self.load_aggregator, &self.retry_pool, from, report);
+            }
+            NodeRequest::DrawRetryToken(service) => {
+                return NodeReply::RetryToken(self.retry_pool.draw(service).await);
+            }
+            NodeRequest::LoadSums(loads) => {
+                for load in loads {
+                    publish_update(&self.updates, NodeUpdate::Load(load));
+                }
+            }
+            NodeRequest::Limit(request) => return self.limits.handle_request(request).await,
+            _ => {
+                return NodeReply::Failed(
+                    "this node keeps its configuration as snapshots, not as chunks".to_owned(),
+                );
+            }
+        }
+        NodeReply::Done
+    }
+
     fn handle_signals(&self, signals: Vec<SuspicionSignal>, forward: bool) {
         if forward {
             let table = self.members.table();
             let message = signals_message(&signals, false);
-            notify_all(&self.peers, &table, &table.local_peers(), &message);
+            self.peers.notify_local(&table, &message);
         }
         for signal in signals {
-            self.publish(NodeUpdate::Signal(signal));
-        }
-    }
-
-    fn publish(&self, update: NodeUpdate) {
-        if let Err(error) = self.updates.try_send(update) {
-            log::debug!(target: "replica", "Dropped an update of another node: {error}.");
+            publish_update(&self.updates, NodeUpdate::Signal(signal));
         }
     }
 }
 
-/// Sends a datagram to the given members, except those suspected of being down.
-fn notify_all(
-    peers: &PeerSet,
-    table: &MemberTable,
-    members: &[Arc<Member>],
-    request: &NodeRequest,
-) {
-    let responsive = members
-        .iter()
-        .filter(|member| !table.is_suspect(&member.node));
-    for member in responsive {
-        peers.notify(member, request);
+fn publish_update(updates: &mpsc::Sender<NodeUpdate>, update: NodeUpdate) {
+    if let Err(error) = updates.try_send(update) {
+        log::debug!(target: "replica", "Dropped an update of another node: {error}.");
     }
 }
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -11,6 +11,7 @@
 use policy::detection::{EvidenceReport, ServiceLatency, VerdictChange};
 use policy::ejection::EjectionRecord;
 use policy::membership::Member;
+use policy::permit::{LimitRecord, LimitReport, PermitReply, PermitRequest};
 use policy::replica::UpstreamChange;
 use policy::service::{LoadReport, UpstreamLoad};
 use policy::suspicion::SuspicionSignal;
@@ -100,6 +101,31 @@
         Upstreams(Option<UpstreamSnapshot>),
     }
 
+    /// A request about rate limits from one node to another.
+    pub enum LimitRequest {
+        /// Draw a permit; sent to the owner of the limits.
+        Draw(PermitRequest),
+        /// Apply what a response stated about a limit; sent to the owner of the limit.
+        Report(LimitReport),
+        /// Apply limits that their owner announces.
+        Announce {
+            /// The limits.
+            records: Vec<LimitRecord>,
+            /// Whether to forward them to the other nodes of the data centre.
+            forward: bool,
+        },
+        /// Return the limits that the node knows.
+        List,
+    }
+
+    /// A reply about rate limits.
+    pub enum LimitReply {
+        /// The result of a draw; `None` if the node does not own the limits.
+        Drawn(Option<PermitReply>),
+        /// The limits that the node knows.
+        Records(Vec<LimitRecord>),
+    }
+
     /// A request from one node to another.
     pub enum NodeRequest {
         /// Record evidence as a collector.
@@ -157,6 +183,8 @@
         LoadSums(Vec<UpstreamLoad>),
         /// A request about snapshots.
         Replica(ReplicaRequest),
+        /// A request about rate limits.
+        Limit(LimitRequest),
     }
 
     /// A reply to a [`NodeRequest`].
@@ -182,6 +210,8 @@
         /// The request failed, with the reason.
         #[serde(rename = "Unable")]
         Failed(String),
+        /// A reply about rate limits.
+        Limit(LimitReply),
     }
 }
 
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -21,6 +21,9 @@
 /// A forwarder has at least the highest capacity in its data centre divided by this,
 /// since it forwards what it receives to all other nodes there.
 const FORWARDER_CAPACITY_DIVISOR: u32 = 2;
+/// An owner of rate limits has at least the highest capacity in its data centre divided by
+/// this, since requests wait for its replies.
+const OWNER_CAPACITY_DIVISOR: u32 = 2;
 /// Number of data centres from which an upstream is probed.
 const PROBING_DATA_CENTRES: usize = 3;
 
@@ -245,6 +248,22 @@
         rendezvous::first(&job, &candidates, |member| member.node.as_str()).cloned()
     }
 
+    /// The node that owns the rate limits of a service's upstreams in one data centre: a
+    /// node there, or one of any data centre if none there is available.
+    pub fn limit_owner(
+        &self,
+        now: Instant,
+        service: &ids::ServiceId,
+        centre: &ids::DataCentreId,
+    ) -> Option<Arc<Member>> {
+        let job = format!("limits/{service}/{centre}");
+        let mut candidates = self.high_capacity_in(now, centre, OWNER_CAPACITY_DIVISOR);
+        if candidates.is_empty() {
+            candidates = self.available(now);
+        }
+        rendezvous::first(&job, &candidates, |member| member.node.as_str()).cloned()
+    }
+
     /// Whether this node reads the snapshots for its data centre; also true if no node
     /// is available for that.
     pub fn is_snapshot_relay(&self, now: Instant) -> bool {
--- a/crates/policy/src/permit/signal.rs
+++ b/crates/policy/src/permit/signal.rs
@@ -10,7 +10,8 @@
         Absent,
         /// It names a limit.
         Named(sizes::RateLimit),
-        /// It names a limit that cannot be read, which says nothing about the limit.
-        Unreadable,
+        /// It does not tell: the limit that it names cannot be read, or the response may be
+        /// that of another upstream.
+        Unknown,
     }
 }
--- a/crates/policy/src/retry/budget.rs
+++ b/crates/policy/src/retry/budget.rs
@@ -109,8 +109,12 @@
     /// pool has not denied a token recently.
     pub fn can_spend(&self, now: Instant) -> bool {
         let is_recent = |at| now.saturating_duration_since(at) < DENIED_TTL;
+        self.covers_retry() || (self.is_pooled() && !self.denied_at.is_some_and(is_recent))
+    }
+
+    /// Whether this node's own balance covers a retry.
+    pub const fn covers_retry(&self) -> bool {
         self.balance >= RETRY_COST_MILLITOKENS
-            || (self.is_pooled() && !self.denied_at.is_some_and(is_recent))
     }
 
     /// Current balance, in thousandths of a token.
--- a/crates/policy/src/service/balancer/mod.rs
+++ b/crates/policy/src/service/balancer/mod.rs
@@ -3,6 +3,7 @@
 
 pub(super) mod loads;
 pub(super) mod offers;
+pub(super) mod permits;
 mod signals;
 mod updates;
 
@@ -18,12 +19,14 @@
 
 pub use loads::{LoadReport, UpstreamLoad};
 pub use offers::OfferCount;
+use permits::LimitedUse;
 
 use super::choose::{self, ChoiceWidth};
 use super::entry::{UpstreamEntry, UpstreamStatus, UpstreamView};
 use crate::detection::{self, DetectionThresholds};
 use crate::invariant;
 use crate::limit;
+use crate::permit::{LimitVersion, PermitRequest};
 use crate::retry::{self, AttemptEnd};
 use crate::suspicion::{LateShare, SignalKind, SuspicionSignal};
 
@@ -86,6 +89,8 @@
     pub trial: bool,
     /// The time after which the attempt is overdue.
     pub overdue_after: Duration,
+    /// The version of the permit with which it is sent; `None` if it needs none.
+    pub permit: Option<LimitVersion>,
 }
 
 /// The balancer's decision on an attempt.
@@ -95,6 +100,12 @@
     Grant(AttemptGrant),
     /// Every upstream that could serve it is at its limit; the request is to be queued.
     Wait,
+    /// The upstream to use has a rate limit. A permit is to be drawn, and the attempt
+    /// admitted with the result.
+    PermitNeeded(PermitRequest),
+    /// Every upstream that could serve it has reached its rate limit; the next permit is
+    /// available after this time.
+    RateLimited(Duration),
     /// The retry budget does not cover the hedge.
     NoBudget,
     /// No upstream can serve it.
@@ -115,6 +126,8 @@
     /// Requests in flight from this node at the upstream when the attempt started.
     in_flight_before: u32,
     overdue_after: Duration,
+    /// The version of the permit with which it is sent; `None` if it needs none.
+    permit: Option<LimitVersion>,
 }
 
 impl InFlightAttempt {
@@ -219,29 +232,67 @@
             self.budget.deposit();
             self.late_share
                 .count_request(now, f64::from(self.fleet_nodes));
+            self.add_offer_credit();
         }
-        let Some(key) = self.choose(now, request) else {
-            return self.wait_or_refuse(request);
+        self.place(now, request, LimitedUse::WithPermit)
+    }
+
+    /// Selects an upstream for an attempt that was counted before.
+    fn place(
+        &mut self,
+        now: Instant,
+        request: &AttemptRequest,
+        limited_use: LimitedUse,
+    ) -> Admission {
+        let Some(key) = self.choose(now, request, limited_use) else {
+            return self.wait_or_refuse(now, request, limited_use);
         };
-        let funded = request.purpose != AttemptPurpose::Hedge
+        if self.upstreams[key].known_limit.is_limited() {
+            if !(self.is_free(request) || self.budget.covers_retry()) {
+                return Admission::NoBudget;
+            }
+            return Admission::PermitNeeded(self.permit_request(now, key, request));
+        }
+        self.grant_funded(now, key, request, None)
+    }
+
+    /// Whether an attempt is not charged to the retry budget when it is admitted.
+    fn is_free(&self, request: &AttemptRequest) -> bool {
+        request.purpose != AttemptPurpose::Hedge
             || (request.charge == retry::RetryCharge::Trial && !self.shares_signals())
-            || self.budget.spend();
-        if !funded {
+    }
+
+    fn grant_funded(
+        &mut self,
+        now: Instant,
+        key: UpstreamKey,
+        request: &AttemptRequest,
+        permit: Option<LimitVersion>,
+    ) -> Admission {
+        if !(self.is_free(request) || self.budget.spend()) {
             return Admission::NoBudget;
         }
-        Admission::Grant(self.grant(now, key, request))
+        Admission::Grant(self.grant(now, key, request, permit))
     }
 
-    fn choose(&mut self, now: Instant, request: &AttemptRequest) -> Option<UpstreamKey> {
+    fn choose(
+        &mut self,
+        now: Instant,
+        request: &AttemptRequest,
+        limited_use: LimitedUse,
+    ) -> Option<UpstreamKey> {
         if self.shares_signals() {
             self.mark_avoided(now);
-            let due = self.pick_due_offer(now, request);
+            let due = self.pick_due_offer(now, request, limited_use);
             if due.is_some() {
                 return due;
             }
         }
         let upstreams = self.upstreams.iter();
-        let untried = upstreams.filter(|(_, entry)| !request.exclude.contains(&entry.upstream.id));
+        let untried = upstreams.filter(|(_, entry)| {
+            !request.exclude.contains(&entry.upstream.id)
+                && limited_use.may_select(now, &entry.known_limit)
+        });
         let may_be_trial = request.repeatable
             && request.purpose == AttemptPurpose::First
             && !self.shares_signals();
@@ -271,19 +322,33 @@
         )
     }
 
-    fn wait_or_refuse(&self, request: &AttemptRequest) -> Admission {
-        let any_could_serve = self.upstreams.values().any(|entry| {
-            let status = entry.status();
-            let could_serve = matches!(status, UpstreamStatus::Healthy | UpstreamStatus::Avoided);
-            could_serve && !request.exclude.contains(&entry.upstream.id)
-        });
-        if any_could_serve && request.purpose != AttemptPurpose::Hedge {
-            return Admission::Wait;
+    fn wait_or_refuse(
+        &self,
+        now: Instant,
+        request: &AttemptRequest,
+        limited_use: LimitedUse,
+    ) -> Admission {
+        let mut could_serve = self
+            .upstreams
+            .values()
+            .filter(|entry| entry.is_eligible() && !request.exclude.contains(&entry.upstream.id));
+        let any_could_serve = could_serve.clone().next().is_some();
+        if !any_could_serve || request.purpose == AttemptPurpose::Hedge {
+            return Admission::Refuse(error::ErrorKind::NoUpstream);
+        }
+        if could_serve.all(|entry| !limited_use.may_select(now, &entry.known_limit)) {
+            return Admission::RateLimited(self.permit_wait(now, request));
         }
-        Admission::Refuse(error::ErrorKind::NoUpstream)
+        Admission::Wait
     }
 
-    fn grant(&mut self, now: Instant, key: UpstreamKey, request: &AttemptRequest) -> AttemptGrant {
+    fn grant(
+        &mut self,
+        now: Instant,
+        key: UpstreamKey,
+        request: &AttemptRequest,
+        permit: Option<LimitVersion>,
+    ) -> AttemptGrant {
         let overdue_after = self.overdue_after(request);
         self.record_own_offer(now, key);
         let entry = &mut self.upstreams[key];
@@ -307,6 +372,7 @@
             connection_suspect: false,
             in_flight_before,
             overdue_after,
+            permit,
         };
         let trial = status == UpstreamStatus::Avoided;
         AttemptGrant {
@@ -314,6 +380,7 @@
             upstream,
             trial,
             overdue_after,
+            permit,
         }
     }
 
--- a/crates/policy/src/service/balancer/offers.rs
+++ b/crates/policy/src/service/balancer/offers.rs
@@ -10,6 +10,7 @@
 use rand::seq::IteratorRandom as _;
 use tokio::time::Instant;
 
+use super::permits::LimitedUse;
 use super::{AttemptPurpose, AttemptRequest, ServiceBalancer, UpstreamKey};
 use crate::service::entry::UpstreamEntry;
 
@@ -112,11 +113,11 @@
         &mut self,
         now: Instant,
         request: &AttemptRequest,
+        limited_use: LimitedUse,
     ) -> Option<UpstreamKey> {
         if request.purpose != AttemptPurpose::First {
             return None;
         }
-        self.offer_credit = (self.offer_credit + OFFER_SHARE_MAX).min(OFFER_CREDIT_MAX);
         let may_try_suspects = self.offer_credit >= 1.0;
         let schedule = self.offer_schedule(now, request);
         let due = self.upstreams.iter().filter(|(_, entry)| {
@@ -126,7 +127,8 @@
                 due_after.is_some_and(|due_after| entry.last_offer.age(now) >= due_after)
             };
             entry.is_eligible()
-                && entry.in_flight < entry.upstream.slots.get()
+                && entry.has_free_slot()
+                && limited_use.may_select(now, &entry.known_limit)
                 && (may_try_suspects || entry.suspicion.is_none())
                 && !request.exclude.contains(&entry.upstream.id)
                 && is_due()
@@ -139,6 +141,11 @@
         Some(key)
     }
 
+    /// Counts a request of this node, a share of which may be offers to suspects.
+    pub(super) fn add_offer_credit(&mut self) {
+        self.offer_credit = (self.offer_credit + OFFER_SHARE_MAX).min(OFFER_CREDIT_MAX);
+    }
+
     fn offer_schedule(&self, now: Instant, request: &AttemptRequest) -> OfferSchedule {
         let nodes = f64::from(self.fleet_nodes.max(1));
         let fleet_rate = self.late_share.requests_per_second(now);
--- a/crates/policy/src/service/entry.rs
+++ b/crates/policy/src/service/entry.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use model::{config, ids};
+use model::{config, ids, sizes};
 use tokio::time::Instant;
 
 use super::balancer::loads::DataCentreLoad;
 use super::balancer::offers::{LastOffer, OFFER_WINDOW};
+use super::balancer::permits::KnownLimit;
 use crate::detection;
 use crate::limit;
 use crate::suspicion::SuspicionScore;
@@ -53,6 +54,8 @@
     /// Whether it should get requests from this node's data centre, which is also its own,
     /// but is not known to have got one lately.
     pub unoffered: bool,
+    /// The rate of requests that it takes from the whole fleet; `None` without a limit.
+    pub rate_limit: Option<sizes::RateLimit>,
 }
 
 /// Suspicion of an upstream, and whether it is avoided for it. If too many upstreams are
@@ -99,6 +102,8 @@
     pub(super) reported_in_flight: u32,
     /// How many more reports are to contain that number.
     pub(super) reports_due: u32,
+    /// The limit that the upstream names on the requests of the whole fleet.
+    pub(super) known_limit: KnownLimit,
     ramp_start: Option<Instant>,
 }
 
@@ -123,6 +128,7 @@
             progress_at: now,
             reported_in_flight: 0,
             reports_due: 0,
+            known_limit: KnownLimit::none(now),
             ramp_start: None,
         }
     }
@@ -191,6 +197,11 @@
         self.limit.has_room(self.in_flight) && !(trial_only && self.in_flight > 0)
     }
 
+    /// Whether this node has fewer requests in flight than the upstream has slots.
+    pub(super) fn has_free_slot(&self) -> bool {
+        self.in_flight < self.upstream.slots.get()
+    }
+
     /// Requests in flight from the other nodes of the data centre.
     pub(super) fn in_flight_of_other_nodes(&self, now: Instant) -> u32 {
         self.data_centre_load
@@ -234,9 +245,11 @@
     }
 
     /// Whether the upstream, which is in this node's data centre, is out of service although
-    /// it may get requests.
+    /// it may get requests. An upstream with a rate limit gets what it takes.
     pub(super) fn is_unoffered(&self, now: Instant) -> bool {
-        self.is_eligible() && self.last_offer.age(now) >= OFFER_WINDOW
+        self.is_eligible()
+            && !self.known_limit.is_limited()
+            && self.last_offer.age(now) >= OFFER_WINDOW
     }
 
     pub(super) fn view(&self, now: Instant, is_local: bool) -> UpstreamView {
@@ -246,6 +259,7 @@
             in_flight: self.in_flight,
             limit: self.limit.get(),
             unoffered: is_local && self.is_unoffered(now),
+            rate_limit: self.known_limit.state().rate,
         }
     }
 }
--- a/crates/upstream/src/attempt.rs
+++ b/crates/upstream/src/attempt.rs
@@ -182,8 +182,9 @@
     let names = handle.headers();
     let signals = names.read_signals(parts.status, &parts.headers);
     report_signals(handle, &lease, signals).await;
-    log_limit(context, &lease, signals.limit);
-    if let Some(reason) = rejection_reason(names, context, &parts, signals) {
+    let rejection = rejection_reason(names, context, &parts, signals);
+    lease.record_limit(trusted_limit(context, &lease, signals, rejection.is_some()));
+    if let Some(reason) = rejection {
         log::info!(
             target: "attempt",
             request:% = context.request,
@@ -296,21 +297,28 @@
     }
 }
 
-fn log_limit(context: &AttemptContext, lease: &AttemptLease, limit: LimitSignal) {
-    let (request, upstream) = (&context.request, &lease.upstream().id);
-    match limit {
-        LimitSignal::Absent => {}
-        LimitSignal::Named(limit) => log::info!(
-            target: "limits",
-            request:%, upstream:%, limit:%;
-            "An upstream names a limit on its requests per second."
-        ),
-        LimitSignal::Unreadable => log::warn!(
+/// What a response states about the limit of the upstream that it was requested from. A
+/// response of another instance states nothing, and a rejected one does not end a limit.
+fn trusted_limit(
+    context: &AttemptContext,
+    lease: &AttemptLease,
+    signals: UpstreamSignals,
+    is_rejected: bool,
+) -> LimitSignal {
+    if signals.limit == LimitSignal::Unknown {
+        log::warn!(
             target: "limits",
-            request:%, upstream:%;
+            request:% = context.request,
+            upstream:% = lease.upstream().id;
             "An upstream names a limit that cannot be read."
-        ),
+        );
+    }
+    let is_other_instance = signals.refusal == Some(UpstreamRefusal::Misdirected);
+    let is_untrusted_end = is_rejected && signals.limit == LimitSignal::Absent;
+    if is_other_instance || is_untrusted_end {
+        return LimitSignal::Unknown;
     }
+    signals.limit
 }
 
 /// Why a response cannot be what the upstream itself returned for this request.
--- a/crates/upstream/src/dispatch/dispatcher.rs
+++ b/crates/upstream/src/dispatch/dispatcher.rs
@@ -277,7 +277,10 @@
                 .await
             {
                 Ok(lease) => lease,
-                Err(kind) => return self.give_up(last, kind),
+                Err(error) => {
+                    let ended = self.give_up(last, error.kind);
+                    return ended.map_err(|failure| failure.with_retry_after(error.retry_after));
+                }
             };
             let may_send = self.context.repeatable || !self.may_have_run;
             invariant::check(Invariant::AtMostOnce, may_send, || {
--- a/crates/upstream/src/service/handle.rs
+++ b/crates/upstream/src/service/handle.rs
@@ -9,16 +9,54 @@
 use model::{config, ids};
 use policy::detection::{ServiceLatency, Verdict};
 use policy::ejection::EjectionRecord;
+use policy::permit::{LimitSignal, LimitState, PermitDraw, PermitRequest};
 use policy::retry::{AttemptEnd, RetryCharge, RetryContext, RetryRefusal};
 use policy::service::{AttemptGrant, AttemptPurpose, AttemptRequest, UpstreamLoad, UpstreamView};
 use policy::suspicion::SuspicionSignal;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
+use super::permit_source::PermitSource;
 use super::retry_tokens::RetryTokenSource;
 use crate::pool::ConnectionPool;
 use crate::wire::UpstreamHeaders;
 
+/// Permits that are drawn for one attempt: one for each data centre with upstreams of the
+/// service, in most deployments.
+const PERMIT_DRAWS_MAX: usize = 3;
+
+/// Why no lease is granted; the request has not been sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AdmissionError {
+    /// The kind.
+    pub kind: ErrorKind,
+    /// Time after which the request should be sent again, if it is known.
+    pub retry_after: Option<Duration>,
+}
+
+impl From<ErrorKind> for AdmissionError {
+    fn from(kind: ErrorKind) -> Self {
+        Self {
+            kind,
+            retry_after: None,
+        }
+    }
+}
+
+/// Why the task grants no lease.
+#[derive(Debug)]
+pub(super) enum LeaseRefusal {
+    /// A permit is to be drawn first.
+    PermitNeeded(PermitRequest),
+    Refused(AdmissionError),
+}
+
+impl From<ErrorKind> for LeaseRefusal {
+    fn from(kind: ErrorKind) -> Self {
+        Self::Refused(kind.into())
+    }
+}
+
 /// The number of nodes that send requests to the same upstreams.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FleetSize {
@@ -33,8 +71,10 @@
 pub(super) enum ServiceCommand {
     Admit {
         request: AttemptRequest,
+        /// The draw of a permit for this request, if one was made.
+        draw: Option<PermitDraw>,
         deadline: Instant,
-        reply: oneshot::Sender<Result<AttemptLease, ErrorKind>>,
+        reply: oneshot::Sender<Result<AttemptLease, LeaseRefusal>>,
     },
     EnterWorkspace {
         workspace: config::Workspace,
@@ -63,6 +103,10 @@
     SetFleetSize(FleetSize),
     Signal(SuspicionSignal),
     DataCentreLoad(UpstreamLoad),
+    Limit {
+        upstream: ids::UpstreamId,
+        state: LimitState,
+    },
     RetryTokenDrawn(bool),
     Views(oneshot::Sender<BTreeMap<ids::UpstreamId, UpstreamView>>),
 }
@@ -74,6 +118,7 @@
 pub(super) enum RequestEvent {
     PossiblyStale(policy::service::AttemptKey),
     HeadReceived(policy::service::AttemptKey),
+    LimitStated(policy::service::AttemptKey, LimitSignal),
     AttemptEnded(policy::service::AttemptKey, AttemptEnd),
     LeaveWorkspace(ids::WorkspaceId),
 }
@@ -85,6 +130,7 @@
     pub(super) events: mpsc::UnboundedSender<RequestEvent>,
     pub(super) headers: Arc<UpstreamHeaders>,
     pub(super) retry_tokens: Option<RetryTokenSource>,
+    pub(super) permits: PermitSource,
 }
 
 impl ServiceHandle {
@@ -97,7 +143,8 @@
     /// upstreams are at their limit.
     ///
     /// When the retry budget of this node does not cover a hedge, a token is drawn
-    /// from the pool of the data centre.
+    /// from the pool of the data centre. When the upstream has a rate limit, a permit is
+    /// drawn from the owner of the limit.
     ///
     /// # Errors
     /// Why no lease is granted; the request has not been sent.
@@ -105,14 +152,37 @@
         &self,
         request: AttemptRequest,
         deadline: Instant,
-    ) -> Result<AttemptLease, ErrorKind> {
-        let is_hedge = request.purpose == AttemptPurpose::Hedge;
-        let admitted = self.request_lease(request.clone(), deadline).await;
-        let over_budget = is_hedge && matches!(admitted, Err(ErrorKind::Overload));
-        if over_budget && self.draw_retry_token().await {
-            return self.request_lease(request, deadline).await;
+    ) -> Result<AttemptLease, AdmissionError> {
+        let mut may_draw_token = request.purpose == AttemptPurpose::Hedge;
+        let mut draws_left = PERMIT_DRAWS_MAX;
+        let mut draw = None;
+        loop {
+            let refusal = match self
+                .request_lease(request.clone(), draw.take(), deadline)
+                .await
+            {
+                Ok(lease) => return Ok(lease),
+                Err(refusal) => refusal,
+            };
+            match refusal {
+                LeaseRefusal::PermitNeeded(permit) => {
+                    draws_left = draws_left.saturating_sub(1);
+                    let reply = self.permits.draw(permit.clone()).await;
+                    draw = Some(PermitDraw {
+                        request: permit,
+                        reply,
+                        is_last: draws_left == 0,
+                    });
+                }
+                LeaseRefusal::Refused(error) => {
+                    let is_over_budget = may_draw_token && error.kind == ErrorKind::Overload;
+                    if !(is_over_budget && self.draw_retry_token().await) {
+                        return Err(error);
+                    }
+                    may_draw_token = false;
+                }
+            }
         }
-        admitted
     }
 
     /// Draws a retry token from the pool of the data centre; returns whether the
@@ -129,11 +199,13 @@
     async fn request_lease(
         &self,
         request: AttemptRequest,
+        draw: Option<PermitDraw>,
         deadline: Instant,
-    ) -> Result<AttemptLease, ErrorKind> {
+    ) -> Result<AttemptLease, LeaseRefusal> {
         let (reply, receiver) = oneshot::channel();
         let command = ServiceCommand::Admit {
             request,
+            draw,
             deadline,
             reply,
         };
@@ -144,7 +216,7 @@
         tokio::time::timeout_at(deadline, receiver)
             .await
             .map_err(|_| ErrorKind::DeadlineBeforeSend)?
-            .unwrap_or(Err(ErrorKind::NoUpstream))
+            .unwrap_or_else(|_| Err(ErrorKind::NoUpstream.into()))
     }
 
     /// Counts a request of a workspace as in flight until the permit is dropped.
@@ -246,6 +318,11 @@
         self.send(ServiceCommand::DataCentreLoad(load)).await;
     }
 
+    /// Sends the limit of an upstream that its owner announced.
+    pub async fn send_limit(&self, upstream: ids::UpstreamId, state: LimitState) {
+        self.send(ServiceCommand::Limit { upstream, state }).await;
+    }
+
     /// Sends a suspicion signal of another node.
     pub async fn send_signal(&self, signal: SuspicionSignal) {
         self.send(ServiceCommand::Signal(signal)).await;
@@ -354,6 +431,15 @@
             .send(RequestEvent::HeadReceived(self.grant.attempt));
     }
 
+    /// Records what the head of the response states about the limit of the upstream.
+    pub fn record_limit(&self, signal: LimitSignal) {
+        let may_be_news = self.grant.permit.is_some() || signal != LimitSignal::Absent;
+        if may_be_news {
+            let event = RequestEvent::LimitStated(self.grant.attempt, signal);
+            let _ = self.events.send(event);
+        }
+    }
+
     /// Ends the attempt and releases its place at the upstream.
     pub fn end(mut self, end: AttemptEnd) {
         self.send_end(end);
--- a/crates/upstream/src/service/mod.rs
+++ b/crates/upstream/src/service/mod.rs
@@ -2,10 +2,14 @@
 
 mod directory;
 mod handle;
+mod permit_source;
 mod retry_tokens;
 mod task;
 
 pub use directory::{ServiceDirectory, SettingsFactory};
-pub use handle::{AttemptLease, FleetSize, OutpacedFlag, ServiceHandle, WorkspacePermit};
+pub use handle::{
+    AdmissionError, AttemptLease, FleetSize, OutpacedFlag, ServiceHandle, WorkspacePermit,
+};
+pub use permit_source::{PermitFuture, PermitSource};
 pub use retry_tokens::{RetryTokenFuture, RetryTokenSource};
-pub use task::{DrainSink, LoadSink, ServiceSettings, SignalSink, start};
+pub use task::{DrainSink, LimitSink, LoadSink, ServiceSettings, SignalSink, start};
--- a/crates/upstream/src/service/task.rs
+++ b/crates/upstream/src/service/task.rs
@@ -9,15 +9,20 @@
 use model::{config, ids};
 use policy::detection::EvidenceReport;
 use policy::limit::RequestQueue;
+use policy::permit::{LimitReport, LimitSignal, PermitDraw};
 use policy::retry::RetryRefusal;
-use policy::service::{self, Admission, AttemptGrant, AttemptRequest, LoadReport, ServiceBalancer};
+use policy::service::{
+    self, Admission, AttemptGrant, AttemptKey, AttemptRequest, LoadReport, ServiceBalancer,
+};
 use policy::suspicion::SuspicionSignal;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{self, Instant};
 
 use super::handle::{
-    AttemptLease, FleetSize, OutpacedFlag, RequestEvent, ServiceCommand, ServiceHandle,
+    AdmissionError, AttemptLease, FleetSize, LeaseRefusal, OutpacedFlag, RequestEvent,
+    ServiceCommand, ServiceHandle,
 };
+use super::permit_source::PermitSource;
 use super::retry_tokens::RetryTokenSource;
 use crate::pool::ConnectionPool;
 use crate::wire::UpstreamHeaders;
@@ -46,6 +51,9 @@
 /// Receives the load reports to send to the snapshot relay of the data centre.
 pub type LoadSink = Arc<dyn Fn(LoadReport) + Send + Sync>;
 
+/// Receives what responses state about limits, to send to the owners of the limits.
+pub type LimitSink = Arc<dyn Fn(LimitReport) + Send + Sync>;
+
 /// The identity of the node and the sinks that the task of a service reports to.
 #[derive(Clone)]
 pub struct ServiceSettings {
@@ -65,11 +73,15 @@
     pub loads: LoadSink,
     /// Draws from the retry pool of the data centre; none when each node has its own budget.
     pub retry_tokens: Option<RetryTokenSource>,
+    /// Receives reports about the rate limits of upstreams.
+    pub limits: LimitSink,
+    /// Draws permits for upstreams with a rate limit.
+    pub permits: PermitSource,
     /// The names of the headers that the service and its upstreams exchange.
     pub headers: Arc<UpstreamHeaders>,
 }
 
-type LeaseReply = oneshot::Sender<Result<AttemptLease, ErrorKind>>;
+type LeaseReply = oneshot::Sender<Result<AttemptLease, LeaseRefusal>>;
 
 struct PendingRequest {
     request: AttemptRequest,
@@ -77,6 +89,12 @@
     reply: LeaseReply,
 }
 
+impl PendingRequest {
+    fn refuse(self, refusal: impl Into<LeaseRefusal>) {
+        let _ = self.reply.send(Err(refusal.into()));
+    }
+}
+
 struct ServiceTask {
     settings: ServiceSettings,
     balancer: ServiceBalancer,
@@ -98,6 +116,7 @@
     let pools = HashMap::new();
     let headers = Arc::clone(&settings.headers);
     let retry_tokens = settings.retry_tokens.clone();
+    let permits = settings.permits.clone();
     let mut task = ServiceTask {
         settings,
         balancer,
@@ -114,6 +133,7 @@
         events,
         headers,
         retry_tokens,
+        permits,
     }
 }
 
@@ -182,7 +202,7 @@
     fn tick(&mut self) {
         let now = Instant::now();
         for pending in self.queue.expire(now + self.balancer.min_time_left()) {
-            let _ = pending.reply.send(Err(ErrorKind::DeadlineBeforeSend));
+            pending.refuse(ErrorKind::DeadlineBeforeSend);
         }
         if let Some(report) = self.balancer.tick(now) {
             (self.settings.evidence)(report);
@@ -217,6 +237,9 @@
         match event {
             RequestEvent::PossiblyStale(attempt) => self.balancer.mark_connection_suspect(attempt),
             RequestEvent::HeadReceived(attempt) => self.balancer.record_response_head(now, attempt),
+            RequestEvent::LimitStated(attempt, signal) => {
+                self.report_limit(now, attempt, signal);
+            }
             RequestEvent::AttemptEnded(attempt, end) => self.balancer.finish(now, attempt, end),
             RequestEvent::LeaveWorkspace(workspace) => self.balancer.leave_workspace(&workspace),
         }
@@ -227,17 +250,16 @@
         match command {
             ServiceCommand::Admit {
                 request,
+                draw,
                 deadline,
                 reply,
             } => {
-                self.admit(
-                    now,
-                    PendingRequest {
-                        request,
-                        deadline,
-                        reply,
-                    },
-                );
+                let pending = PendingRequest {
+                    request,
+                    deadline,
+                    reply,
+                };
+                self.admit(now, pending, draw.as_ref());
             }
             ServiceCommand::EnterWorkspace { workspace, reply } => {
                 let entered = self
@@ -275,6 +297,9 @@
             ServiceCommand::DataCentreLoad(load) => {
                 self.balancer.apply_data_centre_load(now, &load);
             }
+            ServiceCommand::Limit { upstream, state } => {
+                self.balancer.apply_limit(&upstream, state);
+            }
             ServiceCommand::Signal(signal) => {
                 self.balancer
                     .apply_signal(now, &signal.upstream, signal.kind);
@@ -332,22 +357,60 @@
         }
     }
 
-    fn admit(&mut self, now: Instant, pending: PendingRequest) {
-        match self.balancer.admit(now, &pending.request) {
+    fn admit(&mut self, now: Instant, pending: PendingRequest, draw: Option<&PermitDraw>) {
+        let admission = match draw {
+            Some(draw) => self.balancer.admit_with_draw(now, &pending.request, draw),
+            None => self.balancer.admit(now, &pending.request),
+        };
+        let Some(pending) = self.answer(now, pending, admission) else {
+            return;
+        };
+        if let Some(dropped) = self.queue.push(pending.deadline, pending) {
+            dropped.refuse(ErrorKind::Overload);
+        }
+    }
+
+    /// Answers a request for a lease; returns the request if it has to wait.
+    fn answer(
+        &mut self,
+        now: Instant,
+        pending: PendingRequest,
+        admission: Admission,
+    ) -> Option<PendingRequest> {
+        match admission {
             Admission::Grant(grant) => self.grant_lease(now, grant, pending),
-            Admission::Refuse(kind) => {
-                let _ = pending.reply.send(Err(kind));
-            }
+            Admission::PermitNeeded(permit) => pending.refuse(LeaseRefusal::PermitNeeded(permit)),
+            Admission::RateLimited(wait) => pending.refuse(LeaseRefusal::Refused(AdmissionError {
+                kind: ErrorKind::RateLimited,
+                retry_after: Some(wait),
+            })),
+            Admission::Refuse(kind) => pending.refuse(kind),
             Admission::NoBudget => {
                 self.report_before_draw();
-                let _ = pending.reply.send(Err(ErrorKind::Overload));
-            }
-            Admission::Wait => {
-                if let Some(dropped) = self.queue.push(pending.deadline, pending) {
-                    let _ = dropped.reply.send(Err(ErrorKind::Overload));
-                }
+                pending.refuse(ErrorKind::Overload);
             }
+            Admission::Wait => return Some(pending),
         }
+        None
+    }
+
+    /// Reports what a response states about the limit of its upstream, if that is news.
+    fn report_limit(&mut self, now: Instant, attempt: AttemptKey, signal: LimitSignal) {
+        let Some(report) = self.balancer.record_limit_signal(now, attempt, signal) else {
+            return;
+        };
+        let limit = report
+            .named()
+            .map_or_else(|| "none".to_owned(), |rate| rate.to_string());
+        log::info!(
+            target: "limits",
+            service:% = report.service,
+            upstream:% = report.upstream,
+            limit = limit.as_str(),
+            permit = report.permit.unwrap_or_default().get();
+            "A response states another limit on the requests per second than was known."
+        );
+        (self.settings.limits)(report);
     }
 
     /// Reports the deposits of the last requests, since a token is about to be drawn from
@@ -392,21 +455,15 @@
         while !self.queue.is_empty() {
             let released = self.queue.pop(now + self.balancer.min_time_left());
             for pending in released.expired {
-                let _ = pending.reply.send(Err(ErrorKind::DeadlineBeforeSend));
+                pending.refuse(ErrorKind::DeadlineBeforeSend);
             }
             let Some(pending) = released.next else { return };
             if pending.reply.is_closed() {
                 continue;
             }
-            match self.balancer.admit(now, &pending.request) {
-                Admission::Grant(grant) => self.grant_lease(now, grant, pending),
-                Admission::Refuse(kind) => {
-                    let _ = pending.reply.send(Err(kind));
-                }
-                Admission::NoBudget => {
-                    let _ = pending.reply.send(Err(ErrorKind::Overload));
-                }
-                Admission::Wait => return self.queue.push_front(pending.deadline, pending),
+            let admission = self.balancer.admit(now, &pending.request);
+            if let Some(pending) = self.answer(now, pending, admission) {
+                return self.queue.push_front(pending.deadline, pending);
             }
         }
     }
--- a/crates/upstream/src/wire.rs
+++ b/crates/upstream/src/wire.rs
@@ -127,7 +127,7 @@
                         LimitSignal::Named(lowest.min(limit))
                     }
                     (Ok(limit), _) => LimitSignal::Named(limit),
-                    (Err(_), LimitSignal::Absent) => LimitSignal::Unreadable,
+                    (Err(_), LimitSignal::Absent) => LimitSignal::Unknown,
                     (Err(_), current) => current,
                 };
             }
--- a/crates/upstream/tests/rate_limits.rs
+++ b/crates/upstream/tests/rate_limits.rs
@@ -56,7 +56,7 @@
     for text in texts {
         assert_eq!(
             read(StatusCode::OK, &[text]),
-            LimitSignal::Unreadable,
+            LimitSignal::Unknown,
             "{text:?}"
         );
     }
@@ -68,5 +68,5 @@
     assert_eq!(read(StatusCode::OK, &["2, 5"]), named(2.0));
     assert_eq!(read(StatusCode::OK, &["NaN", "3"]), named(3.0));
     assert_eq!(read(StatusCode::OK, &["3", "-1"]), named(3.0));
-    assert_eq!(read(StatusCode::OK, &["x", ""]), LimitSignal::Unreadable);
+    assert_eq!(read(StatusCode::OK, &["x", ""]), LimitSignal::Unknown);
 }
