--- a/bins/entry/src/gateway.rs
+++ b/bins/entry/src/gateway.rs
@@ -17,12 +17,11 @@
 use tokio::task::JoinHandle;
 use tokio::time;
 use upstream::dispatch::{ClaimCallbacks, Dispatcher};
-use upstream::service::{
-    PermitSource, RetryTokenSource, ServiceDirectory, ServiceSettings, SettingsFactory,
-};
+use upstream::service::{RetryTokenSource, ServiceDirectory, ServiceSettings, SettingsFactory};
 use upstream::wire::UpstreamHeaders;
 
 use crate::ops::OpsEndpoint;
+use crate::permits;
 use crate::replica_directory::ReplicaDirectoryTask;
 use crate::server::dispatch_to;
 
@@ -212,13 +211,13 @@
 }
 
 fn settings_factory(settings: &GatewaySettings, fleet: &ReplicaFleet) -> SettingsFactory {
+    let metrics = Arc::clone(&settings.metrics);
     let node = settings.node.clone();
     let data_centre = settings.data_centre.clone();
     let headers = Arc::new(settings.upstream_headers.clone());
     let fleet = fleet.clone();
     Arc::new(move |service| {
         let (signal_fleet, load_fleet, retry_fleet) = (fleet.clone(), fleet.clone(), fleet.clone());
-        let (report_limits, draw_limits) = (fleet.limits.clone(), fleet.limits.clone());
         let service = service.clone();
         ServiceSettings {
             node: node.clone(),
@@ -232,11 +231,8 @@
                 let (fleet, service) = (retry_fleet.clone(), service.clone());
                 Box::pin(async move { fleet.draw_retry_token(service).await })
             })),
-            limits: Arc::new(move |report| report_limits.report(report)),
-            permits: PermitSource::new(move |request| {
-                let limits = draw_limits.clone();
-                Box::pin(async move { limits.draw(request).await })
-            }),
+            limits: permits::limit_sink(&fleet.limits),
+            permits: permits::permit_source(&fleet.limits, &metrics),
             headers: Arc::clone(&headers),
         }
     })
@@ -256,9 +252,7 @@
                 }
             }
             NodeUpdate::Limit(record) => {
-                if let Some(handle) = current.handles.get(&record.service) {
-                    handle.send_limit(record.upstream, record.state).await;
-                }
+                permits::forward_limit(&current, record).await;
             }
             NodeUpdate::Load(load) => {
                 if let Some(handle) = current.handles.get(&load.service) {
--- a/bins/entry/src/lib.rs
+++ b/bins/entry/src/lib.rs
@@ -6,12 +6,13 @@
 //! - [`gateway`]: a gateway, whose routes and upstreams come from an external source.
 //!
 //! Private modules: `directory` and `replica_directory` apply the configuration to the
-//! service tasks, `probes` probes the upstreams assigned to this node, and `ops` serves
-//! readiness, status and metrics.
+//! service tasks, `permits` connects them to the sharing of rate limits, `probes` probes the
+//! upstreams assigned to this node, and `ops` serves readiness, status and metrics.
 
 mod directory;
 pub mod gateway;
 mod ops;
+mod permits;
 mod probes;
 mod replica_directory;
 pub mod server;
--- a/bins/entry/src/ops.rs
+++ b/bins/entry/src/ops.rs
@@ -7,6 +7,7 @@
 use http::{Response, StatusCode, header};
 use http1::server::{self, ServeLimits};
 use model::call::{self, BodyStream};
+use model::sizes::RateLimit;
 use node::members::MemberSet;
 use policy::invariant::{self, Invariant};
 use policy::service::UpstreamStatus;
@@ -87,6 +88,7 @@
                     "in_flight": view.in_flight,
                     "limit": view.limit,
                     "unoffered": view.unoffered,
+                    "rate_limit": view.rate_limit.map(RateLimit::get),
                 })
             });
             services.insert(id.to_string(), upstreams.collect());
@@ -110,6 +112,9 @@
             self.metrics.set_in_flight(service, in_flight);
             let unoffered = views.values().filter(|view| view.unoffered).count();
             self.metrics.set_unoffered_count(service, unoffered as u64);
+            let limited = views.values().filter(|view| view.rate_limit.is_some());
+            self.metrics
+                .set_rate_limited_count(service, limited.count() as u64);
             for status in UpstreamStatus::ALL {
                 let matching = views.values().filter(|view| view.status == *status);
                 self.metrics
--- a/bins/entry/src/server.rs
+++ b/bins/entry/src/server.rs
@@ -19,10 +19,11 @@
 use tokio::task::JoinHandle;
 use tokio::time;
 use upstream::dispatch::{ClaimCallbacks, Dispatcher};
-use upstream::service::{PermitSource, ServiceDirectory, ServiceSettings, SettingsFactory};
+use upstream::service::{ServiceDirectory, ServiceSettings, SettingsFactory};
 
 use crate::directory::DirectoryTask;
 use crate::ops::OpsEndpoint;
+use crate::permits;
 use crate::probes;
 use crate::settings::EntrySettings;
 
@@ -76,7 +77,7 @@
         let directory_task = DirectoryTask {
             snapshots: fleet.follower.watch(),
             members: fleet.members.clone(),
-            settings_factory: settings_factory(&settings, &fleet),
+            settings_factory: settings_factory(&settings, &fleet, &metrics),
             directory: directory_sender,
             metrics: Arc::clone(&metrics),
         };
@@ -225,14 +226,18 @@
     })
 }
 
-fn settings_factory(settings: &EntrySettings, fleet: &FleetHandle) -> SettingsFactory {
+fn settings_factory(
+    settings: &EntrySettings,
+    fleet: &FleetHandle,
+    metrics: &Arc<NodeMetrics>,
+) -> SettingsFactory {
+    let metrics = Arc::clone(metrics);
     let node = settings.node.clone();
     let data_centre = settings.data_centre.clone();
     let fleet = fleet.clone();
     Arc::new(move |_| {
         let evidence_fleet = fleet.clone();
         let drain_fleet = fleet.clone();
-        let (report_limits, draw_limits) = (fleet.limits.clone(), fleet.limits.clone());
         ServiceSettings {
             node: node.clone(),
             data_centre: data_centre.clone(),
@@ -242,11 +247,8 @@
             signals: Arc::new(|_| {}),
             loads: Arc::new(|_| {}),
             retry_tokens: None,
-            limits: Arc::new(move |report| report_limits.report(report)),
-            permits: PermitSource::new(move |request| {
-                let limits = draw_limits.clone();
-                Box::pin(async move { limits.draw(request).await })
-            }),
+            limits: permits::limit_sink(&fleet.limits),
+            permits: permits::permit_source(&fleet.limits, &metrics),
             headers: Arc::default(),
         }
     })
@@ -301,9 +303,7 @@
                 }
             }
             ServiceUpdate::Limit(record) => {
-                if let Some(handle) = current.handles.get(&record.service) {
-                    handle.send_limit(record.upstream, record.state).await;
-                }
+                permits::forward_limit(&current, record).await;
             }
             ServiceUpdate::Drained(service, upstream) => {
                 if let Some(handle) = current.handles.get(&service) {
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -32,6 +32,8 @@
     node_bytes: Counter<u64>,
     upstreams: Gauge<u64>,
     unoffered: Gauge<u64>,
+    rate_limited: Gauge<u64>,
+    permit_draws: Counter<u64>,
     in_flight: Gauge<u64>,
     nodes: Gauge<u64>,
     dropped_lines: Gauge<u64>,
@@ -105,6 +107,14 @@
                     "Upstreams of the node's data centre without a request for two seconds.",
                 )
                 .build(),
+            rate_limited: meter
+                .u64_gauge("upstream.rate_limited")
+                .with_description("Upstreams that name a limit on their requests per second.")
+                .build(),
+            permit_draws: meter
+                .u64_counter("upstream.permit.draws")
+                .with_description("Draws of permits for upstreams with a rate limit, by result.")
+                .build(),
             in_flight: meter
                 .u64_gauge("upstream.in_flight")
                 .with_description("Requests of this node in flight, by service.")
@@ -185,6 +195,19 @@
         self.unoffered.record(count, &[service]);
     }
 
+    /// Sets the number of a service's upstreams that have a rate limit.
+    pub fn set_rate_limited_count(&self, service: &ids::ServiceId, count: u64) {
+        let service = KeyValue::new("service", service.as_str().to_owned());
+        self.rate_limited.record(count, &[service]);
+    }
+
+    /// Counts a draw of a permit for an upstream with a rate limit.
+    pub fn record_permit_draw(&self, service: &ids::ServiceId, result: &'static str) {
+        let service = KeyValue::new("service", service.as_str().to_owned());
+        self.permit_draws
+            .add(1, &[service, KeyValue::new("result", result)]);
+    }
+
     /// Sets the number of requests in flight at a service.
     pub fn set_in_flight(&self, service: &ids::ServiceId, count: u64) {
         let service = KeyValue::new("service", service.as_str().to_owned());
