fix(retry): a request that waits in the queue deposits retry tokens once

The queue decided on a waiting request with the same call as on a new one, at every tick and every event, and each call deposited the allowance of a request, counted it for the share of late ones and added offer credit. So a full service gave itself retries that the fleet's bound does not allow. The queue now uses readmit, which counts nothing. The test deposits 2,280 thousandths with the old call and 380 with the new one.

--- a/crates/policy/src/service/balancer/mod.rs
+++ b/crates/policy/src/service/balancer/mod.rs
@@ -237,6 +237,11 @@
         self.place(now, request, LimitedUse::WithPermit)
     }
 
+    /// Decides again on an attempt that had to wait; it is not counted again.
+    pub fn readmit(&mut self, now: Instant, request: &AttemptRequest) -> Admission {
+        self.place(now, request, LimitedUse::WithPermit)
+    }
+
     /// Selects an upstream for an attempt that was counted before.
     fn place(
         &mut self,
--- a/crates/policy/tests/balancer.rs
+++ b/crates/policy/tests/balancer.rs
@@ -14,7 +14,7 @@
     choose_subset,
 };
 use model::clock::UnixMillis;
-use model::config::UpstreamState;
+use model::config::{DetectionProfile, RetryAllowance, Service, UpstreamState};
 use model::error::ErrorKind;
 use model::ids::{NodeId, UpstreamId};
 use model::sizes::RequestCount;
@@ -341,6 +341,31 @@
     assert_eq!(balancer.decide_retry(&context), Ok(()));
 }
 
+/// The fleet's bound on retries counts each request once, however often it is decided on.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_waits_deposits_retry_tokens_once() {
+    let config = Service {
+        profile: DetectionProfile::Episodes,
+        retry_allowance: RetryAllowance {
+            ratio_permille: 190,
+            max_millitokens: 0,
+            initial_millitokens: 0,
+            fleet_max_millitokens: 60_800,
+        },
+        ..service(1, 1, 1).as_ref().clone()
+    };
+    let mut balancer = ServiceBalancer::new(Instant::now(), Arc::new(config), name("ikeja"), 5);
+    admit(&mut balancer, false);
+    let waiting = balancer.admit(Instant::now(), &request(false));
+    assert!(matches!(waiting, Admission::Wait));
+    for _ in 0..10 {
+        let waiting = balancer.readmit(Instant::now(), &request(false));
+        assert!(matches!(waiting, Admission::Wait));
+    }
+    let deposit = balancer.take_load_report().deposit.unwrap();
+    assert_eq!(deposit.millitokens, 2 * 190);
+}
+
 /// Without an upstream, a queued request would wait in vain until its deadline.
 #[tokio::test(start_paused = true)]
 async fn a_service_without_upstreams_refuses_requests() {
--- a/crates/upstream/src/service/task.rs
+++ b/crates/upstream/src/service/task.rs
@@ -461,7 +461,7 @@
             if pending.reply.is_closed() {
                 continue;
             }
-            let admission = self.balancer.admit(now, &pending.request);
+            let admission = self.balancer.readmit(now, &pending.request);
             if let Some(pending) = self.answer(now, pending, admission) {
                 return self.queue.push_front(pending.deadline, pending);
             }
