--- a/crates/node/src/replica/task.rs
+++ b/crates/node/src/replica/task.rs
@@ -283,6 +283,14 @@
             .as_ref()
             .map_or_else(Default::default, |before| before.version);
         if upstreams.version <= current {
+            if upstreams.version < current {
+                log::info!(
+                    target: "replica",
+                    revision = upstreams.version.revision.get(),
+                    current = current.revision.get();
+                    "Dropped upstreams that are older than the current ones."
+                );
+            }
             return;
         }
         let upstreams = Arc::new(match &before {
