fix(replica): positions of a source order by era before revision

A store that comes back from a copy gives its revisions out again. A watch from a revision that had been given out again took the events of another history for its own.

Class: a version is compared beyond the history in which it is one. The era, which the store states in each response, is now part of the position: SourcePosition orders by era, then by revision, and is packed into the number that nodes exchange already, so releases without eras order it alike. A watch or a list over two eras is read again in full. What the copy lacks is retained for the time in which upstreams register again, whether or not the reader noticed that the store was away. The configuration has its operator's version and was not affected; an older one of the copy stays out of force.

--- a/crates/model/src/config/snapshots.rs
+++ b/crates/model/src/config/snapshots.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use super::{fleet, route, service};
+use crate::position::SourcePosition;
 use crate::{ids, sizes, span};
 
 crate::record! {
@@ -46,9 +47,10 @@
     /// The version of an upstream snapshot; a newer snapshot has a greater version.
     #[derive(Eq, Copy, PartialOrd, Ord, Default)]
     pub struct SnapshotVersion {
-        /// The platform revision that the snapshot reflects.
-        pub revision: sizes::ObjectVersion,
-        /// Orders snapshots of one revision: `u32::MAX` minus the number of retained entries,
+        /// The position in the platform's history that the snapshot reflects.
+        #[serde(rename = "revision")]
+        pub position: SourcePosition,
+        /// Orders snapshots of one position: `u32::MAX` minus the number of retained entries,
         /// so that it grows as they are dropped.
         pub settled: u32,
     }
@@ -61,25 +63,25 @@
         /// Upstreams by id.
         pub entries: BTreeMap<ids::UpstreamId, ListedUpstream>,
         /// Entries that are retained although the platform no longer lists them, with
-        /// the last revision at which it did.
+        /// the last position at which it did.
         #[serde(rename = "held")]
-        pub retained: BTreeMap<ids::UpstreamId, sizes::ObjectVersion>,
+        pub retained: BTreeMap<ids::UpstreamId, SourcePosition>,
     }
 }
 
 impl SnapshotVersion {
     /// The version of a snapshot without retained entries.
-    pub const fn settled_at(revision: sizes::ObjectVersion) -> Self {
+    pub const fn settled_at(position: SourcePosition) -> Self {
         Self {
-            revision,
+            position,
             settled: u32::MAX,
         }
     }
 
     /// The version of a snapshot with `retained` retained entries.
-    pub const fn with_retained(revision: sizes::ObjectVersion, retained: u32) -> Self {
+    pub const fn with_retained(position: SourcePosition, retained: u32) -> Self {
         Self {
-            revision,
+            position,
             settled: u32::MAX - retained,
         }
     }
--- a/crates/model/tests/values.rs
+++ b/crates/model/tests/values.rs
@@ -2,6 +2,7 @@
 
 use gooseberrydyke_model::error::{ErrorKind, Outcome};
 use gooseberrydyke_model::ids::{ServiceId, UpstreamId};
+use gooseberrydyke_model::position::SourcePosition;
 use gooseberrydyke_model::setting;
 use gooseberrydyke_model::sizes::{Rate, RequestCount, Share, SlotCount};
 use gooseberrydyke_model::span::TimeSpan;
@@ -101,3 +102,26 @@
         assert_eq!(kind.as_str().parse::<ErrorKind>().unwrap(), *kind);
     }
 }
+
+/// A node of a release without eras compares the numbers, so they must order as positions.
+#[test]
+fn source_positions_order_by_era_and_then_by_revision() {
+    let position = |text: &str| text.parse::<SourcePosition>().unwrap();
+    let ordered = [
+        "0:1",
+        "0:900",
+        "1:2",
+        "1:1099511627775",
+        "2:0",
+        "16777215:5",
+    ];
+    for pair in ordered.windows(2) {
+        assert!(position(pair[0]) < position(pair[1]), "{pair:?}");
+    }
+    for text in ordered {
+        assert_eq!(position(text).to_string(), text);
+    }
+    for text in ["", "5", "1:", ":1", "1:-1", "16777216:1"] {
+        assert!(text.parse::<SourcePosition>().is_err(), "{text:?}");
+    }
+}
--- a/crates/node/src/replica/relay.rs
+++ b/crates/node/src/replica/relay.rs
@@ -244,7 +244,7 @@
             if !self.must_read(SnapshotKind::Routes) {
                 return Ok(());
             }
-            read = (self.parts.source.watch_routes)(read.revision, ROUTES_WATCH_TIMEOUT).await?;
+            read = (self.parts.source.watch_routes)(read.position, ROUTES_WATCH_TIMEOUT).await?;
         }
     }
 
@@ -254,7 +254,7 @@
         let current = self.replica.snapshot().upstreams;
         self.view.replace(
             Instant::now(),
-            read.revision,
+            read.position,
             read.events,
             current.as_deref(),
         );
@@ -264,7 +264,7 @@
                 return Ok(());
             }
             let watch_source = Arc::clone(&self.parts.source.watch_upstreams);
-            let watching = watch_source(self.view.revision(), UPSTREAMS_WATCH_TIMEOUT);
+            let watching = watch_source(self.view.position(), UPSTREAMS_WATCH_TIMEOUT);
             let removals_due_at = self.view.removals_due_at();
             let removals_due = time::sleep_until(removals_due_at.unwrap_or_else(Instant::now));
             tokio::pin!(watching, removals_due);
@@ -281,7 +281,7 @@
             let now = Instant::now();
             self.view.apply_due_removals(now);
             let changed = !read.events.is_empty();
-            self.view.update(now, read.revision, read.events);
+            self.view.update(now, read.position, read.events);
             if changed {
                 self.publish().await;
                 time::sleep(CHANGE_PAUSE).await;
--- a/crates/node/src/replica/source.rs
+++ b/crates/node/src/replica/source.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use model::config::RouteSnapshot;
-use model::sizes;
+use model::position::SourcePosition;
 use policy::replica::SourceEvent;
 
 /// Why a read of the source failed.
@@ -13,7 +13,7 @@
 pub enum SourceError {
     /// The source did not respond, or its response was an error or unreadable.
     Unavailable(Arc<str>),
-    /// The source no longer has the changes since the given revision.
+    /// The source no longer has the changes since the given position, or was restored since.
     HistoryGone,
 }
 
@@ -31,8 +31,8 @@
 /// The result of a read of routes.
 #[derive(Debug, Clone)]
 pub struct RoutesRead {
-    /// The source's revision at the time of the read.
-    pub revision: sizes::ObjectVersion,
+    /// The source's position at the time of the read.
+    pub position: SourcePosition,
     /// The routes; `None` when there are none, they did not change or cannot be used.
     pub snapshot: Option<RouteSnapshot>,
 }
@@ -40,8 +40,8 @@
 /// The result of a read of upstreams.
 #[derive(Debug, Clone)]
 pub struct UpstreamsRead {
-    /// The source's revision at the time of the read.
-    pub revision: sizes::ObjectVersion,
+    /// The source's position at the time of the read.
+    pub position: SourcePosition,
     /// Every entry after a full read, the changed entries after a watch.
     pub events: Vec<SourceEvent>,
 }
@@ -52,8 +52,8 @@
 /// Reads one kind of snapshot in full.
 type ReadAll<T> = Arc<dyn Fn() -> SourceFuture<T> + Send + Sync>;
 
-/// Waits for changes after a revision, up to a maximum duration.
-type Watch<T> = Arc<dyn Fn(sizes::ObjectVersion, Duration) -> SourceFuture<T> + Send + Sync>;
+/// Waits for changes after a position, up to a maximum duration.
+type Watch<T> = Arc<dyn Fn(SourcePosition, Duration) -> SourceFuture<T> + Send + Sync>;
 
 /// The source of routes and upstreams.
 #[derive(Clone)]
--- a/crates/node/src/replica/task.rs
+++ b/crates/node/src/replica/task.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use model::config::{RouteSnapshot, UpstreamSnapshot};
+use model::config::{RouteSnapshot, SnapshotVersion, UpstreamSnapshot};
 use model::ids;
 use policy::invariant::{self, Invariant};
 use policy::membership::Member;
@@ -213,6 +213,18 @@
     current.is_none_or(|(node, since)| *node != from.node && since.elapsed() > FETCH_GRACE_PERIOD)
 }
 
+/// Logs when a snapshot shows that the source was restored.
+fn log_restoration(before: SnapshotVersion, after: SnapshotVersion) {
+    if after.position.era() > before.position.era() {
+        log::warn!(
+            target: "replica",
+            position:% = after.position,
+            before:% = before.position;
+            "The source was restored from a copy."
+        );
+    }
+}
+
 struct ReplicaTask {
     parts: ReplicaParts,
     commands: mpsc::Sender<ReplicaCommand>,
@@ -286,8 +298,8 @@
             if upstreams.version < current {
                 log::info!(
                     target: "replica",
-                    revision = upstreams.version.revision.get(),
-                    current = current.revision.get();
+                    position:% = upstreams.version.position,
+                    current:% = current.position;
                     "Dropped upstreams that are older than the current ones."
                 );
             }
@@ -297,6 +309,9 @@
             Some(before) => replica::drop_confirmed_removals(upstreams, before),
             None => upstreams,
         });
+        if let Some(before) = &before {
+            log_restoration(before.version, upstreams.version);
+        }
         self.publisher
             .send_modify(|snapshot| snapshot.upstreams = Some(Arc::clone(&upstreams)));
         self.update_lag();
--- a/crates/policy/src/replica/change.rs
+++ b/crates/policy/src/replica/change.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 
 use model::config::{ListedUpstream, SnapshotVersion, UpstreamSnapshot};
-use model::{ids, sizes};
+use model::ids;
+use model::position::SourcePosition;
 
 model::record! {
     /// The difference between two versions of the upstream snapshot.
@@ -20,7 +21,7 @@
         pub removed: Vec<ids::UpstreamId>,
         /// Entries that are retained although the source removed them, as in the snapshot.
         #[serde(rename = "held")]
-        pub retained: BTreeMap<ids::UpstreamId, sizes::ObjectVersion>,
+        pub retained: BTreeMap<ids::UpstreamId, SourcePosition>,
     }
 }
 
--- a/crates/policy/src/replica/confirm.rs
+++ b/crates/policy/src/replica/confirm.rs
@@ -17,7 +17,7 @@
         retained, entries, ..
     } = &mut received;
     retained.retain(|id, listed_at| {
-        let confirmed = current.version.revision >= *listed_at && !current.entries.contains_key(id);
+        let confirmed = current.version.position >= *listed_at && !current.entries.contains_key(id);
         if confirmed {
             entries.remove(id);
         }
--- a/crates/policy/src/replica/view.rs
+++ b/crates/policy/src/replica/view.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use model::config::{ListedUpstream, SnapshotVersion, UpstreamSnapshot};
-use model::sizes;
+use model::position::SourcePosition;
 use tokio::time::Instant;
 
 /// How long after the last failed read removals are not trusted.
@@ -30,8 +30,8 @@
 #[derive(Debug)]
 struct RetainedEntry {
     entry: ListedUpstream,
-    /// The last revision at which the source listed the entry.
-    listed_at: sizes::ObjectVersion,
+    /// The last position at which the source listed the entry.
+    listed_at: SourcePosition,
 }
 
 /// The entries of the source, by their names there.
@@ -41,16 +41,16 @@
 /// therefore retained until its upstream has had time to register again.
 #[derive(Debug, Default)]
 pub struct SourceView {
-    revision: sizes::ObjectVersion,
+    position: SourcePosition,
     entries: BTreeMap<Arc<str>, ListedUpstream>,
     retained: BTreeMap<Arc<str>, RetainedEntry>,
     untrusted_until: Option<Instant>,
 }
 
 impl SourceView {
-    /// The revision up to which the view is complete.
-    pub const fn revision(&self) -> sizes::ObjectVersion {
-        self.revision
+    /// The position up to which the view is complete.
+    pub const fn position(&self) -> SourcePosition {
+        self.position
     }
 
     /// Records that the source is available again; `failed` is when a read last failed.
@@ -63,21 +63,29 @@
     pub fn replace(
         &mut self,
         now: Instant,
-        revision: sizes::ObjectVersion,
+        position: SourcePosition,
         listed: Vec<SourceEvent>,
         known: Option<&UpstreamSnapshot>,
     ) {
+        let latest = known.map_or(self.position, |known| {
+            known.version.position.max(self.position)
+        });
+        if latest > SourcePosition::default() && position.era() > latest.era() {
+            // What the copy lacks is written again.
+            let until = now + REMOVAL_TRUST_DELAY;
+            self.untrusted_until = self.untrusted_until.max(Some(until));
+        }
         let mut previous = std::mem::take(&mut self.entries);
-        let mut listed_at = self.revision;
-        if let Some(known) = known.filter(|snapshot| snapshot.version.revision >= self.revision) {
-            listed_at = known.version.revision;
+        let mut listed_at = self.position;
+        if let Some(known) = known.filter(|snapshot| snapshot.version.position >= self.position) {
+            listed_at = known.version.position;
             let entries = known.entries.values().filter_map(|entry| {
                 let name = entry.upstream.instance.clone()?;
                 Some((name, entry.clone()))
             });
             previous = entries.collect();
         }
-        self.revision = revision;
+        self.position = position;
         for event in listed {
             if let Some(entry) = event.entry {
                 self.entries.insert(event.name, entry);
@@ -93,13 +101,8 @@
     }
 
     /// Applies changes of single entries.
-    pub fn update(
-        &mut self,
-        now: Instant,
-        revision: sizes::ObjectVersion,
-        events: Vec<SourceEvent>,
-    ) {
-        let listed_at = std::mem::replace(&mut self.revision, revision);
+    pub fn update(&mut self, now: Instant, position: SourcePosition, events: Vec<SourceEvent>) {
+        let listed_at = std::mem::replace(&mut self.position, position);
         for SourceEvent { name, entry } in events {
             let removed = match entry {
                 Some(entry) => {
@@ -120,7 +123,7 @@
         now: Instant,
         name: Arc<str>,
         entry: ListedUpstream,
-        listed_at: sizes::ObjectVersion,
+        listed_at: SourcePosition,
     ) {
         if self.untrusted_until.is_some_and(|until| now < until) {
             self.retained
@@ -149,8 +152,8 @@
             .map(|retained| &retained.entry)
             .chain(self.entries.values());
         let version = match u32::try_from(self.retained.len()) {
-            Ok(0) => SnapshotVersion::settled_at(self.revision),
-            count => SnapshotVersion::with_retained(self.revision, count.unwrap_or(u32::MAX)),
+            Ok(0) => SnapshotVersion::settled_at(self.position),
+            count => SnapshotVersion::with_retained(self.position, count.unwrap_or(u32::MAX)),
         };
         UpstreamSnapshot {
             version,
--- a/crates/policy/tests/replica.rs
+++ b/crates/policy/tests/replica.rs
@@ -6,6 +6,7 @@
 
 use gooseberrydyke_policy::replica::{self, ChangeResult, SourceEvent, SourceView, UpstreamChange};
 use model::config::{ListedUpstream, SnapshotVersion, Upstream, UpstreamSnapshot, UpstreamState};
+use model::position::{SourceEra, SourcePosition};
 use model::sizes::{ObjectVersion, SlotCount};
 use quickcheck::quickcheck;
 use tokio::time::{self, Instant};
@@ -45,8 +46,12 @@
     }
 }
 
-fn revision(number: u64) -> ObjectVersion {
-    ObjectVersion::new(number)
+fn position(era: u64, revision: u64) -> SourcePosition {
+    SourcePosition::new(SourceEra::new(era), ObjectVersion::new(revision))
+}
+
+fn revision(number: u64) -> SourcePosition {
+    position(0, number)
 }
 
 /// While the source is available, a removed entry belongs to a stopped upstream, which
@@ -194,6 +199,74 @@
     assert_eq!(fresh.snapshot().entries.len(), 2);
 }
 
+/// A restored source gives revisions out again. Its listing must replace a snapshot with a
+/// higher revision of an earlier era, and the same revision must not pass for the same
+/// snapshot.
+#[tokio::test(start_paused = true)]
+async fn a_listing_of_a_restored_source_is_newer_than_every_earlier_one() {
+    let mut view = SourceView::default();
+    view.replace(Instant::now(), position(1, 90), listed(&["a", "b"]), None);
+    let before = view.snapshot();
+    view.replace(
+        Instant::now(),
+        position(2, 50),
+        listed(&["a"]),
+        Some(&before),
+    );
+    let lower = view.snapshot();
+    assert!(lower.version > before.version);
+    view.update(Instant::now(), position(2, 90), listed(&["c"]));
+    let same = view.snapshot();
+    assert!(same.version > before.version && same.version > lower.version);
+    let change = UpstreamChange::between(&lower, &same);
+    assert_eq!(change.apply(Some(&before)), ChangeResult::BaseMismatch);
+}
+
+/// The copy lacks upstreams that registered lately, which write their entries again. Until
+/// then they must stay in use, even if this node did not notice that the source was away.
+#[tokio::test(start_paused = true)]
+async fn entries_that_a_copy_lacks_are_retained_for_a_while() {
+    let mut view = SourceView::default();
+    view.replace(
+        Instant::now(),
+        position(1, 90),
+        listed(&["a", "b", "c"]),
+        None,
+    );
+    let before = view.snapshot();
+    view.replace(
+        Instant::now(),
+        position(2, 50),
+        listed(&["a"]),
+        Some(&before),
+    );
+    assert_eq!(view.snapshot().entries.len(), 3);
+    view.update(Instant::now(), position(2, 51), listed(&["b"]));
+    time::advance(Duration::from_millis(1_800)).await;
+    view.apply_due_removals(Instant::now());
+    assert_eq!(view.snapshot().entries.len(), 2, "c did not register again");
+}
+
+/// A snapshot of an earlier era has an entry that a later one lacks: the copy may lack it,
+/// too, so this is no removal.
+#[tokio::test(start_paused = true)]
+async fn a_snapshot_of_an_earlier_era_confirms_no_removal_of_a_later_entry() {
+    let mut early = SourceView::default();
+    early.replace(Instant::now(), position(1, 90), listed(&["a"]), None);
+    let mut late = SourceView::default();
+    late.replace(Instant::now(), position(2, 50), listed(&["a", "b"]), None);
+    let before = late.snapshot();
+    late.source_recovered(Instant::now());
+    late.replace(
+        Instant::now(),
+        position(2, 60),
+        listed(&["a"]),
+        Some(&before),
+    );
+    let merged = replica::drop_confirmed_removals(late.snapshot(), &early.snapshot());
+    assert_eq!(merged.entries.len(), 2);
+}
+
 /// An instance that restarts registers under its old name with a new upstream id. The old
 /// upstream must not stay in the snapshot.
 #[tokio::test(start_paused = true)]
