fix(replica): an upstream that left does not come back with a copy of the source

A copy lists upstreams that drained or were removed in the time that it lacks as active again, until they write their state or their entries expire after three heartbeats of silence. The nodes then sent requests to upstreams whose leaving they had known: on a gateway in front of a store of our own, 9 of 20 requests after the restoration (platform/tests/restoration, on the code before). Class: knowledge that is final for an incarnation was taken back by an older source.

Each node remembers for two minutes which upstreams it saw drain or leave. If a later era lists one of them as active, it counts as draining for 6 s: by then it is either gone from the listing or alive. DepartureLog decides, the replica's task owns it.

--- a/bins/entry/src/replica_directory.rs
+++ b/bins/entry/src/replica_directory.rs
@@ -42,7 +42,12 @@
         let (Some(routes), Some(upstreams)) = (&snapshot.routes, &snapshot.upstreams) else {
             return;
         };
-        let config = Arc::new(routes.join(upstreams));
+        let config = if snapshot.leaving.is_empty() {
+            routes.join(upstreams)
+        } else {
+            routes.join(&upstreams.with_draining(&snapshot.leaving))
+        };
+        let config = Arc::new(config);
         let current = Arc::clone(&self.directory.borrow());
         let next = current
             .apply_config(config, &self.settings_factory, size)
--- a/crates/model/src/config/snapshots.rs
+++ b/crates/model/src/config/snapshots.rs
@@ -2,7 +2,7 @@
 //! services, and upstreams register themselves. Each source has a snapshot with a version
 //! of its own.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use super::{fleet, route, service};
@@ -87,6 +87,20 @@
     }
 }
 
+impl UpstreamSnapshot {
+    /// This snapshot, with the given upstreams draining.
+    #[must_use]
+    pub fn with_draining(&self, draining: &BTreeSet<ids::UpstreamId>) -> Self {
+        let mut snapshot = self.clone();
+        for id in draining {
+            if let Some(entry) = snapshot.entries.get_mut(id) {
+                entry.upstream.state = service::UpstreamState::Draining;
+            }
+        }
+        snapshot
+    }
+}
+
 impl RouteSnapshot {
     /// Joins the snapshot with the upstreams of its services.
     pub fn join(&self, upstreams: &UpstreamSnapshot) -> fleet::FleetConfig {
--- a/crates/node/src/replica/task.rs
+++ b/crates/node/src/replica/task.rs
@@ -1,5 +1,6 @@
 //! The task that owns a node's copies of the route and upstream snapshots.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,9 +9,9 @@
 use model::ids;
 use policy::invariant::{self, Invariant};
 use policy::membership::Member;
-use policy::replica::{self, ChangeResult, UpstreamChange};
+use policy::replica::{self, ChangeResult, DepartureLog, UpstreamChange};
 use tokio::sync::{mpsc, watch};
-use tokio::time::Instant;
+use tokio::time::{self, Instant};
 
 use super::source::FleetSource;
 use super::{compare, relay};
@@ -34,6 +35,8 @@
     pub routes: Option<Arc<RouteSnapshot>>,
     /// Upstreams; `None` until the first snapshot arrives.
     pub upstreams: Option<Arc<UpstreamSnapshot>>,
+    /// Upstreams that the snapshot lists as active and that this node knows to be leaving.
+    pub leaving: Arc<BTreeSet<ids::UpstreamId>>,
 }
 
 impl ReplicaSnapshot {
@@ -117,6 +120,7 @@
             routes_fetch: None,
             upstreams_fetch: None,
             newest_known: ReplicaSummary::default(),
+            departures: DepartureLog::default(),
             lag_publisher,
         };
         tokio::spawn(task.run(inbox));
@@ -235,12 +239,25 @@
     upstreams_fetch: Option<(ids::NodeId, Instant)>,
     /// The newest versions that any node reported.
     newest_known: ReplicaSummary,
+    /// Upstreams that left lately.
+    departures: DepartureLog,
     lag_publisher: watch::Sender<ReplicaLag>,
 }
 
 impl ReplicaTask {
     async fn run(mut self, mut inbox: mpsc::Receiver<ReplicaCommand>) {
-        while let Some(command) = inbox.recv().await {
+        loop {
+            let departures_due_at = self.departures.next_change_at();
+            let departures_due = time::sleep_until(departures_due_at.unwrap_or_else(Instant::now));
+            let command = tokio::select! {
+                command = inbox.recv() => command,
+                () = departures_due, if departures_due_at.is_some() => {
+                    self.departures.expire(Instant::now());
+                    self.publish_leaving();
+                    continue;
+                }
+            };
+            let Some(command) = command else { return };
             match command {
                 ReplicaCommand::Routes(routes) => self.apply_routes(routes),
                 ReplicaCommand::Upstreams(upstreams) => self.apply_upstreams(upstreams),
@@ -311,9 +328,13 @@
         });
         if let Some(before) = &before {
             log_restoration(before.version, upstreams.version);
+            self.departures.record(Instant::now(), before, &upstreams);
         }
-        self.publisher
-            .send_modify(|snapshot| snapshot.upstreams = Some(Arc::clone(&upstreams)));
+        let leaving = Arc::new(self.departures.leaving(Instant::now()));
+        self.publisher.send_modify(|snapshot| {
+            snapshot.upstreams = Some(Arc::clone(&upstreams));
+            snapshot.leaving = leaving;
+        });
         self.update_lag();
         match before {
             Some(before) => self.push(UpstreamChange::between(&before, &upstreams)),
@@ -321,6 +342,18 @@
         }
     }
 
+    /// Publishes the upstreams that count as leaving, if they changed.
+    fn publish_leaving(&self) {
+        let leaving = self.departures.leaving(Instant::now());
+        self.publisher.send_if_modified(|snapshot| {
+            let changed = *snapshot.leaving != leaving;
+            if changed {
+                snapshot.leaving = Arc::new(leaving);
+            }
+            changed
+        });
+    }
+
     fn apply_change(&mut self, change: &UpstreamChange, from: &Arc<Member>) {
         let current = self.publisher.borrow().upstreams.clone();
         match change.apply(current.as_deref()) {
