--- a/testing/lab/src/control.rs
+++ b/testing/lab/src/control.rs
@@ -18,6 +18,7 @@
 use tokio::time::{self, Instant};
 
 use crate::load::{processor_time, resident_bytes};
+use crate::permits;
 use crate::report::{Bound, Report, ReportRow, to_f64};
 use crate::settings::LabSettings;
 
@@ -50,7 +51,7 @@
 /// Nodes in each of the three data centres, for each fleet measured, in ascending order.
 const NODES_PER_DATA_CENTRE: [usize; 3] = [4, 16, 32];
 /// Iterations over which the cost of an inexpensive step is averaged.
-const STEP_ITERATIONS: u32 = 20_000;
+pub(crate) const STEP_ITERATIONS: u32 = 20_000;
 
 /// Adds rows of the subject `ours` to a report.
 pub(crate) struct RowSink<'a> {
@@ -265,6 +266,7 @@
         "us",
         assignment_micros,
     );
+    permits::measure(sink, &table);
     let config = sample_config(TARGET_SERVICES, TARGET_ROUTES, TARGET_WORKSPACES);
     let rebuild_micros = mean_micros(5, || {
         let table = RouteTable::build(&config);
@@ -282,7 +284,7 @@
 }
 
 /// Returns the mean duration of a step in microseconds.
-fn mean_micros(iterations: u32, mut step: impl FnMut()) -> f64 {
+pub(crate) fn mean_micros(iterations: u32, mut step: impl FnMut()) -> f64 {
     let start = std::time::Instant::now();
     for _ in 0..iterations {
         step();
--- a/testing/lab/src/main.rs
+++ b/testing/lab/src/main.rs
@@ -7,6 +7,7 @@
 mod load;
 mod once_only;
 mod overhead;
+mod permits;
 mod report;
 mod settings;
 mod storm;
