--- a/crates/node/src/limits/task.rs
+++ b/crates/node/src/limits/task.rs
@@ -57,14 +57,11 @@
         }
         LimitCommand::Report(report) => {
             if let Some(state) = ledger.report(now, &report) {
-                let limit = state
-                    .rate
-                    .map_or_else(|| "none".to_owned(), |rate| rate.to_string());
                 log::info!(
                     target: "limits",
                     service:% = report.service,
                     upstream:% = report.upstream,
-                    limit = limit.as_str(),
+                    limit:% = state,
                     version = state.version.get();
                     "The limit on the requests per second of an upstream changed."
                 );
--- a/crates/policy/src/permit/signal.rs
+++ b/crates/policy/src/permit/signal.rs
@@ -1,5 +1,7 @@
 //! What a response states about the limit of its upstream.
 
+use std::fmt;
+
 use model::sizes;
 
 model::record! {
@@ -15,3 +17,13 @@
         Unknown,
     }
 }
+
+impl fmt::Display for LimitSignal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Absent => f.write_str("none"),
+            Self::Named(rate) => rate.fmt(f),
+            Self::Unknown => f.write_str("unknown"),
+        }
+    }
+}
--- a/crates/policy/src/permit/state.rs
+++ b/crates/policy/src/permit/state.rs
@@ -1,5 +1,7 @@
 //! What a node knows of the limit of one upstream.
 
+use std::fmt;
+
 use model::{ids, sizes};
 
 model::quantity! {
@@ -46,3 +48,12 @@
         is_newer
     }
 }
+
+impl fmt::Display for LimitState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.rate {
+            Some(rate) => rate.fmt(f),
+            None => f.write_str("none"),
+        }
+    }
+}
--- a/crates/policy/src/service/balancer/mod.rs
+++ b/crates/policy/src/service/balancer/mod.rs
@@ -1,6 +1,7 @@
 //! Admits attempts to the upstreams of a service, tracks them until they end and
 //! collects evidence of failing upstreams.
 
+mod admission;
 pub(super) mod loads;
 pub(super) mod offers;
 pub(super) mod permits;
@@ -19,12 +20,9 @@
 
 pub use loads::{LoadReport, UpstreamLoad};
 pub use offers::OfferCount;
-use permits::LimitedUse;
 
-use super::choose::{self, ChoiceWidth};
-use super::entry::{UpstreamEntry, UpstreamStatus, UpstreamView};
+use super::entry::{UpstreamEntry, UpstreamView};
 use crate::detection::{self, DetectionThresholds};
-use crate::invariant;
 use crate::limit;
 use crate::permit::{LimitVersion, PermitRequest};
 use crate::retry::{self, AttemptEnd};
@@ -226,169 +224,6 @@
         self.workspaces.leave(workspace);
     }
 
-    /// Decides whether an attempt may be sent now, and to which upstream.
-    pub fn admit(&mut self, now: Instant, request: &AttemptRequest) -> Admission {
-        if request.purpose == AttemptPurpose::First {
-            self.budget.deposit();
-            self.late_share
-                .count_request(now, f64::from(self.fleet_nodes));
-            self.add_offer_credit();
-        }
-        self.place(now, request, LimitedUse::WithPermit)
-    }
-
-    /// Decides again on an attempt that had to wait; it is not counted again.
-    pub fn readmit(&mut self, now: Instant, request: &AttemptRequest) -> Admission {
-        self.place(now, request, LimitedUse::WithPermit)
-    }
-
-    /// Selects an upstream for an attempt that was counted before.
-    fn place(
-        &mut self,
-        now: Instant,
-        request: &AttemptRequest,
-        limited_use: LimitedUse,
-    ) -> Admission {
-        let Some(key) = self.choose(now, request, limited_use) else {
-            return self.wait_or_refuse(now, request, limited_use);
-        };
-        if self.upstreams[key].known_limit.is_limited() {
-            if !(self.is_free(request) || self.budget.covers_retry()) {
-                return Admission::NoBudget;
-            }
-            return Admission::PermitNeeded(self.permit_request(now, key, request));
-        }
-        self.grant_funded(now, key, request, None)
-    }
-
-    /// Whether an attempt is not charged to the retry budget when it is admitted.
-    fn is_free(&self, request: &AttemptRequest) -> bool {
-        request.purpose != AttemptPurpose::Hedge
-            || (request.charge == retry::RetryCharge::Trial && !self.shares_signals())
-    }
-
-    fn grant_funded(
-        &mut self,
-        now: Instant,
-        key: UpstreamKey,
-        request: &AttemptRequest,
-        permit: Option<LimitVersion>,
-    ) -> Admission {
-        if !(self.is_free(request) || self.budget.spend()) {
-            return Admission::NoBudget;
-        }
-        Admission::Grant(self.grant(now, key, request, permit))
-    }
-
-    fn choose(
-        &mut self,
-        now: Instant,
-        request: &AttemptRequest,
-        limited_use: LimitedUse,
-    ) -> Option<UpstreamKey> {
-        if self.shares_signals() {
-            self.mark_avoided(now);
-            let due = self.pick_due_offer(now, request, limited_use);
-            if due.is_some() {
-                return due;
-            }
-        }
-        let upstreams = self.upstreams.iter();
-        let untried = upstreams.filter(|(_, entry)| {
-            !request.exclude.contains(&entry.upstream.id)
-                && limited_use.may_select(now, &entry.known_limit)
-        });
-        let may_be_trial = request.repeatable
-            && request.purpose == AttemptPurpose::First
-            && !self.shares_signals();
-        let trial = may_be_trial
-            .then(|| choose::pick_trial(untried.clone(), now))
-            .flatten();
-        if let Some(key) = trial {
-            self.upstreams[key].next_trial_at = now + self.trial_interval;
-            return Some(key);
-        }
-        let skips_local = !rand::Rng::random_bool(&mut self.rng, self.local_share);
-        let explores = skips_local || choose::draw_exploration(request.repeatable, &mut self.rng);
-        let width = if self.shares_signals() {
-            ChoiceWidth::All
-        } else {
-            ChoiceWidth::Two
-        };
-        // Only with the requests of the whole data centre does a lack of responses say much.
-        let usual_latency = self.estimate.median().filter(|_| width == ChoiceWidth::All);
-        choose::pick(
-            &untried,
-            &self.local_data_centre,
-            explores,
-            width,
-            |entry| entry.load_per_slot(now, usual_latency),
-            &mut self.rng,
-        )
-    }
-
-    fn wait_or_refuse(
-        &self,
-        now: Instant,
-        request: &AttemptRequest,
-        limited_use: LimitedUse,
-    ) -> Admission {
-        let mut could_serve = self
-            .upstreams
-            .values()
-            .filter(|entry| entry.is_eligible() && !request.exclude.contains(&entry.upstream.id));
-        let any_could_serve = could_serve.clone().next().is_some();
-        if !any_could_serve || request.purpose == AttemptPurpose::Hedge {
-            return Admission::Refuse(error::ErrorKind::NoUpstream);
-        }
-        if could_serve.all(|entry| !limited_use.may_select(now, &entry.known_limit)) {
-            return Admission::RateLimited(self.permit_wait(now, request));
-        }
-        Admission::Wait
-    }
-
-    fn grant(
-        &mut self,
-        now: Instant,
-        key: UpstreamKey,
-        request: &AttemptRequest,
-        permit: Option<LimitVersion>,
-    ) -> AttemptGrant {
-        let overdue_after = self.overdue_after(request);
-        self.record_own_offer(now, key);
-        let entry = &mut self.upstreams[key];
-        let status = entry.status();
-        invariant::check(
-            invariant::Invariant::DrainRespected,
-            status != UpstreamStatus::Draining,
-            || format!("upstream {} was selected while draining", entry.upstream.id),
-        );
-        let in_flight_before = entry.in_flight;
-        if entry.in_flight + entry.in_flight_of_other_nodes(now) == 0 {
-            entry.progress_at = now;
-        }
-        entry.in_flight += 1;
-        let upstream = Arc::clone(&entry.upstream);
-        let attempt = InFlightAttempt {
-            upstream: key,
-            started: now,
-            latency: None,
-            counted_overdue: false,
-            connection_suspect: false,
-            in_flight_before,
-            overdue_after,
-            permit,
-        };
-        let trial = status == UpstreamStatus::Avoided;
-        AttemptGrant {
-            attempt: self.attempts.insert(attempt),
-            upstream,
-            trial,
-            overdue_after,
-            permit,
-        }
-    }
-
     /// Marks that an attempt uses a connection that was idle for so long that it may be
     /// dead.
     pub fn mark_connection_suspect(&mut self, key: AttemptKey) {
--- a/crates/upstream/src/service/task.rs
+++ b/crates/upstream/src/service/task.rs
@@ -399,14 +399,11 @@
         let Some(report) = self.balancer.record_limit_signal(now, attempt, signal) else {
             return;
         };
-        let limit = report
-            .named()
-            .map_or_else(|| "none".to_owned(), |rate| rate.to_string());
         log::info!(
             target: "limits",
             service:% = report.service,
             upstream:% = report.upstream,
-            limit = limit.as_str(),
+            limit:% = report.signal,
             permit = report.permit.unwrap_or_default().get();
             "A response states another limit on the requests per second than was known."
         );
