fix(permit): two owners in a separated data centre together keep a limit

When the nodes of a data centre lose each other, each part has an owner of the limits, and each granted the whole limit to its part: up to twice the limit while both last. An owner now grants the share of its data centre's nodes that it can reach. A node that has not responded for ten minutes counts as gone, so that machines that were replaced do not lower a limit for ever. The price is a sixteenth of a limit for each of sixteen nodes that is down, for ten minutes.

--- a/crates/node/src/limits/task.rs
+++ b/crates/node/src/limits/task.rs
@@ -53,7 +53,8 @@
     match command {
         LimitCommand::Draw(request, reply) => {
             // When the sender of the draw has given up, the permit is lost.
-            let _ = reply.send(ledger.draw(now, &request));
+            let share = parts.members.table().reachable_share(now);
+            let _ = reply.send(ledger.draw(now, &request, share));
         }
         LimitCommand::Report(report) => {
             if let Some(state) = ledger.report(now, &report) {
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -16,6 +16,9 @@
 
 /// How long a node that did not respond is excluded from shared jobs.
 const SUSPECT_DURATION: Duration = Duration::from_secs(10);
+/// How long a node that does not respond may be one that is cut off; after that it counts as
+/// gone.
+const SEPARATION_TTL: Duration = Duration::from_mins(10);
 /// Nodes of each data centre that watch the configuration for the other local nodes.
 const CONFIG_RELAYS_PER_DATA_CENTRE: usize = 2;
 /// A forwarder has at least the highest capacity in its data centre divided by this,
@@ -44,12 +47,19 @@
     }
 }
 
+/// When a node failed to respond.
+#[derive(Debug, Clone, Copy)]
+struct Suspicion {
+    first: Instant,
+    last: Instant,
+}
+
 /// The known members and those that failed to respond.
 #[derive(Debug, Clone)]
 pub struct MemberTable {
     own: Member,
     members: BTreeMap<ids::NodeId, Arc<Member>>,
-    suspects: HashMap<ids::NodeId, Instant>,
+    suspects: HashMap<ids::NodeId, Suspicion>,
 }
 
 impl MemberTable {
@@ -125,7 +135,12 @@
     /// Records that a node did not respond.
     pub fn mark_suspect(&mut self, now: Instant, node: &ids::NodeId) {
         if *node != self.own.node {
-            self.suspects.insert(node.clone(), now);
+            let suspicion = self.suspects.entry(node.clone());
+            let suspicion = suspicion.or_insert(Suspicion {
+                first: now,
+                last: now,
+            });
+            suspicion.last = now;
         }
     }
 
@@ -167,7 +182,9 @@
     pub fn available(&self, now: Instant) -> Vec<Arc<Member>> {
         let responsive = |node: &ids::NodeId| {
             let since = self.suspects.get(node);
-            since.is_none_or(|at| now.saturating_duration_since(*at) >= SUSPECT_DURATION)
+            since.is_none_or(|suspicion| {
+                now.saturating_duration_since(suspicion.last) >= SUSPECT_DURATION
+            })
         };
         let available = self
             .members
@@ -264,6 +281,22 @@
         rendezvous::first(&job, &candidates, |member| member.node.as_str()).cloned()
     }
 
+    /// The share of this data centre's nodes that this node can reach, itself included. The
+    /// others may be cut off from it and have an owner of rate limits of their own.
+    pub fn reachable_share(&self, now: Instant) -> sizes::Share {
+        let (mut reachable, mut separated) = (1, 0);
+        for member in self.local_peers() {
+            match self.suspects.get(&member.node) {
+                None => reachable += 1,
+                Some(suspicion) => {
+                    let age = now.saturating_duration_since(suspicion.first);
+                    separated += u32::from(age < SEPARATION_TTL);
+                }
+            }
+        }
+        sizes::Share::new(f64::from(reachable) / f64::from(reachable + separated))
+    }
+
     /// Whether this node reads the snapshots for its data centre; also true if no node
     /// is available for that.
     pub fn is_snapshot_relay(&self, now: Instant) -> bool {
--- a/crates/policy/src/permit/ledger.rs
+++ b/crates/policy/src/permit/ledger.rs
@@ -69,9 +69,10 @@
         }
     }
 
-    /// The rate at which permits are granted; `None` without a limit.
-    fn rate(&self) -> Option<f64> {
-        self.state.rate.map(|rate| rate.get().max(RATE_MIN.get()))
+    /// The rate at which permits are granted at a share of the limit; `None` without a limit.
+    fn rate(&self, share: sizes::Share) -> Option<f64> {
+        let limit = self.state.rate?.get().max(RATE_MIN.get());
+        Some(limit * share.get())
     }
 
     fn set(&mut self, rate: Option<sizes::RateLimit>) {
@@ -90,13 +91,21 @@
         }
     }
 
-    /// The refilled bucket and its rate; `None` without a limit.
-    fn refilled_bucket(&mut self, now: Instant) -> Option<(&mut PermitBucket, f64)> {
-        let rate = self.rate()?;
-        let bucket = self.bucket.get_or_insert(PermitBucket {
+    fn start_bucket(&mut self, now: Instant) -> &mut PermitBucket {
+        self.bucket.get_or_insert(PermitBucket {
             permits: 0.0,
             refilled_at: now,
-        });
+        })
+    }
+
+    /// The refilled bucket and its rate; `None` without a limit.
+    fn refilled_bucket(
+        &mut self,
+        now: Instant,
+        share: sizes::Share,
+    ) -> Option<(&mut PermitBucket, f64)> {
+        let rate = self.rate(share)?;
+        let bucket = self.start_bucket(now);
         bucket.refill(now, rate);
         Some((bucket, rate))
     }
@@ -112,8 +121,14 @@
 }
 
 impl PermitLedger {
-    /// Draws a permit for the candidate that has most of them.
-    pub fn draw(&mut self, now: Instant, request: &PermitRequest) -> PermitReply {
+    /// Draws a permit for the candidate that has most of them. Permits are granted at `share`
+    /// of each limit: the share of the nodes that this owner serves.
+    pub fn draw(
+        &mut self,
+        now: Instant,
+        request: &PermitRequest,
+        share: sizes::Share,
+    ) -> PermitReply {
         for candidate in &request.candidates {
             let key = key_of(request, candidate);
             let entry = self.limits.entry(key.clone());
@@ -125,20 +140,25 @@
                 self.unannounced.insert(key);
             }
         }
-        let permit = self.grant(now, request);
+        let permit = self.grant(now, request, share);
         let outlooks = request
             .candidates
             .iter()
-            .map(|candidate| self.outlook(now, &key_of(request, candidate)))
+            .map(|candidate| self.outlook(now, &key_of(request, candidate), share))
             .collect();
         PermitReply { permit, outlooks }
     }
 
-    fn grant(&mut self, now: Instant, request: &PermitRequest) -> Option<Permit> {
+    fn grant(
+        &mut self,
+        now: Instant,
+        request: &PermitRequest,
+        share: sizes::Share,
+    ) -> Option<Permit> {
         let mut fullest: Option<(f64, &PermitCandidate)> = None;
         for candidate in &request.candidates {
             let entry = self.limits.get_mut(&key_of(request, candidate))?;
-            let Some((bucket, _)) = entry.refilled_bucket(now) else {
+            let Some((bucket, _)) = entry.refilled_bucket(now, share) else {
                 continue;
             };
             let is_fuller = fullest.is_none_or(|(permits, _)| bucket.permits > permits);
@@ -149,7 +169,7 @@
         let (_, candidate) = fullest?;
         let entry = self.limits.get_mut(&key_of(request, candidate))?;
         let version = entry.state.version;
-        let (bucket, _) = entry.refilled_bucket(now)?;
+        let (bucket, _) = entry.refilled_bucket(now, share)?;
         bucket.permits -= 1.0;
         Some(Permit {
             upstream: candidate.upstream.clone(),
@@ -157,7 +177,7 @@
         })
     }
 
-    fn outlook(&mut self, now: Instant, key: &LimitKey) -> PermitOutlook {
+    fn outlook(&mut self, now: Instant, key: &LimitKey, share: sizes::Share) -> PermitOutlook {
         let Some(entry) = self.limits.get_mut(key) else {
             return PermitOutlook {
                 state: LimitState::default(),
@@ -165,7 +185,7 @@
             };
         };
         let state = entry.state;
-        entry.refilled_bucket(now).map_or(
+        entry.refilled_bucket(now, share).map_or(
             PermitOutlook {
                 state,
                 wait_millis: 0,
@@ -204,7 +224,7 @@
             return None;
         }
         entry.set(report.named());
-        entry.refilled_bucket(now);
+        entry.start_bucket(now);
         self.unannounced.insert(key);
         Some(entry.state)
     }
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -13,7 +13,7 @@
 use gooseberrydyke_policy::routing::RouteTable;
 use model::call::CallHead;
 use model::config::{FleetConfig, RetryRule, Route, RouteOptions, WeightedService};
-use model::sizes::{Generation, NodeCapacity, RequestCount, SlotCount};
+use model::sizes::{Generation, NodeCapacity, RequestCount, Share, SlotCount};
 use tokio::time::{self, Instant};
 
 fn head(method: &str, host: &str, target: &str) -> CallHead {
@@ -290,3 +290,43 @@
         assert_eq!(next.capacity.get(), 300, "unresponsive nodes are skipped");
     }
 }
+
+/// A node that is cut off from others of its data centre may not grant their part of a rate
+/// limit. One that does not come back must not lower the limit for ever.
+#[tokio::test(start_paused = true)]
+async fn a_node_grants_only_the_share_of_the_nodes_that_it_reaches() {
+    let mut table = members(48);
+    assert_eq!(table.reachable_share(Instant::now()), Share::new(1.0));
+    let cut_off: Vec<_> = table.local_peers().into_iter().take(8).collect();
+    for member in &cut_off {
+        table.mark_suspect(Instant::now(), &member.node);
+    }
+    assert_eq!(table.reachable_share(Instant::now()), Share::new(0.5));
+    table.record_contact(cut_off[0].as_ref().clone());
+    assert_eq!(
+        table.reachable_share(Instant::now()),
+        Share::new(9.0 / 16.0)
+    );
+    for _ in 0..11 {
+        time::advance(Duration::from_mins(1)).await;
+        table.mark_suspect(Instant::now(), &cut_off[1].node);
+    }
+    assert_eq!(table.reachable_share(Instant::now()), Share::new(1.0));
+}
+
+/// Every node must draw permits from the same owner, in the upstream's data centre as long as
+/// it has a node.
+#[tokio::test(start_paused = true)]
+async fn the_owner_of_a_limit_is_in_the_data_centre_of_its_upstreams() {
+    let now = Instant::now();
+    let (service, centre) = (name("stocklist"), name("lekki"));
+    let mut table = members(48);
+    let owner = table.limit_owner(now, &service, &centre).unwrap();
+    assert_eq!(owner.data_centre, centre);
+    table.mark_suspect(now, &owner.node);
+    let next = table.limit_owner(now, &service, &centre).unwrap();
+    assert_ne!(next.node, owner.node);
+    assert_eq!(next.data_centre, centre);
+    let elsewhere = table.limit_owner(now, &service, &name("kano"));
+    assert!(elsewhere.is_some(), "a data centre without nodes");
+}
--- a/crates/policy/tests/rate_limits/fleet.rs
+++ b/crates/policy/tests/rate_limits/fleet.rs
@@ -14,7 +14,7 @@
 };
 use model::config::{DetectionProfile, Service};
 use model::ids::{DataCentreId, UpstreamId};
-use model::sizes::RateLimit;
+use model::sizes::{RateLimit, Share};
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 use tokio::time::{self, Instant};
@@ -212,7 +212,7 @@
             return None;
         }
         let ledger = self.owners.get_mut(&request.data_centre)?.as_mut()?;
-        let reply = ledger.draw(Instant::now(), request);
+        let reply = ledger.draw(Instant::now(), request, Share::new(1.0));
         (!self.is_lost()).then_some(reply)
     }
 
--- a/crates/policy/tests/rate_limits/ledger.rs
+++ b/crates/policy/tests/rate_limits/ledger.rs
@@ -6,7 +6,7 @@
     LimitReport, LimitSignal, LimitState, LimitVersion, PermitCandidate, PermitLedger, PermitReply,
     PermitRequest,
 };
-use model::sizes::RateLimit;
+use model::sizes::{RateLimit, Share};
 use quickcheck::quickcheck;
 use tokio::time::{self, Instant};
 
@@ -33,7 +33,7 @@
     }
 }
 
-fn draw(ledger: &mut PermitLedger, known: LimitState) -> PermitReply {
+fn draw_at_share(ledger: &mut PermitLedger, known: LimitState, share: Share) -> PermitReply {
     let request = PermitRequest {
         service: name("stocklist"),
         data_centre: name("ikeja"),
@@ -42,7 +42,11 @@
             state: known,
         }],
     };
-    ledger.draw(Instant::now(), &request)
+    ledger.draw(Instant::now(), &request, share)
+}
+
+fn draw(ledger: &mut PermitLedger, known: LimitState) -> PermitReply {
+    draw_at_share(ledger, known, Share::new(1.0))
 }
 
 /// A ledger with one limit, as of version 1.
@@ -125,6 +129,23 @@
     assert_eq!(permit.version, LimitVersion::new(7));
 }
 
+#[tokio::test(start_paused = true)]
+async fn two_owners_of_a_separated_data_centre_together_keep_a_limit() {
+    let mut owners = [ledger(4.0), ledger(4.0)];
+    let mut granted = 0;
+    for _ in 0..800 {
+        time::advance(Duration::from_millis(10)).await;
+        for owner in &mut owners {
+            let reply = draw_at_share(owner, state(Some(4.0), 1), Share::new(0.5));
+            granted += u32::from(reply.permit.is_some());
+        }
+    }
+    assert!(
+        (30..=32).contains(&granted),
+        "{granted} permits in 8 s at 4 a second"
+    );
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_sender_that_missed_the_end_of_a_limit_learns_of_it_from_a_draw() {
     let mut ledger = ledger(2.0);
--- a/testing/lab/src/permits.rs
+++ b/testing/lab/src/permits.rs
@@ -1,7 +1,7 @@
 //! Cost of the permits for upstreams with a rate limit, in single steps.
 
 use model::ids::{DataCentreId, ServiceId};
-use model::sizes::RateLimit;
+use model::sizes::{RateLimit, Share};
 use node::wire::{self, LimitRequest, NodeRequest};
 use policy::membership::MemberTable;
 use policy::permit::{LimitState, LimitVersion, PermitCandidate, PermitLedger, PermitRequest};
@@ -41,7 +41,7 @@
     sink.add_unit_cost("finding the owner of a limit", "us", owner_micros);
     let mut ledger = PermitLedger::default();
     let draw_micros = mean_micros(STEP_ITERATIONS, || {
-        let reply = ledger.draw(Instant::now(), &request);
+        let reply = ledger.draw(Instant::now(), &request, Share::new(1.0));
         assert_eq!(reply.outlooks.len(), CANDIDATE_COUNT);
     });
     sink.add_unit_cost("granting or refusing a permit", "us", draw_micros);
