fix(replica): routes are read again when another read shows a later era

A configuration that was written after a restoration, below a revision that the store had given out before and gives out again, was never delivered to a watch that was waiting from that revision: no 410, no event, and nothing read again until the next change (CONFIG). A watch of routes waits for up to 8 s, and its response shows the era only then. The reader of upstreams, which returns every 1.5 s, now wakes the reader of routes.

--- a/crates/node/src/replica/relay.rs
+++ b/crates/node/src/replica/relay.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use model::position::SourceEra;
 use policy::replica::SourceView;
 use tokio::sync::watch;
 use tokio::time::{self, Instant};
@@ -48,10 +49,13 @@
         replica.clone(),
         last_read_watch,
     ));
-    let last_read = Arc::new(last_read);
+    let progress = Arc::new(ReadProgress {
+        last_read,
+        newest_era: watch::channel(SourceEra::default()).0,
+    });
     for kind in [SnapshotKind::Routes, SnapshotKind::Upstreams] {
-        let last_read = Arc::clone(&last_read);
-        tokio::spawn(run(parts.clone(), replica.clone(), kind, last_read));
+        let progress = Arc::clone(&progress);
+        tokio::spawn(run(parts.clone(), replica.clone(), kind, progress));
     }
 }
 
@@ -100,13 +104,13 @@
     parts: ReplicaParts,
     replica: ReplicaHandle,
     kind: SnapshotKind,
-    last_read: Arc<watch::Sender<Option<Instant>>>,
+    progress: Arc<ReadProgress>,
 ) {
     let mut reader = SourceReader {
         parts,
         replica,
         started: Instant::now(),
-        last_read,
+        progress,
         view: SourceView::default(),
         unavailable_since: None,
         last_failure: Instant::now(),
@@ -166,13 +170,20 @@
     }
 }
 
+/// What the readers of both kinds of snapshot have in common.
+struct ReadProgress {
+    /// When a read of upstreams last succeeded.
+    last_read: watch::Sender<Option<Instant>>,
+    /// The newest era that a read returned.
+    newest_era: watch::Sender<SourceEra>,
+}
+
 /// Reads one kind of snapshot for as long as this node has to read the source.
 struct SourceReader {
     parts: ReplicaParts,
     replica: ReplicaHandle,
     started: Instant,
-    /// When a read of upstreams last succeeded.
-    last_read: Arc<watch::Sender<Option<Instant>>>,
+    progress: Arc<ReadProgress>,
     view: SourceView,
     unavailable_since: Option<Instant>,
     /// When a read last failed.
@@ -222,10 +233,15 @@
         self.retry_pause = (self.retry_pause * 2).min(pause_max);
     }
 
-    fn record_success(&mut self, kind: SnapshotKind) {
+    fn record_success(&mut self, kind: SnapshotKind, era: SourceEra) {
         self.retry_pause = RETRY_PAUSE;
+        self.progress.newest_era.send_if_modified(|newest| {
+            let is_newer = era > *newest;
+            *newest = era.max(*newest);
+            is_newer
+        });
         if kind == SnapshotKind::Upstreams {
-            self.last_read.send_replace(Some(Instant::now()));
+            self.progress.last_read.send_replace(Some(Instant::now()));
         }
         if let Some(since) = self.unavailable_since.take() {
             let outage_millis = since.elapsed().as_millis();
@@ -237,20 +253,32 @@
     async fn follow_routes(&mut self) -> Result<(), SourceError> {
         let mut read = (self.parts.source.read_routes)().await?;
         loop {
-            self.record_success(SnapshotKind::Routes);
+            self.record_success(SnapshotKind::Routes, read.position.era());
             if let Some(routes) = read.snapshot.take() {
                 self.replica.send(ReplicaCommand::Routes(routes)).await;
             }
             if !self.must_read(SnapshotKind::Routes) {
                 return Ok(());
             }
-            read = (self.parts.source.watch_routes)(read.position, ROUTES_WATCH_TIMEOUT).await?;
+            let watching = (self.parts.source.watch_routes)(read.position, ROUTES_WATCH_TIMEOUT);
+            read = tokio::select! {
+                read = watching => read?,
+                // A read of upstreams noticed a restoration, of which a watch may not tell.
+                () = self.later_era(read.position.era()) => return Err(SourceError::HistoryGone),
+            };
         }
     }
 
+    /// Returns when a read returned a later era.
+    async fn later_era(&self, era: SourceEra) {
+        let mut newest_era = self.progress.newest_era.subscribe();
+        // The sender lives as long as this reader.
+        let _ = newest_era.wait_for(|newest| *newest > era).await;
+    }
+
     async fn follow_upstreams(&mut self) -> Result<(), SourceError> {
         let read = (self.parts.source.read_upstreams)().await?;
-        self.record_success(SnapshotKind::Upstreams);
+        self.record_success(SnapshotKind::Upstreams, read.position.era());
         let current = self.replica.snapshot().upstreams;
         self.view.replace(
             Instant::now(),
@@ -277,7 +305,7 @@
                     }
                 }
             };
-            self.record_success(SnapshotKind::Upstreams);
+            self.record_success(SnapshotKind::Upstreams, read.position.era());
             let now = Instant::now();
             self.view.apply_due_removals(now);
             let changed = !read.events.is_empty();
