--- a/crates/policy/src/permit/ledger.rs
+++ b/crates/policy/src/permit/ledger.rs
@@ -7,10 +7,9 @@
 use tokio::time::Instant;
 
 use super::announcement::LimitAnnouncement;
-use super::message::PermitOutlook;
 use super::{
     LimitRecord, LimitReport, LimitSignal, LimitState, LimitVersion, Permit, PermitCandidate,
-    PermitReply, PermitRequest,
+    PermitOutlook, PermitReply, PermitRequest,
 };
 
 /// Rate at which an upstream with a lower limit still gets requests, since only its
@@ -42,7 +41,7 @@
 
     fn outlook(&self, state: LimitState, rate: f64) -> PermitOutlook {
         let missing = (1.0 - self.permits).max(0.0);
-        let wait = Duration::from_secs_f64(missing / rate);
+        let wait = Duration::try_from_secs_f64(missing / rate).unwrap_or(Duration::MAX);
         let whole_millis = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
         PermitOutlook {
             state,
--- a/crates/policy/src/permit/mod.rs
+++ b/crates/policy/src/permit/mod.rs
@@ -13,6 +13,8 @@
 mod state;
 
 pub use ledger::PermitLedger;
-pub use message::{LimitReport, Permit, PermitCandidate, PermitDraw, PermitReply, PermitRequest};
+pub use message::{
+    LimitReport, Permit, PermitCandidate, PermitDraw, PermitOutlook, PermitReply, PermitRequest,
+};
 pub use signal::LimitSignal;
 pub use state::{LimitRecord, LimitState, LimitVersion};
