fix(permit): a data centre that is out of reach keeps its owners of limits

When no node of a data centre could be reached, its limits passed to a node of another one, and a node that knew of no owner granted permits to itself. So when data centres or regions lose each other while their upstreams can still be reached, both sides granted the whole limit: up to twice.

While the nodes of a data centre are only out of reach there is no other owner, and without an owner there is no permit: a request goes to an upstream without a limit or is rejected. After ten minutes they count as gone, as in the share of a separated data centre, and another data centre's node takes over. The price: limited upstreams of a data centre that lost all its nodes get nothing for ten minutes. The test of the members fails on the code before (it names an owner).

--- a/crates/node/src/limits/fleet.rs
+++ b/crates/node/src/limits/fleet.rs
@@ -59,12 +59,12 @@
         }
     }
 
-    /// Draws a permit from the owner; returns `None` if the owner did not reply.
+    /// Draws a permit from the owner; returns `None` if there is none or it did not reply.
     pub async fn draw(&self, request: PermitRequest) -> Option<PermitReply> {
-        let owner = self.remote_owner(&request.service, &request.data_centre);
-        let Some(owner) = owner else {
+        let owner = self.owner(&request.service, &request.data_centre)?;
+        if self.is_own(&owner) {
             return self.draw_here(request).await;
-        };
+        }
         let request = NodeRequest::Limit(LimitRequest::Draw(request));
         let reply = self
             .parts
@@ -82,12 +82,12 @@
 
     /// Reports what a response stated to the owner of the limit.
     pub fn report(&self, report: LimitReport) {
-        match self.remote_owner(&report.service, &report.data_centre) {
-            Some(owner) => {
+        match self.owner(&report.service, &report.data_centre) {
+            Some(owner) if !self.is_own(&owner) => {
                 let request = NodeRequest::Limit(LimitRequest::Report(report));
                 self.parts.peers.notify(&owner, &request);
             }
-            None => self.send_or_drop(LimitCommand::Report(report)),
+            _ => self.send_or_drop(LimitCommand::Report(report)),
         }
     }
 
@@ -95,13 +95,10 @@
     pub async fn handle_request(&self, request: LimitRequest) -> NodeReply {
         match request {
             LimitRequest::Draw(request) => {
-                let is_owner = self
-                    .remote_owner(&request.service, &request.data_centre)
-                    .is_none();
-                let reply = if is_owner {
-                    self.draw_here(request).await
-                } else {
-                    None
+                let owner = self.owner(&request.service, &request.data_centre);
+                let reply = match owner {
+                    Some(owner) if self.is_own(&owner) => self.draw_here(request).await,
+                    _ => None,
                 };
                 NodeReply::Limit(LimitReply::Drawn(reply))
             }
@@ -171,15 +168,14 @@
         reply.await.ok()
     }
 
-    /// The owner of a limit if that is another node.
-    fn remote_owner(
-        &self,
-        service: &ids::ServiceId,
-        centre: &ids::DataCentreId,
-    ) -> Option<Arc<Member>> {
+    /// The owner of a limit, as far as this node knows.
+    fn owner(&self, service: &ids::ServiceId, centre: &ids::DataCentreId) -> Option<Arc<Member>> {
         let table = self.parts.members.table();
-        let owner = table.limit_owner(Instant::now(), service, centre);
-        owner.filter(|owner| owner.node != table.own().node)
+        table.limit_owner(Instant::now(), service, centre)
+    }
+
+    fn is_own(&self, owner: &Member) -> bool {
+        owner.node == self.parts.members.table().own().node
     }
 
     fn send_or_drop(&self, command: LimitCommand) {
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -266,7 +266,8 @@
     }
 
     /// The node that owns the rate limits of a service's upstreams in one data centre: a
-    /// node there, or one of any data centre if none there is available.
+    /// node there, or one of any data centre if that one has none. While its nodes are only
+    /// out of reach there is no other owner, since they may still grant permits.
     pub fn limit_owner(
         &self,
         now: Instant,
@@ -275,7 +276,11 @@
     ) -> Option<Arc<Member>> {
         let job = format!("limits/{service}/{centre}");
         let mut candidates = self.high_capacity_in(now, centre, OWNER_CAPACITY_DIVISOR);
-        if candidates.is_empty() {
+        let mut members = self.members.values();
+        let may_have_owner = |member: &Arc<Member>| {
+            member.data_centre == *centre && !self.is_gone(now, &member.node)
+        };
+        if candidates.is_empty() && !members.any(may_have_owner) {
             candidates = self.available(now);
         }
         rendezvous::first(&job, &candidates, |member| member.node.as_str()).cloned()
@@ -286,17 +291,21 @@
     pub fn reachable_share(&self, now: Instant) -> sizes::Share {
         let (mut reachable, mut separated) = (1, 0);
         for member in self.local_peers() {
-            match self.suspects.get(&member.node) {
-                None => reachable += 1,
-                Some(suspicion) => {
-                    let age = now.saturating_duration_since(suspicion.first);
-                    separated += u32::from(age < SEPARATION_TTL);
-                }
-            }
+            let is_suspect = self.is_suspect(&member.node);
+            reachable += u32::from(!is_suspect);
+            separated += u32::from(is_suspect && !self.is_gone(now, &member.node));
         }
         sizes::Share::new(f64::from(reachable) / f64::from(reachable + separated))
     }
 
+    /// Whether a node has been out of reach for so long that it counts as gone.
+    fn is_gone(&self, now: Instant, node: &ids::NodeId) -> bool {
+        let suspicion = self.suspects.get(node);
+        suspicion.is_some_and(|suspicion| {
+            now.saturating_duration_since(suspicion.first) >= SEPARATION_TTL
+        })
+    }
+
     /// Whether this node reads the snapshots for its data centre; also true if no node
     /// is available for that.
     pub fn is_snapshot_relay(&self, now: Instant) -> bool {
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -329,4 +329,18 @@
     assert_eq!(next.data_centre, centre);
     let elsewhere = table.limit_owner(now, &service, &name("kano"));
     assert!(elsewhere.is_some(), "a data centre without nodes");
+    let lekki = (0..48)
+        .map(member)
+        .filter(|node| node.data_centre == centre);
+    for member in lekki {
+        table.mark_suspect(now, &member.node);
+    }
+    let unreachable = table.limit_owner(now, &service, &centre);
+    assert_eq!(unreachable, None, "its own nodes may still grant permits");
+    let later = now + Duration::from_mins(11);
+    let gone = table.limit_owner(later, &service, &centre);
+    assert!(
+        gone.is_some(),
+        "suspects are tried again, or have been gone for long"
+    );
 }
