fix(permit): an owner that forgot an ended limit continues its versions

A limit that was not used for ten minutes is forgotten, and a new owner knows no ended limits. When the upstream named a limit again, the versions began at 1, and nodes that knew a higher one ignored the announcement: each sent one request without a permit and learned from its response. A report now carries the version that its sender knows. The ledger's test got version 1 on the code before.

--- a/crates/policy/src/permit/ledger.rs
+++ b/crates/policy/src/permit/ledger.rs
@@ -211,7 +211,7 @@
             LimitEntry::new(now, state)
         });
         entry.used_at = now;
-        entry.state.version = entry.state.version.max(sent_with);
+        entry.state.version = entry.state.version.max(sent_with).max(report.known);
         let is_current = sent_with == entry.state.version && sent_with > LimitVersion::default();
         let changes = match (entry.state.rate, report.named()) {
             (None, None) => false,
--- a/crates/policy/src/permit/message.rs
+++ b/crates/policy/src/permit/message.rs
@@ -64,6 +64,8 @@
         /// The version of the permit with which the request was sent; `None` if it was sent
         /// without one.
         pub permit: Option<LimitVersion>,
+        /// The version of the limit that the sender knows, which an owner may have forgotten.
+        pub known: LimitVersion,
     }
 }
 
--- a/crates/policy/src/service/balancer/permits.rs
+++ b/crates/policy/src/service/balancer/permits.rs
@@ -195,6 +195,7 @@
             upstream: entry.upstream.id.clone(),
             signal,
             permit: attempt.permit,
+            known: known.state.version,
         })
     }
 }
--- a/crates/policy/tests/rate_limits/ledger.rs
+++ b/crates/policy/tests/rate_limits/ledger.rs
@@ -23,6 +23,7 @@
         upstream: name("up-0"),
         signal,
         permit: permit.map(LimitVersion::new),
+        known: LimitVersion::default(),
     }
 }
 
@@ -146,6 +147,18 @@
     );
 }
 
+/// Nodes ignore an announcement whose version is not higher than the one that they know.
+#[tokio::test(start_paused = true)]
+async fn an_owner_that_forgot_an_ended_limit_does_not_start_its_versions_anew() {
+    let mut ledger = PermitLedger::default();
+    let report = LimitReport {
+        known: LimitVersion::new(9),
+        ..report(named(2.0), None)
+    };
+    let limited = ledger.report(Instant::now(), &report).unwrap();
+    assert_eq!(limited, state(Some(2.0), 10));
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_sender_that_missed_the_end_of_a_limit_learns_of_it_from_a_draw() {
     let mut ledger = ledger(2.0);
