fix(replica): how long a departure outlasts a restoration follows the upstreams' heartbeat

An entry whose upstream is gone expires after three of its heartbeats, and the time was fixed at 6 s, which is right for the heartbeat of 1.5 s of the sites that we know. Where upstreams write their entries less often, one that left would have come back with the copy. The new test has a heartbeat of 15 s; with the fixed 6 s the departure is over before the 45 s that it advances.

--- a/bins/entry/src/gateway.rs
+++ b/bins/entry/src/gateway.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use caller::wire::CallerHeaders;
 use caller::{CallerLimits, CallerListener, CallerSettings};
@@ -52,6 +53,8 @@
     /// Whether the whole fleet starts for the first time: nodes then wait longer before they
     /// read the source, and retry pools start half full.
     pub first_start: bool,
+    /// How often an upstream writes its entry at the source.
+    pub upstream_heartbeat: Duration,
     /// The certificate authority that issues the certificates of all nodes.
     pub ca: FleetCa,
     /// The external source of routes and upstreams.
@@ -207,6 +210,7 @@
         on_sent: Arc::new(move |bytes| metrics.record_node_bytes(bytes as u64)),
         updates,
         first_start: settings.first_start,
+        upstream_heartbeat: settings.upstream_heartbeat,
     })
 }
 
--- a/crates/node/src/replica/fleet.rs
+++ b/crates/node/src/replica/fleet.rs
@@ -44,6 +44,8 @@
     pub updates: mpsc::Sender<NodeUpdate>,
     /// Whether the whole fleet starts for the first time.
     pub first_start: bool,
+    /// How often an upstream writes its entry at the source.
+    pub upstream_heartbeat: Duration,
 }
 
 /// A handle to a node's part in the fleet.
@@ -81,6 +83,7 @@
             source: settings.source,
             seeds: settings.seeds,
             first_start: settings.first_start,
+            upstream_heartbeat: settings.upstream_heartbeat,
         });
         let load_aggregator =
             LoadAggregator::start(peers.clone(), members.clone(), settings.updates.clone());
--- a/crates/node/src/replica/task.rs
+++ b/crates/node/src/replica/task.rs
@@ -68,6 +68,8 @@
     pub seeds: watch::Receiver<Vec<SocketAddr>>,
     /// Whether the whole fleet starts for the first time.
     pub first_start: bool,
+    /// How often an upstream writes its entry at the source.
+    pub upstream_heartbeat: Duration,
 }
 
 /// A message to the replica's task.
@@ -120,7 +122,7 @@
             routes_fetch: None,
             upstreams_fetch: None,
             newest_known: ReplicaSummary::default(),
-            departures: DepartureLog::default(),
+            departures: DepartureLog::new(parts.upstream_heartbeat),
             lag_publisher,
         };
         tokio::spawn(task.run(inbox));
--- a/crates/policy/src/replica/departures.rs
+++ b/crates/policy/src/replica/departures.rs
@@ -9,16 +9,17 @@
 
 /// How long a departure is remembered; longer than a copy of the source is old.
 const DEPARTURE_TTL: Duration = Duration::from_mins(2);
-/// Time after a restoration in which upstreams write their state again and the entries of
-/// those that are gone expire: three heartbeats, and some time to be read.
-const REGISTRATION_PERIOD: Duration = Duration::from_secs(6);
+/// Heartbeats after a restoration in which upstreams write their state again and the entries
+/// of those that are gone expire, which takes three, and are read.
+const REGISTRATION_HEARTBEATS: u32 = 4;
 
 /// The upstreams that this node saw drain or leave lately.
 ///
 /// A source that was restored from a copy may list such an upstream as active again, until
 /// it writes its state again or its entry expires. Until then it counts as leaving.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct DepartureLog {
+    registration_period: Duration,
     departures: BTreeMap<ids::UpstreamId, Instant>,
     /// Departed upstreams that a restored source lists as active, and until when they count
     /// as leaving.
@@ -26,6 +27,16 @@
 }
 
 impl DepartureLog {
+    /// A log without departures; `heartbeat` is the interval at which upstreams write their
+    /// entries.
+    pub const fn new(heartbeat: Duration) -> Self {
+        Self {
+            registration_period: heartbeat.saturating_mul(REGISTRATION_HEARTBEATS),
+            departures: BTreeMap::new(),
+            revived: BTreeMap::new(),
+        }
+    }
+
     /// Records that the snapshot `before` was replaced by `after`.
     pub fn record(&mut self, now: Instant, before: &UpstreamSnapshot, after: &UpstreamSnapshot) {
         self.expire(now);
@@ -36,7 +47,7 @@
         self.revived.retain(|id, _| is_active(id));
         if after.version.position.era() > before.version.position.era() {
             let departed = self.departures.keys().filter(|id| is_active(id));
-            let until = now + REGISTRATION_PERIOD;
+            let until = now + self.registration_period;
             self.revived.extend(departed.map(|id| (id.clone(), until)));
         } else {
             let revived = &self.revived;
--- a/crates/policy/tests/departures.rs
+++ b/crates/policy/tests/departures.rs
@@ -10,6 +10,7 @@
 use model::sizes::{ObjectVersion, SlotCount};
 use tokio::time::{self, Instant};
 
+const HEARTBEAT: Duration = Duration::from_millis(1_500);
 const ACTIVE: UpstreamState = UpstreamState::Active;
 const DRAINING: UpstreamState = UpstreamState::Draining;
 
@@ -51,7 +52,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn upstreams_that_drained_or_left_do_not_come_back_with_a_copy() {
-    let mut log = DepartureLog::default();
+    let mut log = DepartureLog::new(HEARTBEAT);
     record(
         &mut log,
         &[
@@ -67,7 +68,7 @@
 /// The entry of an upstream that is gone expires, and one that is listed still is alive.
 #[tokio::test(start_paused = true)]
 async fn an_upstream_that_is_still_listed_after_a_while_comes_back() {
-    let mut log = DepartureLog::default();
+    let mut log = DepartureLog::new(HEARTBEAT);
     let restored = snapshot(2, 80, &[("a", ACTIVE), ("b", ACTIVE)]);
     record(
         &mut log,
@@ -79,7 +80,12 @@
         ],
     );
     assert_eq!(leaving(&log), [id("a")]);
-    time::sleep_until(log.next_change_at().unwrap()).await;
+    let due_at = log.next_change_at().unwrap();
+    assert!(
+        due_at >= Instant::now() + 3 * HEARTBEAT,
+        "its entry may not have expired"
+    );
+    time::sleep_until(due_at).await;
     log.expire(Instant::now());
     assert!(leaving(&log).is_empty());
     assert_eq!(log.next_change_at(), None);
@@ -87,7 +93,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn an_upstream_that_registers_again_without_a_restoration_is_not_leaving() {
-    let mut log = DepartureLog::default();
+    let mut log = DepartureLog::new(HEARTBEAT);
     record(
         &mut log,
         &[
@@ -102,7 +108,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn departures_are_forgotten_after_some_minutes() {
-    let mut log = DepartureLog::default();
+    let mut log = DepartureLog::new(HEARTBEAT);
     let before = snapshot(1, 91, &[]);
     record(
         &mut log,
@@ -112,3 +118,19 @@
     record(&mut log, &[before, snapshot(2, 80, &[("a", ACTIVE)])]);
     assert!(leaving(&log).is_empty());
 }
+
+#[tokio::test(start_paused = true)]
+async fn departures_last_longer_where_upstreams_write_their_entries_less_often() {
+    let heartbeat = 10 * HEARTBEAT;
+    let mut log = DepartureLog::new(heartbeat);
+    record(
+        &mut log,
+        &[
+            snapshot(1, 90, &[("a", ACTIVE)]),
+            snapshot(1, 91, &[]),
+            snapshot(2, 80, &[("a", ACTIVE)]),
+        ],
+    );
+    time::advance(3 * heartbeat).await;
+    assert_eq!(leaving(&log), [id("a")]);
+}
