--- a/bins/ctl/src/output.rs
+++ b/bins/ctl/src/output.rs
@@ -129,7 +129,10 @@
                     } else {
                         route.methods.join(" ")
                     },
-                    route.service.to_string(),
+                    route
+                        .service
+                        .as_ref()
+                        .map_or_else(|| "none".to_owned(), ToString::to_string),
                     route.retry_rule.to_string(),
                 ]);
             }
--- a/crates/model/src/config/route.rs
+++ b/crates/model/src/config/route.rs
@@ -38,8 +38,8 @@
         pub prefix: Arc<str>,
         /// Methods to match; any method if empty.
         pub methods: Vec<Arc<str>>,
-        /// The service that handles the requests.
-        pub service: ids::ServiceId,
+        /// The service that handles the requests; they are rejected if none.
+        pub service: Option<ids::ServiceId>,
         /// Which requests may run more than once.
         #[serde(rename = "repeat")]
         pub retry_rule: RetryRule,
--- a/crates/model/tests/configuration.rs
+++ b/crates/model/tests/configuration.rs
@@ -25,7 +25,7 @@
             host: None,
             prefix: format!("/r{number}").into(),
             methods: Vec::new(),
-            service: format!("service-{}", number % services).parse().unwrap(),
+            service: Some(format!("service-{}", number % services).parse().unwrap()),
             retry_rule: RetryRule::SafeMethods,
             options: RouteOptions::default(),
         };
--- a/crates/operator/src/change/validate.rs
+++ b/crates/operator/src/change/validate.rs
@@ -95,11 +95,13 @@
 
 fn check_route(config: &FleetConfig, route: &Route, faults: &mut Vec<ConfigFault>) {
     let subject = format!("route {}", route.id);
-    if !config.services.contains_key(&route.service) {
-        faults.push(ConfigFault::new(
+    match &route.service {
+        Some(service) if config.services.contains_key(service) => {}
+        Some(service) => faults.push(ConfigFault::new(
             &subject,
-            format!("service {} does not exist", route.service),
-        ));
+            format!("service {service} does not exist"),
+        )),
+        None => faults.push(ConfigFault::new(&subject, "names no service")),
     }
     if !route.prefix.starts_with('/') {
         faults.push(ConfigFault::new(&subject, "the prefix must start with '/'"));
--- a/crates/operator/src/sheet/parse.rs
+++ b/crates/operator/src/sheet/parse.rs
@@ -294,7 +294,7 @@
             host,
             prefix,
             methods,
-            service,
+            service: Some(service),
             retry_rule,
             options: RouteOptions::default(),
         };
--- a/crates/policy/src/routing/table.rs
+++ b/crates/policy/src/routing/table.rs
@@ -10,14 +10,15 @@
 pub struct RouteMatch {
     /// The route that matched.
     pub route: Arc<config::Route>,
-    /// The service of the route; the first one if the route splits its requests.
-    pub service: Arc<config::Service>,
+    /// The service of the route, the first one if the route splits its requests; `None` if
+    /// no service of the route exists.
+    service: Option<Arc<config::Service>>,
     /// Weights and services of a split route; empty if all requests go to one service.
     shares: Vec<(u32, Arc<config::Service>)>,
 }
 
 impl RouteMatch {
-    fn build(route: &Arc<config::Route>, fleet: &config::FleetConfig) -> Option<Self> {
+    fn build(route: &Arc<config::Route>, fleet: &config::FleetConfig) -> Self {
         let find = |id| fleet.services.get(id).map(Arc::clone);
         let shares: Vec<_> = route
             .options
@@ -27,18 +28,19 @@
             .filter_map(|share| Some((share.weight, find(&share.service)?)))
             .collect();
         let first = shares.first().map(|(_, service)| Arc::clone(service));
-        Some(Self {
-            service: first.or_else(|| find(&route.service))?,
+        Self {
+            service: first.or_else(|| find(route.service.as_ref()?)),
             route: Arc::clone(route),
             shares,
-        })
+        }
     }
 
-    /// Selects the service of one request by weight; `draw` is a random number.
+    /// Selects the service of one request by weight; `draw` is a random number. `None` if
+    /// no service of the route exists.
     ///
     /// A request keeps the service drawn for it even if that service is at capacity, so that
     /// an overloaded service does not shift its load to the others.
-    pub fn service_for(&self, draw: u64) -> &Arc<config::Service> {
+    pub fn service_for(&self, draw: u64) -> Option<&Arc<config::Service>> {
         let total: u64 = self
             .shares
             .iter()
@@ -47,11 +49,11 @@
         let mut remaining = draw.checked_rem(total).unwrap_or_default();
         for (weight, service) in &self.shares {
             if remaining < u64::from(*weight) {
-                return service;
+                return Some(service);
             }
             remaining -= u64::from(*weight);
         }
-        &self.service
+        self.service.as_ref()
     }
 }
 
@@ -72,13 +74,12 @@
 }
 
 impl RouteTable {
-    /// Builds the table; routes to services that do not exist are left out.
+    /// Builds the table. A route to a service that does not exist stays in it, so that its
+    /// requests do not go where a less specific route leads.
     pub fn build(fleet: &config::FleetConfig) -> Self {
         let mut table = Self::default();
         for route in fleet.routes.values() {
-            let Some(entry) = RouteMatch::build(route, fleet) else {
-                continue;
-            };
+            let entry = RouteMatch::build(route, fleet);
             let host = match &route.host {
                 Some(host) => table.by_host.entry(to_lower(host)).or_default(),
                 None => &mut table.any_host,
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -44,7 +44,7 @@
             host: host.map(Arc::from),
             prefix: (*prefix).into(),
             methods: methods.iter().map(|method| Arc::from(*method)).collect(),
-            service: service.id.clone(),
+            service: Some(service.id.clone()),
             retry_rule: RetryRule::SafeMethods,
             options: RouteOptions::default(),
         };
@@ -245,7 +245,7 @@
         host: None,
         prefix: "/".into(),
         methods: Vec::new(),
-        service: name("old"),
+        service: Some(name("old")),
         retry_rule: RetryRule::SafeMethods,
         options: RouteOptions {
             weighted_services: vec![share("old", 90), share("gone", 50), share("new", 10)],
@@ -255,7 +255,7 @@
     config.routes.insert(route.id.clone(), route.into());
     let table = RouteTable::build(&config);
     let matched = table.find(&head("GET", "any", "/x")).unwrap();
-    let selected = (0..1_000).filter(|draw| matched.service_for(*draw).id == name("new"));
+    let selected = (0..1_000).filter(|draw| matched.service_for(*draw).unwrap().id == name("new"));
     assert_eq!(selected.count(), 100);
 }
 
--- a/crates/upstream/src/dispatch/dispatcher.rs
+++ b/crates/upstream/src/dispatch/dispatcher.rs
@@ -130,7 +130,10 @@
             return Err(FleetError::new(ErrorKind::NoRoute, detail));
         };
         trace.route = Some(matched.route.id.clone());
-        let service = matched.service_for(rand::random());
+        let Some(service) = matched.service_for(rand::random()) else {
+            let detail = format!("route {} leads to no service", matched.route.id);
+            return Err(FleetError::new(ErrorKind::NoUpstream, detail));
+        };
         trace.service = Some(service.id.clone());
         let Some(handle) = directory.handles.get(&service.id) else {
             let detail = format!(
--- a/testing/lab/src/config.rs
+++ b/testing/lab/src/config.rs
@@ -88,7 +88,7 @@
             host: None,
             prefix: format!("/r{number}-{}", links.len()).into(),
             methods: Vec::new(),
-            service: parse_id("view"),
+            service: Some(parse_id("view")),
             retry_rule: RetryRule::SafeMethods,
             options: RouteOptions::default(),
         };
--- a/testing/lab/src/control.rs
+++ b/testing/lab/src/control.rs
@@ -130,7 +130,10 @@
             host: None,
             prefix: format!("/service/{number}").into(),
             methods: Vec::new(),
-            service: parse_id(&format!("service-{:04}", number % services.max(1))),
+            service: Some(parse_id(&format!(
+                "service-{:04}",
+                number % services.max(1)
+            ))),
             retry_rule: RetryRule::SafeMethods,
             options: RouteOptions::default(),
         };
--- a/testing/testbed/src/fleet.rs
+++ b/testing/testbed/src/fleet.rs
@@ -126,7 +126,7 @@
             host: None,
             prefix: plan.prefix.into(),
             methods: Vec::new(),
-            service: service.id.clone(),
+            service: Some(service.id.clone()),
             retry_rule: plan.retry_rule,
             options: RouteOptions::default(),
         };
