fix(replica): a watch of routes that went silent is noticed as soon as one of upstreams

Callers saw a configuration in force up to 9 s after its confirmation when the connections to the store had gone silent: 404 on routes that it added, answers on routes that it dropped.

Cause: a watch of routes waited 8 s, and the relay's heartbeat told the other nodes that it was current by its reads of upstreams alone, so nobody looked for himself.

Change: watches of both kinds take 1.5 s, and a relay sends heartbeats only while reads of both kinds succeed. A log line says when it stops, with the age of each read. Price: one relay makes 1.3 calls a second instead of 0.8.

--- a/crates/node/src/replica/relay.rs
+++ b/crates/node/src/replica/relay.rs
@@ -14,11 +14,9 @@
 
 /// How often a node that does not read the source checks whether it has to.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// Maximum duration of one watch of the routes.
-const ROUTES_WATCH_TIMEOUT: Duration = Duration::from_secs(8);
-/// Maximum duration of one watch of the upstreams. It is short, so that an
-/// unresponsive connection is detected before a leaving upstream must be avoided.
-const UPSTREAMS_WATCH_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Maximum duration of one watch. It is short, so that an unresponsive connection is
+/// detected before a change has to be in force.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Pause after a change, so that changes that follow closely arrive in one response.
 const CHANGE_PAUSE: Duration = Duration::from_millis(150);
 /// How often a relay sends heartbeats to the other nodes of its data centre.
@@ -31,7 +29,7 @@
 /// the source itself: on a congested link, a relay's heartbeats can still arrive when
 /// its snapshots do not.
 const LAG_MAX: Duration = Duration::from_millis(800);
-/// Maximum age of the last successful read of upstreams for a relay to send heartbeats.
+/// Maximum age of the last successful read of each kind for a relay to send heartbeats.
 const READ_AGE_MAX: Duration = Duration::from_millis(2_200);
 /// Pause before the first retry of a failed read; it doubles with each further one.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
@@ -43,14 +41,14 @@
 
 /// Starts a reader for each kind of snapshot and the task that sends heartbeats.
 pub(super) fn start(parts: &ReplicaParts, replica: &ReplicaHandle) {
-    let (last_read, last_read_watch) = watch::channel(None);
+    let (last_reads, last_reads_watch) = watch::channel(LastReads::default());
     tokio::spawn(send_heartbeats(
         parts.clone(),
         replica.clone(),
-        last_read_watch,
+        last_reads_watch,
     ));
     let progress = Arc::new(ReadProgress {
-        last_read,
+        last_reads,
         newest_era: watch::channel(SourceEra::default()).0,
     });
     for kind in [SnapshotKind::Routes, SnapshotKind::Upstreams] {
@@ -59,19 +57,59 @@
     }
 }
 
+/// When a read of each kind last succeeded.
+#[derive(Debug, Clone, Copy, Default)]
+struct LastReads {
+    routes: Option<Instant>,
+    upstreams: Option<Instant>,
+}
+
+impl LastReads {
+    fn record(&mut self, kind: SnapshotKind) {
+        let last_read = match kind {
+            SnapshotKind::Routes => &mut self.routes,
+            SnapshotKind::Upstreams => &mut self.upstreams,
+        };
+        *last_read = Some(Instant::now());
+    }
+
+    /// Whether the last read of each kind is recent.
+    fn are_current(&self) -> bool {
+        let reads = [self.routes, self.upstreams];
+        reads
+            .iter()
+            .all(|read| read.is_some_and(|at| at.elapsed() <= READ_AGE_MAX))
+    }
+
+    /// Milliseconds since the last read of a kind, for logs.
+    fn age_millis(last_read: Option<Instant>) -> Option<u64> {
+        u64::try_from(last_read?.elapsed().as_millis()).ok()
+    }
+}
+
 /// Sends heartbeats while this node is the relay and its reads of the source succeed.
 async fn send_heartbeats(
     parts: ReplicaParts,
     replica: ReplicaHandle,
-    last_read_watch: watch::Receiver<Option<Instant>>,
+    last_reads_watch: watch::Receiver<LastReads>,
 ) {
     let mut ticks = time::interval(HEARTBEAT_INTERVAL);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Skip);
+    let mut was_current = false;
     while !replica.is_closed() {
         ticks.tick().await;
-        let last_read: Option<Instant> = *last_read_watch.borrow();
+        let last_reads = *last_reads_watch.borrow();
         let table = parts.members.table();
-        let is_current = last_read.is_some_and(|at| at.elapsed() <= READ_AGE_MAX);
+        let is_current = last_reads.are_current();
+        if was_current && !is_current {
+            log::warn!(
+                target: "relay",
+                routes_age_ms:? = LastReads::age_millis(last_reads.routes),
+                upstreams_age_ms:? = LastReads::age_millis(last_reads.upstreams);
+                "No heartbeats as a relay: the source was last read too long ago."
+            );
+        }
+        was_current = is_current;
         if !is_current || !table.is_snapshot_relay(Instant::now()) {
             continue;
         }
@@ -172,8 +210,8 @@
 
 /// What the readers of both kinds of snapshot have in common.
 struct ReadProgress {
-    /// When a read of upstreams last succeeded.
-    last_read: watch::Sender<Option<Instant>>,
+    /// When a read of each kind last succeeded.
+    last_reads: watch::Sender<LastReads>,
     /// The newest era that a read returned.
     newest_era: watch::Sender<SourceEra>,
 }
@@ -240,9 +278,9 @@
             *newest = era.max(*newest);
             is_newer
         });
-        if kind == SnapshotKind::Upstreams {
-            self.progress.last_read.send_replace(Some(Instant::now()));
-        }
+        self.progress
+            .last_reads
+            .send_modify(|reads| reads.record(kind));
         if let Some(since) = self.unavailable_since.take() {
             let outage_millis = since.elapsed().as_millis();
             log::info!(target: "relay", "The source of the {kind} is back after {outage_millis} ms.");
@@ -260,7 +298,7 @@
             if !self.must_read(SnapshotKind::Routes) {
                 return Ok(());
             }
-            let watching = (self.parts.source.watch_routes)(read.position, ROUTES_WATCH_TIMEOUT);
+            let watching = (self.parts.source.watch_routes)(read.position, WATCH_TIMEOUT);
             read = tokio::select! {
                 read = watching => read?,
                 // A read of upstreams noticed a restoration, of which a watch may not tell.
@@ -292,7 +330,7 @@
                 return Ok(());
             }
             let watch_source = Arc::clone(&self.parts.source.watch_upstreams);
-            let watching = watch_source(self.view.position(), UPSTREAMS_WATCH_TIMEOUT);
+            let watching = watch_source(self.view.position(), WATCH_TIMEOUT);
             let removals_due_at = self.view.removals_due_at();
             let removals_due = time::sleep_until(removals_due_at.unwrap_or_else(Instant::now));
             tokio::pin!(watching, removals_due);
