fix(quarantine): a request that crashes upstream after upstream is no longer sent

Callers of the service saw its upstreams down again and again: one request crashed each one that began to run it, came back at another node, and was retried there at the next one.

Cause: nothing in the fleet knew a request again. A broken attempt was evidence about the upstream alone, and the retry rule sent the request on.

Change: a request has a fingerprint (method, host, target, credentials, body). When a connection breaks and the upstream then refuses a new one, it crashed, and the requests that it was running are its suspects, reported to all nodes. CrashLedger (policy) holds responsible what explains the crashes: two under one request when no other request was in all of them and nothing else crashed, more when other upstreams crash, too; four suffice. A completed run clears a request on every node. A quarantined request is rejected at once as not run, with the time to the next trial; the owner of its trials, chosen by rendezvous hashing, grants one after 5 s, 20 s, 80 s and so on. A suspect is neither hedged nor retried after another break. A node that had no contact fetches the crashes, as it does the rate limits (ContactGap, shared by both).

Tests: platform/tests/deadly_requests.rs, three gateways before backends that really close their ports.

--- a/bins/entry/src/gateway.rs
+++ b/bins/entry/src/gateway.rs
@@ -22,9 +22,9 @@
 use upstream::wire::UpstreamHeaders;
 
 use crate::ops::OpsEndpoint;
-use crate::permits;
 use crate::replica_directory::ReplicaDirectoryTask;
 use crate::server::dispatch_to;
+use crate::{crashes, permits};
 
 /// Capacity of the queue of updates from other nodes. When it is full, new updates are
 /// dropped: suspicion decays with time, and loads are reported again.
@@ -125,6 +125,7 @@
             &settings.node,
             directory.clone(),
             reject_claims(),
+            crashes::crash_callbacks(&fleet.crashes),
             Arc::clone(&metrics),
         );
         let listener = CallerListener::bind(
--- a/bins/entry/src/lib.rs
+++ b/bins/entry/src/lib.rs
@@ -6,9 +6,11 @@
 //! - [`gateway`]: a gateway, whose routes and upstreams come from an external source.
 //!
 //! Private modules: `directory` and `replica_directory` apply the configuration to the
-//! service tasks, `permits` connects them to the sharing of rate limits, `probes` probes the
-//! upstreams assigned to this node, and `ops` serves readiness, status and metrics.
+//! service tasks, `permits` connects them to the sharing of rate limits and `crashes` the
+//! dispatcher to that of crashes, `probes` probes the upstreams assigned to this node, and
+//! `ops` serves readiness, status and metrics.
 
+mod crashes;
 mod directory;
 pub mod gateway;
 mod ops;
--- a/bins/entry/src/server.rs
+++ b/bins/entry/src/server.rs
@@ -21,6 +21,7 @@
 use upstream::dispatch::{ClaimCallbacks, Dispatcher};
 use upstream::service::{ServiceDirectory, ServiceSettings, SettingsFactory};
 
+use crate::crashes;
 use crate::directory::DirectoryTask;
 use crate::ops::OpsEndpoint;
 use crate::permits;
@@ -96,6 +97,7 @@
             &settings.node,
             directory.clone(),
             claims,
+            crashes::crash_callbacks(&fleet.crashes),
             Arc::clone(&metrics),
         );
         let listener = CallerListener::bind(
--- a/crates/model/src/error/kind.rs
+++ b/crates/model/src/error/kind.rs
@@ -37,6 +37,8 @@
         Overload = "overload",
         /// Every upstream that could take the request has reached its rate limit.
         RateLimited = "rate-limited",
+        /// Upstreams crash while they run the request, so it is not sent.
+        Quarantined = "quarantined",
         /// No upstream of the service can take the request.
         NoUpstream = "no-upstream",
         /// A connection to the upstream could not be opened.
@@ -112,6 +114,7 @@
             Self::WorkspaceLimit => (429, NotRun, true),
             Self::Overload
             | Self::RateLimited
+            | Self::Quarantined
             | Self::NoUpstream
             | Self::Shed
             | Self::NotReady
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`call`]: a request and its response, independent of their encoding.
 //! - [`config`]: services, upstreams, routes, workspaces, and the chunks and root that store them.
 //! - [`digest`]: content hashes, which are the addresses of chunks.
+//! - [`fingerprint`]: what makes two requests the same one.
 //! - [`position`]: positions in the history of a source that can be restored from a copy.
 //! - [`settings`]: settings from flags and environment variables.
 //! - [`clock`]: wall-clock time that advances with the runtime's clock.
@@ -16,6 +17,7 @@
 pub mod config;
 pub mod digest;
 pub mod error;
+pub mod fingerprint;
 pub mod ids;
 pub mod position;
 pub mod settings;
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -14,6 +14,7 @@
 
 use crate::claims::{BatchSettings, ClaimClient, ClaimShards};
 use crate::collector::{Collector, CollectorUpdate, UpdateSink};
+use crate::crashes::{CrashFleet, CrashParts};
 use crate::follow::ConfigFollower;
 use crate::keys::NodeKeys;
 use crate::limits::{LimitFleet, LimitParts, RecordSink};
@@ -62,6 +63,8 @@
     pub claims: ClaimClient,
     /// The limits that upstreams name.
     pub limits: LimitFleet,
+    /// Crashes of upstreams and the requests that cause them.
+    pub crashes: CrashFleet,
     /// The address at which other nodes reach this one.
     pub address: SocketAddr,
     peers: PeerSet,
@@ -107,8 +110,13 @@
             members: members.clone(),
             on_record: on_limit,
         });
+        let crashes = CrashFleet::start(CrashParts {
+            peers: peers.clone(),
+            members: members.clone(),
+        });
         let responder = NodeResponder {
             limits: limits.clone(),
+            crashes: crashes.clone(),
             members: members.clone(),
             follower: follower.clone(),
             collector: collector.clone(),
@@ -127,6 +135,7 @@
             collector,
             claims,
             limits,
+            crashes,
             address,
             peers,
             endpoint,
@@ -184,6 +193,7 @@
 #[derive(Clone)]
 struct NodeResponder {
     limits: LimitFleet,
+    crashes: CrashFleet,
     members: MemberSet,
     follower: ConfigFollower,
     collector: Collector,
@@ -207,6 +217,7 @@
                 let own = self.follower.summary().await;
                 self.members.record_contact(from.clone()).await;
                 self.limits.record_contact(&from);
+                self.crashes.record_contact(&from);
                 self.follower.compare(summary, Arc::new(from)).await;
                 return NodeReply::Summary(own);
             }
@@ -226,6 +237,7 @@
             }
             NodeRequest::Settle(settlements) => self.shards.settle(settlements).await,
             NodeRequest::Limit(request) => return self.limits.handle_request(request).await,
+            NodeRequest::Crash(request) => return self.crashes.handle_request(request).await,
             NodeRequest::Replica(_)
             | NodeRequest::Signals { .. }
             | NodeRequest::Loads { .. }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`keys`]: the fleet's certificate authority and the node certificates.
 //! - [`link`]: connections to other nodes.
 //! - [`limits`]: rate limits that upstreams name, and permits to send within them.
+//! - [`crashes`]: crashes of upstreams and trials of the requests that cause them.
 //! - [`members`]: the members of the fleet.
 //! - [`collector`]: sums the evidence and derives verdicts and ejections from it.
 //! - [`follow`]: the configuration in force, from the platform or other nodes.
@@ -18,6 +19,7 @@
 
 pub mod claims;
 pub mod collector;
+pub mod crashes;
 pub mod fleet;
 pub mod follow;
 pub mod keys;
--- a/crates/node/src/limits/fleet.rs
+++ b/crates/node/src/limits/fleet.rs
@@ -6,11 +6,11 @@
 use model::ids;
 use policy::membership::Member;
 use policy::permit::{LimitRecord, LimitReport, PermitReply, PermitRequest};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
 use super::task::{self, COMMANDS_MAX, LimitCommand};
-use crate::link::PeerSet;
+use crate::link::{ContactGap, PeerSet};
 use crate::members::MemberSet;
 use crate::wire::{LimitReply, LimitRequest, NodeReply, NodeRequest};
 
@@ -18,8 +18,6 @@
 const DRAW_TIMEOUT: Duration = Duration::from_millis(150);
 /// Timeout for the list of limits of another node.
 const LIST_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time without contact to another node after which announcements may have been missed.
-const CONTACT_GAP: Duration = Duration::from_secs(3);
 /// Limits in one datagram. A limit takes about 60 bytes, and a datagram of 1,200 bytes
 /// passes on every network path.
 const RECORDS_PER_DATAGRAM: usize = 16;
@@ -43,8 +41,7 @@
 pub struct LimitFleet {
     parts: LimitParts,
     commands: mpsc::Sender<LimitCommand>,
-    /// When a node last made contact; `None` before the first time.
-    last_contact: watch::Sender<Option<Instant>>,
+    contact: ContactGap,
 }
 
 impl LimitFleet {
@@ -55,7 +52,7 @@
         Self {
             parts,
             commands,
-            last_contact: watch::channel(None).0,
+            contact: ContactGap::new(),
         }
     }
 
@@ -133,10 +130,7 @@
     /// Records a message from another node. After a time without any, this node may have
     /// missed announcements, so it fetches the limits that the other one knows.
     pub fn record_contact(&self, from: &Member) {
-        let now = Instant::now();
-        let last = self.last_contact.send_replace(Some(now));
-        let is_gap = last.is_none_or(|at| now.saturating_duration_since(at) > CONTACT_GAP);
-        if is_gap {
+        if self.contact.record() {
             let fleet = self.clone();
             let from = Arc::new(from.clone());
             tokio::spawn(async move { fleet.fetch(from).await });
@@ -156,7 +150,7 @@
             }
             other => {
                 log::info!(target: "limits", "Node {} sent no limits: {other:?}.", from.node);
-                self.last_contact.send_replace(None);
+                self.contact.reopen();
             }
         }
     }
--- a/crates/node/src/link/mod.rs
+++ b/crates/node/src/link/mod.rs
@@ -4,10 +4,12 @@
 //! may be lost.
 
 mod acceptor;
+mod contact;
 mod endpoint;
 mod peers;
 mod publish;
 
 pub use acceptor::{ReplyFuture, RequestHandler, accept};
+pub(crate) use contact::ContactGap;
 pub use endpoint::open_endpoint;
 pub use peers::{PeerSet, SentObserver};
--- a/crates/node/src/replica/fleet.rs
+++ b/crates/node/src/replica/fleet.rs
@@ -18,6 +18,7 @@
 use super::retry_pool::RetryPoolHandle;
 use super::source::FleetSource;
 use super::task::{ReplicaHandle, ReplicaParts};
+use crate::crashes::{CrashFleet, CrashParts};
 use crate::keys::NodeKeys;
 use crate::limits::{LimitFleet, LimitParts};
 use crate::link::{self, PeerSet, RequestHandler, SentObserver};
@@ -57,6 +58,8 @@
     pub replica: ReplicaHandle,
     /// The limits that upstreams name.
     pub limits: LimitFleet,
+    /// Crashes of upstreams and the requests that cause them.
+    pub crashes: CrashFleet,
     /// The address at which other nodes reach this one.
     pub address: SocketAddr,
     peers: PeerSet,
@@ -96,8 +99,13 @@
                 publish_update(&limit_updates, NodeUpdate::Limit(record));
             }),
         });
+        let crashes = CrashFleet::start(CrashParts {
+            peers: peers.clone(),
+            members: members.clone(),
+        });
         let responder = ReplicaResponder {
             limits: limits.clone(),
+            crashes: crashes.clone(),
             load_aggregator: load_aggregator.clone(),
             retry_pool: retry_pool.clone(),
             replica: replica.clone(),
@@ -114,6 +122,7 @@
             members,
             replica,
             limits,
+            crashes,
             address,
             peers,
             load_aggregator,
@@ -203,6 +212,7 @@
 #[derive(Clone)]
 struct ReplicaResponder {
     limits: LimitFleet,
+    crashes: CrashFleet,
     load_aggregator: LoadAggregator,
     retry_pool: RetryPoolHandle,
     replica: ReplicaHandle,
@@ -219,6 +229,7 @@
                 | ReplicaRequest::Heartbeat { from, .. } = &request
                 {
                     self.limits.record_contact(from);
+                    self.crashes.record_contact(from);
                 }
                 return self.replica.handle_request(request).await;
             }
@@ -235,6 +246,7 @@
                 }
             }
             NodeRequest::Limit(request) => return self.limits.handle_request(request).await,
+            NodeRequest::Crash(request) => return self.crashes.handle_request(request).await,
             _ => {
                 return NodeReply::Failed(
                     "this node keeps its configuration as snapshots, not as chunks".to_owned(),
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -6,12 +6,14 @@
 use std::collections::BTreeMap;
 
 use model::config::{RouteSnapshot, SnapshotVersion, UpstreamSnapshot};
+use model::fingerprint::RequestFingerprint;
 use model::{digest, ids, sizes};
 use policy::claim::{ClaimAttempt, ClaimKey, ClaimVerdict, Settlement};
 use policy::detection::{EvidenceReport, ServiceLatency, VerdictChange};
 use policy::ejection::EjectionRecord;
 use policy::membership::Member;
 use policy::permit::{LimitRecord, LimitReport, PermitReply, PermitRequest};
+use policy::quarantine::{CrashRecord, CrashReport};
 use policy::replica::UpstreamChange;
 use policy::service::{LoadReport, UpstreamLoad};
 use policy::suspicion::SuspicionSignal;
@@ -126,6 +128,36 @@
         Records(Vec<LimitRecord>),
     }
 
+    /// A request about crashes from one node to another.
+    pub enum CrashRequest {
+        /// Record that upstreams crashed while they ran requests.
+        Reports {
+            /// The reports.
+            reports: Vec<CrashReport>,
+            /// Whether to forward them to the other nodes of the data centre.
+            forward: bool,
+        },
+        /// Clear a request that completed a run.
+        Completed {
+            /// The request.
+            request: RequestFingerprint,
+            /// Whether to forward this to the other nodes of the data centre.
+            forward: bool,
+        },
+        /// Draw a trial of a quarantined request; sent to the owner of its trials.
+        DrawTrial(RequestFingerprint),
+        /// Return the crashes that the node remembers.
+        List,
+    }
+
+    /// A reply about crashes.
+    pub enum CrashReply {
+        /// Whether a trial was granted.
+        Trial(bool),
+        /// The crashes that the node remembers.
+        Records(Vec<CrashRecord>),
+    }
+
     /// A request from one node to another.
     pub enum NodeRequest {
         /// Record evidence as a collector.
@@ -185,6 +217,8 @@
         Replica(ReplicaRequest),
         /// A request about rate limits.
         Limit(LimitRequest),
+        /// A request about crashes.
+        Crash(CrashRequest),
     }
 
     /// A reply to a [`NodeRequest`].
@@ -212,6 +246,8 @@
         Failed(String),
         /// A reply about rate limits.
         Limit(LimitReply),
+        /// A reply about crashes.
+        Crash(CrashReply),
     }
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`retry`]: when another attempt may be made.
 //! - [`limit`]: how many requests are admitted.
 //! - [`permit`]: the rate limits that upstreams name, and permits to send to such an upstream.
+//! - [`quarantine`]: which requests crash the upstreams that run them.
 //! - [`claim`]: how a request with an idempotency key runs at most once.
 //! - [`membership`]: which nodes are in the fleet, and their roles.
 //! - [`replica`]: the snapshot of upstreams, its changes, and which removals to trust.
@@ -25,6 +26,7 @@
 pub mod limit;
 pub mod membership;
 pub mod permit;
+pub mod quarantine;
 pub mod rendezvous;
 pub mod replica;
 pub mod retry;
--- a/crates/upstream/src/attempt.rs
+++ b/crates/upstream/src/attempt.rs
@@ -16,6 +16,7 @@
 use policy::retry::AttemptEnd;
 use tokio::time::{self, Instant, Sleep};
 
+use crate::crash::CrashWatch;
 use crate::pool::{Freshness, PooledConnection};
 use crate::service::{AttemptLease, ServiceHandle};
 use crate::wire::{UpstreamHeaders, UpstreamRefusal, UpstreamSignals};
@@ -39,6 +40,8 @@
     pub deadline: Instant,
     /// The first error of the caller's body, once one has occurred.
     pub body_fault: BodyFault,
+    /// Observes crashes of upstreams.
+    pub crash: CrashWatch,
 }
 
 /// Holds the first error of the caller's body. An attempt that fails because of it ends
@@ -121,6 +124,9 @@
                 ExchangeError::Broken if possibly_stale => AttemptEnd::Unresponsive,
                 ExchangeError::Broken => AttemptEnd::Broken,
             };
+            if matches!(end, AttemptEnd::Broken | AttemptEnd::Unresponsive) {
+                context.crash.check_upstream(&lease);
+            }
             lease.end(end);
             return Err(AttemptFailure::new(end));
         }
@@ -195,6 +201,9 @@
         lease.end(AttemptEnd::Broken);
         return Err(AttemptFailure::new(AttemptEnd::Broken));
     }
+    if signals.refusal.is_none() {
+        context.crash.record_completion();
+    }
     let mut headers = parts.headers;
     http1::header::strip_hop_by_hop(&mut headers);
     names.strip_signals(&mut headers);
--- a/crates/upstream/src/dispatch/dispatcher.rs
+++ b/crates/upstream/src/dispatch/dispatcher.rs
@@ -4,9 +4,10 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use http::Method;
+use http::{Method, header};
 use model::call::{BodyError, Call, CallHead, CallResponse};
 use model::error::{ErrorKind, FleetError, Outcome};
+use model::fingerprint::RequestFingerprint;
 use model::{clock, config, digest, ids};
 use policy::claim::{ClaimAttempt, ClaimKey, ClaimState, ClaimToken};
 use policy::invariant::{self, Invariant};
@@ -20,6 +21,7 @@
 use super::claim::{self, ClaimCallbacks, ClaimGuard};
 use super::{race, resume};
 use crate::attempt::{self, AttemptContext, AttemptFailure, BodyFault};
+use crate::crash::{CrashCallbacks, CrashWatch};
 use crate::service::{ServiceDirectory, ServiceHandle};
 
 /// Grace period after the deadline of a claimed request. A claim that is still unsettled
@@ -31,6 +33,7 @@
 pub struct Dispatcher {
     directory: watch::Receiver<Arc<ServiceDirectory>>,
     claims: ClaimCallbacks,
+    crashes: CrashCallbacks,
     metrics: Arc<NodeMetrics>,
     /// Prefix of the request ids that this node assigns. It contains a random number,
     /// so that the ids stay unique when the process restarts.
@@ -68,6 +71,7 @@
         node: &ids::NodeId,
         directory: watch::Receiver<Arc<ServiceDirectory>>,
         claims: ClaimCallbacks,
+        crashes: CrashCallbacks,
         metrics: Arc<NodeMetrics>,
     ) -> Self {
         let clock = clock::WallClock::start();
@@ -75,6 +79,7 @@
         Self {
             directory,
             claims,
+            crashes,
             metrics,
             id_prefix,
             clock,
@@ -168,6 +173,8 @@
         let deadline = started + timeout;
         let body_fault = BodyFault::default();
         let mut body = RequestBody::prepare(call.body, deadline, &body_fault).await?;
+        let crash = CrashWatch::new(fingerprint(&call.head, &body), self.crashes.clone());
+        crash.admit().await?;
         let request_hash = request_hash(&call.head, &body);
         let guard = self
             .claim(&call.head, &target, request_hash, deadline)
@@ -179,6 +186,7 @@
             head_deadline: deadline,
             deadline,
             body_fault,
+            crash,
         };
         let attempts_max = options
             .max_attempts
@@ -307,6 +315,12 @@
             self.count_attempt(failure.end);
             let not_run = failure.end.is_not_run(self.service.shed_is_not_run);
             self.may_have_run |= !not_run;
+            let may_be_crash = matches!(failure.end, AttemptEnd::Broken | AttemptEnd::Unresponsive);
+            if may_be_crash && self.context.crash.is_suspect() {
+                // Another attempt may crash another upstream.
+                let kind = self.error_kind(failure.end);
+                return self.give_up(Some(failure), kind);
+            }
             let retry_context = self.retry_context(failure.end, charge, body);
             let decision = self.handle.decide_retry(retry_context).await;
             if let Err(reason) = decision {
@@ -500,6 +514,20 @@
     digest::stable_hash(&[method.as_str().as_bytes(), head.target.as_bytes(), bytes])
 }
 
+/// What makes this request the same one as an earlier attempt of its caller.
+fn fingerprint(head: &CallHead, body: &RequestBody) -> RequestFingerprint {
+    let credentials = head.headers.get(header::AUTHORIZATION);
+    RequestFingerprint::of(&[
+        head.host.as_bytes(),
+        head.workspace
+            .as_ref()
+            .map_or("", ids::WorkspaceId::as_str)
+            .as_bytes(),
+        credentials.map_or(&b""[..], http::HeaderValue::as_bytes),
+        &request_hash(head, body).to_le_bytes(),
+    ])
+}
+
 fn claim_state(result: &Result<CallResponse, FleetError>) -> ClaimState {
     match result {
         Ok(response) => ClaimState::Ran(response.status.as_u16()),
--- a/crates/upstream/src/dispatch/race.rs
+++ b/crates/upstream/src/dispatch/race.rs
@@ -25,8 +25,10 @@
     body: &mut RequestBody,
 ) -> Result<CallResponse, AttemptFailure> {
     let mut taken = body.take();
-    let hedgeable =
-        state.context.repeatable && body.is_buffered() && state.attempts < state.attempts_max;
+    let hedgeable = state.context.repeatable
+        && body.is_buffered()
+        && state.attempts < state.attempts_max
+        && !state.context.crash.is_suspect();
     let context = state.context.clone();
     let charge = lease.charge();
     let outpaced = lease.outpaced();
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -6,9 +6,11 @@
 //! - [`service`]: one task per service, which owns its balancer.
 //! - [`attempt`]: one attempt at one upstream.
 //! - [`dispatch`]: one request, with retries, hedges and resumed downloads.
+//! - [`crash`]: requests that crash the upstreams which run them.
 //! - [`probe`]: periodic checks that an upstream can be reached.
 
 pub mod attempt;
+pub mod crash;
 pub mod dispatch;
 pub mod pool;
 pub mod probe;
--- a/crates/upstream/src/pool/task.rs
+++ b/crates/upstream/src/pool/task.rs
@@ -1,5 +1,6 @@
 //! The task that owns the idle connections to one upstream.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -82,6 +83,21 @@
         })
     }
 
+    /// Opens a connection to find out whether the upstream accepts any; `None` if it does not
+    /// respond. The connection is kept for later requests.
+    pub async fn accepts_connections(&self) -> Option<bool> {
+        match client::open(self.address, CONNECT_TIMEOUT).await {
+            Ok(connection) => {
+                self.release(connection).await;
+                Some(true)
+            }
+            Err(OpenError::Failed(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                Some(false)
+            }
+            Err(_) => None,
+        }
+    }
+
     async fn acquire_idle(&self, freshness: Freshness) -> Option<Connection> {
         let (reply, receiver) = oneshot::channel();
         self.commands
@@ -91,7 +107,7 @@
         receiver.await.ok()?
     }
 
-    /// Returns a connection to the pool after a complete exchange.
+    /// Returns a connection to the pool that is new or has completed an exchange.
     pub async fn release(&self, connection: Connection) {
         let _ = self.commands.send(PoolCommand::Release(connection)).await;
     }
