fix(attempt): a response that does not name its request proves nothing

Callers of once-only requests got 503 ('not run, try again') though a backend was running the request, or it ran at a second backend: a faulty backend had written an earlier refusal once more on a kept connection, without an id.

Cause: a missing id passed for the request's own, and a refusal needed no signature. The draining that such a response stated was believed, too.

Change: where every upstream echoes the id of the request, as on the users' platform, a response without it, or with any other one beside it, is rejected like one of another request: 502 for a once-only request, another attempt within the budget for others. Signals of a rejected response are not read. Upstreams of the product's own interface may leave the id out, as before.

--- a/crates/upstream/src/attempt.rs
+++ b/crates/upstream/src/attempt.rs
@@ -187,7 +187,6 @@
     let (parts, body) = response.into_parts();
     let names = handle.headers();
     let signals = names.read_signals(parts.status, &parts.headers);
-    report_signals(handle, &lease, signals).await;
     let rejection = rejection_reason(names, context, &parts, signals);
     lease.record_limit(trusted_limit(context, &lease, signals, rejection.is_some()));
     if let Some(reason) = rejection {
@@ -201,6 +200,7 @@
         lease.end(AttemptEnd::Broken);
         return Err(AttemptFailure::new(AttemptEnd::Broken));
     }
+    report_signals(handle, &lease, signals).await;
     if signals.refusal.is_none() {
         context.crash.record_completion();
     }
@@ -337,9 +337,8 @@
     parts: &http::response::Parts,
     signals: UpstreamSignals,
 ) -> Option<&'static str> {
-    let echoed = http1::header::text(&parts.headers, names.request_id.as_str());
-    if echoed.is_some_and(|id| id != context.request.as_str()) {
-        return Some("it carries the id of another request");
+    if !names.names_request(&parts.headers, &context.request) {
+        return Some("it does not carry the id of the request, or carries another one");
     }
     if !signals.signed && signals.refusal.is_none() {
         return Some("it lacks the upstream's signature header");
--- a/crates/upstream/src/wire.rs
+++ b/crates/upstream/src/wire.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use http1::header;
-use model::sizes;
+use model::{ids, sizes};
 use policy::permit::LimitSignal;
 
 /// The id of the request; an upstream may echo it in the response.
@@ -30,6 +30,8 @@
 pub struct UpstreamHeaders {
     /// The id of the request; an upstream may echo it in the response.
     pub request_id: HeaderName,
+    /// Whether every upstream echoes the id, so that a response without it is not trusted.
+    pub echoes_request_id: bool,
     /// Milliseconds left until the deadline of the request.
     pub deadline_millis: HeaderName,
     /// The only instance that may run the request.
@@ -54,6 +56,7 @@
     fn default() -> Self {
         Self {
             request_id: HeaderName::from_static(REQUEST_ID),
+            echoes_request_id: false,
             deadline_millis: HeaderName::from_static(DEADLINE_MILLIS),
             instance: None,
             shed: HeaderName::from_static(SHED),
@@ -116,6 +119,13 @@
         }
     }
 
+    /// Whether a response names the request that it belongs to, and no other one.
+    pub fn names_request(&self, headers: &HeaderMap, request: &ids::RequestId) -> bool {
+        let mut echoed = headers.get_all(&self.request_id).iter().peekable();
+        let is_named = echoed.peek().is_some() || !self.echoes_request_id;
+        is_named && echoed.all(|id| id == request.as_str())
+    }
+
     /// Reads the rate limit that an upstream names. Of several, the lowest one counts.
     fn read_limit(&self, headers: &HeaderMap) -> LimitSignal {
         let mut signal = LimitSignal::Absent;
