fix(crashes): a starting node knows quarantined requests as soon as it finds another node

Seen once in deadly_requests.rs beside a build: a gateway that had just started sent a request that the others had quarantined (502 instead of 503).

Cause: it fetched the crashes only when another node made contact, up to a second after it had become ready, and assessed what it fetched 200 ms later.

Change: it fetches from the first node that it finds; crashes that are settled are assessed at once.

--- a/crates/node/src/crashes/fleet.rs
+++ b/crates/node/src/crashes/fleet.rs
@@ -48,11 +48,29 @@
         let (commands, inbox) = mpsc::channel(COMMANDS_MAX);
         let (publisher, standings) = watch::channel(Standings::default());
         tokio::spawn(task::run(parts.clone(), publisher, inbox));
-        Self {
+        let fleet = Self {
             parts,
             commands,
             standings,
             contact: ContactGap::new(),
+        };
+        tokio::spawn(fleet.clone().fetch_from_first());
+        fleet
+    }
+
+    /// Fetches the crashes from the first node that this one finds, so that it knows the
+    /// quarantined requests before others make contact.
+    async fn fetch_from_first(self) {
+        let mut tables = self.parts.members.watch();
+        let found = tables.wait_for(|table| !table.is_empty()).await;
+        let Ok(table) = found.map(|table| Arc::clone(&table)) else {
+            return;
+        };
+        let own = &table.own().node;
+        if let Some(member) = table.all().find(|member| member.node != *own)
+            && self.contact.record()
+        {
+            self.fetch(Arc::clone(member)).await;
         }
     }
 
--- a/crates/policy/src/quarantine/ledger.rs
+++ b/crates/policy/src/quarantine/ledger.rs
@@ -105,8 +105,9 @@
         });
         let suspects = &mut self.crashes[index].suspects;
         let is_new = suspects.len() < SUSPECTS_MAX && suspects.insert(report.request);
-        if is_new && self.assess_at.is_none() {
-            self.assess_at = Some(now + SETTLE_DELAY);
+        if is_new {
+            let due_at = now.max(at + SETTLE_DELAY);
+            self.assess_at = Some(self.assess_at.map_or(due_at, |earlier| earlier.min(due_at)));
         }
         while self.crashes.len() > CRASHES_MAX {
             self.crashes.pop_front();
