--- a/crates/policy/src/quarantine/ledger.rs
+++ b/crates/policy/src/quarantine/ledger.rs
@@ -228,11 +228,13 @@
 
     /// Every request that is not clear.
     pub fn standings(&self) -> HashMap<RequestFingerprint, RequestStanding> {
-        let suspects = self.crashes.iter().flat_map(|crash| &crash.suspects);
-        suspects
-            .map(|request| (*request, self.standing(*request)))
-            .filter(|(_, standing)| *standing != RequestStanding::Clear)
-            .collect()
+        let suspects = self.unexplained().flat_map(|crash| &crash.suspects);
+        let suspects = suspects.map(|request| (*request, RequestStanding::Suspect));
+        let quarantined = self.quarantined.iter().map(|request| {
+            let trial_at = self.trial_at(*request);
+            (*request, RequestStanding::Quarantined { trial_at })
+        });
+        suspects.chain(quarantined).collect()
     }
 
     fn trial_at(&self, request: RequestFingerprint) -> Instant {
