fix(dispatch): a request with a small body in chunks is recognised when it comes again

Change: a body without a declared size is buffered up to 64 KiB, as one with a size is, and so it can also be sent again when it has not run. collect_up_to serves requests and responses.

A check for a crash closes its connection instead of pooling it: endless_responses.rs showed a connection left open at a backend.

--- a/crates/upstream/src/attempt.rs
+++ b/crates/upstream/src/attempt.rs
@@ -1,6 +1,5 @@
 //! One attempt at one upstream.
 
-use std::collections::VecDeque;
 use std::pin::Pin;
 use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll};
@@ -10,12 +9,13 @@
 use http_body_util::BodyExt as _;
 use http1::client::{ExchangeError, ResponseBody};
 use hyper::body::{Body, Frame, SizeHint};
-use model::call::{BodyError, BodyStream, CallHead, CallResponse};
+use model::call::{self, BodyError, BodyStream, CallHead, CallResponse};
 use model::ids;
 use policy::permit::LimitSignal;
 use policy::retry::AttemptEnd;
 use tokio::time::{self, Instant, Sleep};
 
+use crate::buffer::{self, CollectedBody};
 use crate::crash::CrashWatch;
 use crate::pool::{Freshness, PooledConnection};
 use crate::service::{AttemptLease, ServiceHandle};
@@ -100,7 +100,7 @@
         handle.headers(),
         context,
         &lease,
-        body.take().unwrap_or_else(model::call::empty_body),
+        body.take().unwrap_or_else(call::empty_body),
     );
     let exchanging = time::timeout_at(context.head_deadline, connection.exchange(request));
     let Ok(exchanged) = exchanging.await else {
@@ -248,51 +248,12 @@
 
 /// Buffers a response body of up to `limit_bytes` before any of it is forwarded, so
 /// that a truncated one can still be retried.
-async fn buffer_body(mut body: BodyStream, limit_bytes: u64) -> Result<BodyStream, AttemptFailure> {
-    let mut buffered = VecDeque::new();
-    let mut size = 0;
-    while let Some(frame) = body.frame().await {
-        let data = match frame.map(Frame::into_data) {
-            Ok(Ok(data)) => data,
-            Ok(Err(_)) => continue,
-            Err(BodyError::Deadline) => return Err(AttemptFailure::new(AttemptEnd::TimedOut)),
-            Err(_) => return Err(AttemptFailure::new(AttemptEnd::Truncated)),
-        };
-        size += data.len() as u64;
-        buffered.push_back(data);
-        if size > limit_bytes {
-            return Ok(BufferedBody {
-                buffered,
-                rest: body,
-            }
-            .boxed_unsync());
-        }
-    }
-    Ok(match buffered.len() {
-        0 | 1 => model::call::full_body(buffered.pop_front().unwrap_or_default()),
-        _ => model::call::full_body(buffered.make_contiguous().concat()),
-    })
-}
-
-/// A body that is larger than the buffer: the buffered data, then the rest as it
-/// arrives.
-struct BufferedBody {
-    buffered: VecDeque<Bytes>,
-    rest: BodyStream,
-}
-
-impl Body for BufferedBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        match self.buffered.pop_front() {
-            Some(data) => Poll::Ready(Some(Ok(Frame::data(data)))),
-            None => Pin::new(&mut self.rest).poll_frame(context),
-        }
+async fn buffer_body(body: BodyStream, limit_bytes: u64) -> Result<BodyStream, AttemptFailure> {
+    match buffer::collect_up_to(body, limit_bytes).await {
+        Ok(CollectedBody::Whole(bytes)) => Ok(call::full_body(bytes)),
+        Ok(CollectedBody::Part(body)) => Ok(body),
+        Err(BodyError::Deadline) => Err(AttemptFailure::new(AttemptEnd::TimedOut)),
+        Err(_) => Err(AttemptFailure::new(AttemptEnd::Truncated)),
     }
 }
 
--- a/crates/upstream/src/dispatch/body.rs
+++ b/crates/upstream/src/dispatch/body.rs
@@ -11,6 +11,7 @@
 use tokio::time::{self, Instant};
 
 use crate::attempt::BodyFault;
+use crate::buffer::{self, CollectedBody};
 
 /// The largest body that is buffered for further attempts.
 const BUFFERED_BYTES_MAX: u64 = 64 * 1024;
@@ -25,24 +26,20 @@
 }
 
 impl RequestBody {
-    /// Buffers a body of up to [`BUFFERED_BYTES_MAX`] so that it can be sent again.
+    /// Buffers a body of up to [`BUFFERED_BYTES_MAX`], so that it can be sent again and
+    /// recognised. Of a larger one without a declared size, the beginning is read first.
     pub(super) async fn prepare(
         body: BodyStream,
         deadline: Instant,
         fault: &BodyFault,
     ) -> Result<Self, FleetError> {
-        let small = body
-            .size_hint()
-            .exact()
-            .is_some_and(|size| size <= BUFFERED_BYTES_MAX);
-        if !small {
-            let recording = FaultRecordingBody {
-                inner: body,
-                fault: BodyFault::clone(fault),
-            };
-            return Ok(Self::Streaming(Some(recording.boxed_unsync())));
+        let size = body.size_hint().exact();
+        if size.is_some_and(|size| size > BUFFERED_BYTES_MAX) {
+            let streamed = FaultRecordingBody::streamed(body, fault);
+            return Ok(Self::Streaming(Some(streamed)));
         }
-        let collected = time::timeout_at(deadline, body.collect()).await;
+        let collected =
+            time::timeout_at(deadline, buffer::collect_up_to(body, BUFFERED_BYTES_MAX)).await;
         let timed_out = |_| {
             FleetError::new(
                 ErrorKind::RequestTimeout,
@@ -56,9 +53,12 @@
             };
             FleetError::new(kind, error.to_string())
         };
-        Ok(Self::Buffered(
-            collected.map_err(timed_out)?.map_err(failed)?.to_bytes(),
-        ))
+        Ok(match collected.map_err(timed_out)?.map_err(failed)? {
+            CollectedBody::Whole(bytes) => Self::Buffered(bytes),
+            CollectedBody::Part(body) => {
+                Self::Streaming(Some(FaultRecordingBody::streamed(body, fault)))
+            }
+        })
     }
 
     /// The body for one attempt.
@@ -96,6 +96,13 @@
     fault: BodyFault,
 }
 
+impl FaultRecordingBody {
+    fn streamed(inner: BodyStream, fault: &BodyFault) -> BodyStream {
+        let fault = BodyFault::clone(fault);
+        Self { inner, fault }.boxed_unsync()
+    }
+}
+
 impl Body for FaultRecordingBody {
     type Data = Bytes;
     type Error = BodyError;
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`probe`]: periodic checks that an upstream can be reached.
 
 pub mod attempt;
+mod buffer;
 pub mod crash;
 pub mod dispatch;
 pub mod pool;
--- a/crates/upstream/src/pool/task.rs
+++ b/crates/upstream/src/pool/task.rs
@@ -83,14 +83,11 @@
         })
     }
 
-    /// Opens a connection to find out whether the upstream accepts any; `None` if it does not
-    /// respond. The connection is kept for later requests.
+    /// Opens a connection to find out whether the upstream accepts any, and closes it; `None`
+    /// if the upstream does not respond.
     pub async fn accepts_connections(&self) -> Option<bool> {
         match client::open(self.address, CONNECT_TIMEOUT).await {
-            Ok(connection) => {
-                self.release(connection).await;
-                Some(true)
-            }
+            Ok(_) => Some(true),
             Err(OpenError::Failed(error)) if error.kind() == ErrorKind::ConnectionRefused => {
                 Some(false)
             }
@@ -107,7 +104,7 @@
         receiver.await.ok()?
     }
 
-    /// Returns a connection to the pool that is new or has completed an exchange.
+    /// Returns a connection to the pool after a complete exchange.
     pub async fn release(&self, connection: Connection) {
         let _ = self.commands.send(PoolCommand::Release(connection)).await;
     }
