test(review): a former relay spends the retry tokens that it kept (BUDGET)

Cause: each machine has a pool of retry tokens, of which only that of the zone's relay is used. A machine that was the relay while the usual one was stopped keeps its balance for as long as it lives, and hands it out when it becomes the relay again, after the other pool has been spent.

--- a/review/standins/case_budget.rs
+++ b/review/standins/case_budget.rs
@@ -17,8 +17,8 @@
 const MACHINES: usize = 12;
 const BACKENDS: usize = 6;
 /// Requests a second that each machine gets from its clients.
-const REQUESTS_PER_SECOND: f64 = 3.5;
-const CLIENTS_PER_MACHINE: usize = 2;
+const REQUESTS_PER_SECOND: f64 = 6.0;
+const CLIENTS_PER_MACHINE: usize = 3;
 /// Of 100 requests, those that each backend rejects during the trouble, and how long it lasts.
 const SHED_PERCENT: u64 = 55;
 const SHED_TIME: Duration = Duration::from_millis(8_500);
