--- a/review/standins/case_limit.rs
+++ b/review/standins/case_limit.rs
@@ -1,4 +1,4 @@
-//! LIMIT: a machine that grants the requests to limited backends is killed and starts again.
+//! LIMIT: a machine that grants the requests to limited backends is stopped and starts again.
 
 use std::collections::BTreeMap;
 use std::io;
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use crate::backend::{self, Conduct, Run, Runs};
-use crate::gateway::{Fleet, Gateway};
+use crate::gateway::{self, Fleet, Gateway};
 use crate::record::Record;
 use crate::store::{self, Store};
 use crate::{Setup, http};
@@ -26,10 +26,10 @@
 const SPAN: Duration = Duration::from_secs(4);
 /// How long after it passed on an answer with the limit a machine counts.
 const PASSED_ON: Duration = Duration::from_millis(500);
-/// How often the machine is killed, and the time between.
-const KILLS: usize = 3;
-const KILL_INTERVAL: Duration = Duration::from_secs(10);
-/// How long the machine is down, as after any end of a process.
+/// How often the machine is stopped and started, and the time from a start to the next stop.
+const STOPS: usize = 3;
+const STOP_INTERVAL: Duration = Duration::from_secs(11);
+/// Time from the end of the process to its start.
 const DOWN: Duration = Duration::from_secs(1);
 
 /// The machine, by its number, to which a request was sent.
@@ -78,29 +78,33 @@
         "each of {BACKENDS} backends names Server-Limit: {LIMIT}"
     ));
     thread::sleep(Duration::from_secs(8));
-    let killed = setup.trouble.then(|| find_granter(&gateways)).flatten();
-    for _ in 0..KILLS {
-        if let Some(index) = killed {
-            record.say(format!("{} is killed", gateways[index].name));
-            gateways[index].kill();
+    let stopped = setup.trouble.then(|| find_granter(&gateways)).flatten();
+    for _ in 0..STOPS {
+        if let Some(index) = stopped {
+            let gateway = &mut gateways[index];
+            record.say(format!("{} is stopped with SIGTERM", gateway.name));
+            gateway.signal(gateway::SIGTERM);
+            while !gateway.has_ended() {
+                thread::sleep(Duration::from_millis(20));
+            }
             thread::sleep(DOWN);
-            gateways[index].restart()?;
-            record.say(format!("{} starts again", gateways[index].name));
+            gateway.restart()?;
+            record.say(format!("{} starts again", gateway.name));
         }
-        thread::sleep(KILL_INTERVAL);
+        thread::sleep(STOP_INTERVAL);
     }
     stop.store(true, Ordering::SeqCst);
     for client in clients {
         let _ = client.join();
     }
-    if setup.trouble && killed.is_none() {
+    if setup.trouble && stopped.is_none() {
         return Err(io::Error::other("no machine says that it grants requests"));
     }
-    Ok(deployment.judge(named_at, killed))
+    Ok(deployment.judge(named_at, stopped))
 }
 
-/// The machine that grants requests, by its log. Any machine may be killed; only with this
-/// one something happens.
+/// The machine that grants requests, by its log. In a rolling restart, every machine has its
+/// turn; only with this one something happens.
 fn find_granter(gateways: &[Gateway]) -> Option<usize> {
     let line = "The limit on the requests per second of an upstream changed";
     gateways
