--- a/review/standins/case_budget.rs
+++ b/review/standins/case_budget.rs
@@ -1,5 +1,5 @@
-//! BUDGET: backends shed while the machine that holds the retry tokens is killed, after an
-//! earlier planned restart of that machine.
+//! BUDGET: the machine that holds the retry tokens is stopped and started twice, the second time
+//! while backends shed.
 
 use std::collections::BTreeMap;
 use std::io;
@@ -22,8 +22,8 @@
 /// Of 100 requests, those that each backend rejects during the trouble, and how long it lasts.
 const SHED_PERCENT: u64 = 55;
 const SHED_TIME: Duration = Duration::from_millis(8_500);
-/// Time from the first rejection to the kill.
-const KILL_DELAY: Duration = Duration::from_secs(3);
+/// Time from the first rejection to the second stop.
+const STOP_DELAY: Duration = Duration::from_secs(3);
 /// Time from the end of the stopped process to its start.
 const DOWN: Duration = Duration::from_secs(4);
 /// `retry_budget_ratio`, `retry_budget_slack` and `budget_window_s` of the site.
@@ -74,15 +74,8 @@
     let holder =
         find_holder(&gateways).ok_or_else(|| io::Error::other("no machine reads the store"))?;
     if setup.trouble {
-        let gateway = &mut gateways[holder];
-        record.say(format!("{} is stopped with SIGTERM", gateway.name));
-        gateway.signal(gateway::SIGTERM);
-        while !gateway.has_ended() {
-            thread::sleep(Duration::from_millis(20));
-        }
-        thread::sleep(DOWN);
-        gateway.restart()?;
-        record.say(format!("{} starts again", gateway.name));
+        stop(record, &gateways[holder]);
+        start_again(record, &mut gateways[holder])?;
     }
     thread::sleep(Duration::from_secs(22));
     let shedding_from = Instant::now();
@@ -90,17 +83,16 @@
     record.say(format!(
         "each backend rejects {SHED_PERCENT} of 100 requests"
     ));
-    thread::sleep(KILL_DELAY);
+    thread::sleep(STOP_DELAY);
     if setup.trouble {
-        record.say(format!(
-            "{} is killed and stays away",
-            gateways[holder].name
-        ));
-        gateways[holder].kill();
+        stop(record, &gateways[holder]);
     }
     thread::sleep(SHED_TIME.saturating_sub(shedding_from.elapsed()));
     is_shedding.store(false, Ordering::SeqCst);
     record.say("no backend rejects any more");
+    if setup.trouble {
+        start_again(record, &mut gateways[holder])?;
+    }
     thread::sleep(Duration::from_secs(3));
     traffic.stop.store(true, Ordering::SeqCst);
     for client in clients {
@@ -109,6 +101,23 @@
     Ok(traffic.judge(&runs, shedding_from))
 }
 
+/// Begins a planned stop.
+fn stop(record: &Record, gateway: &Gateway) {
+    record.say(format!("{} is stopped with SIGTERM", gateway.name));
+    gateway.signal(gateway::SIGTERM);
+}
+
+/// Starts the process again, some time after it has ended.
+fn start_again(record: &Record, gateway: &mut Gateway) -> io::Result<()> {
+    while !gateway.has_ended() {
+        thread::sleep(Duration::from_millis(20));
+    }
+    thread::sleep(DOWN);
+    gateway.restart()?;
+    record.say(format!("{} starts again", gateway.name));
+    Ok(())
+}
+
 /// A backend that rejects a share of its requests without running them, and says so.
 fn shedding_backend(is_shedding: &Arc<AtomicBool>) -> Conduct {
     let is_shedding = Arc::clone(is_shedding);
