feat(upstream): the log names the connection of an attempt

An `attempt` line said how an attempt ended, and not on which connection, so a log could not tell a refusal that is true from the copy of an earlier one on the same connection.

Change: a connection has its local port and the count of its exchanges, and the `attempt` line shows both (`connection`, `exchanges_before`).

--- a/crates/http1/src/client/connection.rs
+++ b/crates/http1/src/client/connection.rs
@@ -8,6 +8,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use model::call::BodyStream;
+use model::sizes::{ExchangeCount, LocalPort};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{self, Instant};
@@ -61,8 +62,10 @@
     /// When the connection was opened or last completed an exchange, which shows that
     /// the peer responds on it.
     pub last_verified: Instant,
-    /// Whether it has completed an exchange.
-    pub used: bool,
+    /// Identifies the connection in logs and packet captures.
+    pub local_port: LocalPort,
+    /// Exchanges that it has completed.
+    pub exchanges: ExchangeCount,
 }
 
 #[derive(Debug)]
@@ -83,6 +86,7 @@
         .map_err(|_| OpenError::TimedOut)?
         .map_err(OpenError::Failed)?;
     stream.set_nodelay(true).map_err(OpenError::Failed)?;
+    let local_port = stream.local_addr().map_err(OpenError::Failed)?.port();
     let (stream, head_limit) = HeadLimitedStream::new(stream);
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(HEAD_BYTES_MAX)
@@ -95,7 +99,8 @@
     Ok(Connection {
         commands,
         last_verified: Instant::now(),
-        used: false,
+        local_port: LocalPort::new(local_port),
+        exchanges: ExchangeCount::default(),
     })
 }
 
@@ -138,7 +143,7 @@
         let reusable = async move {
             exchange_end.await.ok()?;
             self.last_verified = Instant::now();
-            self.used = true;
+            self.exchanges = self.exchanges.next();
             Some(ReusableConnection { connection: self })
         };
         Ok((response, reusable))
--- a/crates/model/src/sizes.rs
+++ b/crates/model/src/sizes.rs
@@ -30,6 +30,23 @@
     /// CPU share and its bandwidth.
     NodeCapacity, u32, 0, u32::MAX, "a whole number of thousandths of a core"
 }
+crate::quantity! {
+    /// The local port of a connection. Together with a time, it identifies the connection in logs
+    /// and packet captures.
+    LocalPort, u16, 0, u16::MAX, "a whole number from 0 to 65535"
+}
+crate::quantity! {
+    /// A number of exchanges that a connection has completed.
+    ExchangeCount, u64, 0, u64::MAX, "a whole number"
+}
+
+impl ExchangeCount {
+    /// The count after one more exchange.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        Self(self.0.saturating_add(1))
+    }
+}
 
 impl Generation {
     /// The next generation.
--- a/crates/upstream/src/attempt.rs
+++ b/crates/upstream/src/attempt.rs
@@ -17,7 +17,7 @@
 
 use crate::buffer::{self, CollectedBody};
 use crate::crash::CrashWatch;
-use crate::pool::{Freshness, PooledConnection};
+use crate::pool::{ConnectionUse, Freshness, PooledConnection};
 use crate::service::{AttemptLease, ServiceHandle};
 use crate::wire::{PauseSignal, UpstreamHeaders, UpstreamRefusal, UpstreamSignals};
 
@@ -77,7 +77,7 @@
 /// [`AttemptFailure`] says how the attempt ended.
 pub async fn run(
     handle: &ServiceHandle,
-    lease: AttemptLease,
+    mut lease: AttemptLease,
     context: &AttemptContext,
     body: &mut Option<BodyStream>,
 ) -> Result<CallResponse, AttemptFailure> {
@@ -95,6 +95,10 @@
         connection,
         possibly_stale,
     } = pooled;
+    lease.record_connection(ConnectionUse {
+        local_port: connection.local_port,
+        exchanges: connection.exchanges,
+    });
     if possibly_stale {
         lease.mark_possibly_stale();
     }
--- a/crates/upstream/src/service/handle.rs
+++ b/crates/upstream/src/service/handle.rs
@@ -19,7 +19,7 @@
 
 use super::permit_source::PermitSource;
 use super::retry_tokens::RetryTokenSource;
-use crate::pool::ConnectionPool;
+use crate::pool::{ConnectionPool, ConnectionUse};
 use crate::wire::UpstreamHeaders;
 
 /// Permits that are drawn for one attempt: one for each data centre with upstreams of the
@@ -402,6 +402,8 @@
     pub(super) request: ids::RequestId,
     pub(super) purpose: AttemptPurpose,
     pub(super) granted: Instant,
+    /// The connection that the attempt uses, once it has one.
+    pub(super) connection: Option<ConnectionUse>,
 }
 
 /// Converts to whole milliseconds for log lines.
@@ -448,6 +450,11 @@
         OutpacedFlag::clone(&self.outpaced)
     }
 
+    /// Records which connection the attempt uses.
+    pub fn record_connection(&mut self, connection: ConnectionUse) {
+        self.connection = Some(connection);
+    }
+
     /// Records that the attempt uses a connection that may be stale, so a missing
     /// response is no evidence against the upstream.
     pub fn mark_possibly_stale(&self) {
@@ -489,6 +496,8 @@
             service:% = self.service.id,
             purpose:% = self.purpose,
             trial = *trial,
+            connection = self.connection.map(|used| used.local_port.get()),
+            exchanges_before = self.connection.map(|used| used.exchanges.get()),
             age_ms = millis(self.granted.elapsed());
             "An attempt ended: {end}."
         );
--- a/crates/upstream/src/service/task.rs
+++ b/crates/upstream/src/service/task.rs
@@ -478,6 +478,7 @@
             request: request.request_id,
             purpose: request.purpose,
             granted: now,
+            connection: None,
         };
         if let Err(Ok(mut lease)) = reply.send(Ok(lease)) {
             lease.ended = true;
