fix(pool): a connection carries each request id once

Callers saw 503 for requests that had run, or they ran twice: an upstream that had refused a request wrote the copy of its refusal late, while the same request was in progress again on the same connection, and the copy was taken for the response to it.

Cause: the id of the request was the only proof that a response belongs to an exchange, and nothing kept an id from travelling twice on one connection. Pools belong to an address, attempts exclude upstreams by id, so an upstream that started again under its name, or another instance at its address, was reached by the connection that had carried the refusal. A caller that sends its id again gets there as well. Class: something that looks like a proof of one exchange is accepted in another one.

Change: `policy::exchange::CarriedIds` remembers the ids that a connection has carried; a connection that has carried the id of a request is not used for it, and a new one is opened. Whatever the reason for which an id comes again, no response to an earlier exchange can carry it on that connection. The counter `upstream.connections` shows by origin what that costs (`opened-for-id`).

Why not others: excluding addresses leaves callers that send an id again; closing a connection after each refusal costs a connection for each refusal, and leaves the copies of other responses.

--- /dev/null
+++ b/crates/policy/src/exchange/connection_origin.rs
@@ -0,0 +1,14 @@
+//! Where the connection of an attempt comes from.
+
+model::text_enum! {
+    /// Where the connection of an attempt comes from.
+    pub enum ConnectionOrigin {
+        /// An idle connection.
+        Reused = "reused",
+        /// A new one, since no idle one was usable.
+        Opened = "opened",
+        /// A new one, since each usable idle one had carried the id of the request, or as many as
+        /// it remembers.
+        OpenedForId = "opened-for-id",
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`detection`]: which upstreams are failing, from pooled evidence.
 //! - [`suspicion`]: which upstreams are in a short gray-failure episode, from signals
 //!   shared between nodes.
+//! - [`exchange`]: which response proves to belong to an exchange.
 //! - [`ejection`]: which upstreams are taken out of service, within the capacity floor.
 //! - [`retry`]: when another attempt may be made.
 //! - [`limit`]: how many requests are admitted.
@@ -24,6 +25,7 @@
 pub mod claim;
 pub mod detection;
 pub mod ejection;
+pub mod exchange;
 pub mod invariant;
 pub mod limit;
 pub mod membership;
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -23,6 +23,7 @@
     requests: Counter<u64>,
     latency: Histogram<f64>,
     attempts: Counter<u64>,
+    connections: Counter<u64>,
     refusals: Counter<u64>,
     claims: Counter<u64>,
     verdicts: Counter<u64>,
@@ -66,6 +67,10 @@
                 .u64_counter("upstream.attempts")
                 .with_description("Attempts at upstreams, by service and end.")
                 .build(),
+            connections: meter
+                .u64_counter("upstream.connections")
+                .with_description("Connections that attempts used, by service and origin.")
+                .build(),
             refusals: meter
                 .u64_counter("http.server.refusals")
                 .with_description("Requests answered by the fleet itself, by error kind.")
@@ -153,6 +158,13 @@
         self.attempts.add(1, &[service, KeyValue::new("end", end)]);
     }
 
+    /// Counts the connection of an attempt by where it came from.
+    pub fn record_connection(&self, service: &ids::ServiceId, origin: &'static str) {
+        let service = KeyValue::new("service", service.as_str().to_owned());
+        self.connections
+            .add(1, &[service, KeyValue::new("origin", origin)]);
+    }
+
     /// Counts a claim of an idempotency key by its result.
     pub fn record_claim(&self, verdict: &'static str) {
         self.claims.add(1, &[KeyValue::new("verdict", verdict)]);
--- a/crates/upstream/src/attempt.rs
+++ b/crates/upstream/src/attempt.rs
@@ -13,11 +13,12 @@
 use model::ids;
 use policy::permit::LimitSignal;
 use policy::retry::AttemptEnd;
+use telemetry::metrics::NodeMetrics;
 use tokio::time::{self, Instant, Sleep};
 
 use crate::buffer::{self, CollectedBody};
 use crate::crash::CrashWatch;
-use crate::pool::{ConnectionUse, Freshness, PooledConnection};
+use crate::pool::{ConnectionNeed, ConnectionUse, Freshness, PooledConnection};
 use crate::service::{AttemptLease, ServiceHandle};
 use crate::wire::{PauseSignal, UpstreamHeaders, UpstreamRefusal, UpstreamSignals};
 
@@ -44,6 +45,8 @@
     pub body_fault: BodyFault,
     /// Observes crashes of upstreams.
     pub crash: CrashWatch,
+    /// Counts attempts and their connections.
+    pub metrics: Arc<NodeMetrics>,
 }
 
 /// Holds the first error of the caller's body. An attempt that fails because of it ends
@@ -86,15 +89,23 @@
     } else {
         Freshness::Verified
     };
-    let acquiring = time::timeout_at(context.head_deadline, lease.pool().acquire(freshness));
+    let need = ConnectionNeed {
+        freshness,
+        sent_id: context.sent_id.clone(),
+    };
+    let acquiring = time::timeout_at(context.head_deadline, lease.pool().acquire(need));
     let Ok(Ok(pooled)) = acquiring.await else {
         lease.end(AttemptEnd::ConnectFailed);
         return Err(AttemptFailure::new(AttemptEnd::ConnectFailed));
     };
     let PooledConnection {
         connection,
+        carried,
+        origin,
         possibly_stale,
     } = pooled;
+    let service = &lease.service().id;
+    context.metrics.record_connection(service, origin.as_str());
     lease.record_connection(ConnectionUse {
         local_port: connection.local_port,
         exchanges: connection.exchanges,
@@ -140,7 +151,7 @@
     let pool = lease.pool().clone();
     tokio::spawn(async move {
         if let Some(reusable) = returned_connection.await {
-            pool.release(reusable.connection).await;
+            pool.release(reusable.connection, carried).await;
         }
     });
     lease.record_head();
--- a/crates/upstream/src/dispatch/dispatcher.rs
+++ b/crates/upstream/src/dispatch/dispatcher.rs
@@ -74,7 +74,6 @@
     pub(super) attempts_max: usize,
     /// Whether the request may have run in an earlier attempt.
     pub(super) may_have_run: bool,
-    pub(super) metrics: Arc<NodeMetrics>,
 }
 
 impl Dispatcher {
@@ -226,6 +225,7 @@
             deadline,
             body_fault,
             crash,
+            metrics: Arc::clone(&self.metrics),
         };
         let attempts_max = options
             .max_attempts
@@ -243,7 +243,6 @@
             tried: Vec::new(),
             attempts: 0,
             may_have_run: false,
-            metrics: Arc::clone(&self.metrics),
         };
         let ended = tokio::select! {
             result = state.run(&mut body) => Some(result),
@@ -410,7 +409,8 @@
     }
 
     pub(super) fn count_attempt(&self, end: AttemptEnd) {
-        self.metrics.record_attempt(&self.service.id, end.as_str());
+        let metrics = &self.context.metrics;
+        metrics.record_attempt(&self.service.id, end.as_str());
     }
 
     fn retry_context(
--- a/crates/upstream/src/pool/mod.rs
+++ b/crates/upstream/src/pool/mod.rs
@@ -4,4 +4,4 @@
 mod task;
 
 pub use connection_use::ConnectionUse;
-pub use task::{ConnectionPool, Freshness, PooledConnection};
+pub use task::{ConnectionNeed, ConnectionPool, Freshness, PooledConnection};
--- a/crates/upstream/src/pool/task.rs
+++ b/crates/upstream/src/pool/task.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use http::HeaderValue;
 use http1::client::{self, Connection, OpenError};
+use policy::exchange::{CarriedIds, ConnectionOrigin};
 use tokio::sync::{mpsc, oneshot};
 
 /// Timeout for opening a connection. Round trips are under 25 ms; a slower connection
@@ -32,19 +34,48 @@
     Verified,
 }
 
-/// A connection, and whether it may be stale.
+/// What a request needs of its connection.
+#[derive(Debug, Clone)]
+pub struct ConnectionNeed {
+    /// How recently it must have been used.
+    pub freshness: Freshness,
+    /// The id that is sent with the request. A connection that has carried it is not used.
+    pub sent_id: HeaderValue,
+}
+
+/// A connection for one request.
 #[derive(Debug)]
 pub struct PooledConnection {
     /// The open connection.
     pub connection: Connection,
+    /// The ids of the requests that it has carried, that of this request included.
+    pub carried: CarriedIds,
+    /// Where it comes from.
+    pub origin: ConnectionOrigin,
     /// Whether it was idle for so long that the peer may no longer respond on it.
     pub possibly_stale: bool,
 }
 
+#[derive(Debug)]
+struct IdleConnection {
+    connection: Connection,
+    carried: CarriedIds,
+}
+
+/// The reply to a request for an idle connection.
+#[derive(Debug)]
+enum IdleReply {
+    Found(IdleConnection),
+    /// No usable connection is idle.
+    None,
+    /// No usable connection may carry the id.
+    Carried,
+}
+
 #[derive(Debug)]
 enum PoolCommand {
-    Acquire(Freshness, oneshot::Sender<Option<Connection>>),
-    Release(Connection),
+    Acquire(ConnectionNeed, oneshot::Sender<IdleReply>),
+    Release(IdleConnection),
     Flush,
 }
 
@@ -68,17 +99,32 @@
     ///
     /// # Errors
     /// [`OpenError`] when no idle connection is usable and a new one cannot be opened.
-    pub async fn acquire(&self, freshness: Freshness) -> Result<PooledConnection, OpenError> {
-        if let Some(connection) = self.acquire_idle(freshness).await {
-            let possibly_stale = connection.last_verified.elapsed() > STALE_IDLE_MIN;
-            return Ok(PooledConnection {
+    pub async fn acquire(&self, need: ConnectionNeed) -> Result<PooledConnection, OpenError> {
+        let sent_id = need.sent_id.clone();
+        let origin = match self.acquire_idle(need).await {
+            IdleReply::Found(IdleConnection {
                 connection,
-                possibly_stale,
-            });
-        }
+                mut carried,
+            }) => {
+                carried.record(sent_id.as_bytes());
+                let possibly_stale = connection.last_verified.elapsed() > STALE_IDLE_MIN;
+                return Ok(PooledConnection {
+                    connection,
+                    carried,
+                    origin: ConnectionOrigin::Reused,
+                    possibly_stale,
+                });
+            }
+            IdleReply::None => ConnectionOrigin::Opened,
+            IdleReply::Carried => ConnectionOrigin::OpenedForId,
+        };
         let connection = client::open(self.address, CONNECT_TIMEOUT).await?;
+        let mut carried = CarriedIds::default();
+        carried.record(sent_id.as_bytes());
         Ok(PooledConnection {
             connection,
+            carried,
+            origin,
             possibly_stale: false,
         })
     }
@@ -95,18 +141,21 @@
         }
     }
 
-    async fn acquire_idle(&self, freshness: Freshness) -> Option<Connection> {
+    async fn acquire_idle(&self, need: ConnectionNeed) -> IdleReply {
         let (reply, receiver) = oneshot::channel();
-        self.commands
-            .send(PoolCommand::Acquire(freshness, reply))
-            .await
-            .ok()?;
-        receiver.await.ok()?
+        // Without the task, no connection is idle.
+        let _ = self.commands.send(PoolCommand::Acquire(need, reply)).await;
+        receiver.await.unwrap_or(IdleReply::None)
     }
 
-    /// Returns a connection to the pool after a complete exchange.
-    pub async fn release(&self, connection: Connection) {
-        let _ = self.commands.send(PoolCommand::Release(connection)).await;
+    /// Returns a connection to the pool after a complete exchange, with the ids that it has
+    /// carried.
+    pub async fn release(&self, connection: Connection, carried: CarriedIds) {
+        let idle = IdleConnection {
+            connection,
+            carried,
+        };
+        let _ = self.commands.send(PoolCommand::Release(idle)).await;
     }
 
     /// Closes all idle connections, after one of them turned out to be stale.
@@ -116,20 +165,19 @@
 }
 
 async fn run(mut inbox: mpsc::Receiver<PoolCommand>) {
-    let mut idle: Vec<Connection> = Vec::new();
+    let mut idle: Vec<IdleConnection> = Vec::new();
     while let Some(command) = inbox.recv().await {
-        idle.retain(|connection| is_usable(connection, IDLE_MAX));
+        idle.retain(|idle| is_usable(&idle.connection, IDLE_MAX));
         match command {
-            PoolCommand::Acquire(freshness, reply) => {
-                let undelivered = reply
-                    .send(acquire_most_recent(&mut idle, freshness))
-                    .err()
-                    .flatten();
-                idle.extend(undelivered);
+            PoolCommand::Acquire(need, reply) => {
+                let undelivered = reply.send(acquire_most_recent(&mut idle, &need)).err();
+                if let Some(IdleReply::Found(undelivered)) = undelivered {
+                    idle.push(undelivered);
+                }
             }
-            PoolCommand::Release(connection) => {
+            PoolCommand::Release(released) => {
                 if idle.len() < IDLE_CONNECTIONS_MAX {
-                    idle.push(connection);
+                    idle.push(released);
                 }
             }
             PoolCommand::Flush => idle.clear(),
@@ -139,15 +187,21 @@
 
 /// Removes the most recently returned usable connection, since it is the most likely
 /// to work.
-fn acquire_most_recent(idle: &mut Vec<Connection>, freshness: Freshness) -> Option<Connection> {
-    let idle_max = match freshness {
+fn acquire_most_recent(idle: &mut Vec<IdleConnection>, need: &ConnectionNeed) -> IdleReply {
+    let idle_max = match need.freshness {
         Freshness::Any => IDLE_MAX,
         Freshness::Verified => VERIFIED_IDLE_MAX,
     };
+    let is_usable = |idle: &IdleConnection| is_usable(&idle.connection, idle_max);
+    let id = need.sent_id.as_bytes();
     let index = idle
         .iter()
-        .rposition(|connection| is_usable(connection, idle_max))?;
-    Some(idle.swap_remove(index))
+        .rposition(|idle| is_usable(idle) && idle.carried.admits(id));
+    match index {
+        Some(index) => IdleReply::Found(idle.swap_remove(index)),
+        None if idle.iter().any(is_usable) => IdleReply::Carried,
+        None => IdleReply::None,
+    }
 }
 
 fn is_usable(connection: &Connection, idle_max: Duration) -> bool {
