fix(attempt): a refusal without an id is proof on a new connection only

Callers of the product's own interface, whose upstreams need not return ids, were told that a request had not run, or it was sent again, on the word of a refusal that may have been one too many of an earlier request on the connection.

Without an id, only the connection ties a response to its exchange, and a connection that served an earlier request does not.

Change: a refusal without an id counts as none when the connection has completed an exchange before; the outcome is unknown, and a repeatable request is sent again. Upstreams that return ids, as on the users' platform, are not affected. Other responses without an id are believed as before: rejecting them would end the reuse of connections to upstreams that return none; docs/DESIGN.md says so.

--- a/crates/upstream/src/attempt.rs
+++ b/crates/upstream/src/attempt.rs
@@ -202,7 +202,7 @@
     let (parts, body) = response.into_parts();
     let names = handle.headers();
     let signals = names.read_signals(parts.status, &parts.headers);
-    let rejection = rejection_reason(names, context, &parts, signals);
+    let rejection = rejection_reason(names, context, &lease, &parts, signals);
     lease.record_limit(trusted_limit(context, &lease, signals, rejection.is_some()));
     if let Some(reason) = rejection {
         log::info!(
@@ -338,12 +338,17 @@
 fn rejection_reason(
     names: &UpstreamHeaders,
     context: &AttemptContext,
+    lease: &AttemptLease,
     parts: &http::response::Parts,
     signals: UpstreamSignals,
 ) -> Option<&'static str> {
     if !names.names_request(&parts.headers, &context.sent_id) {
         return Some("it does not carry the id of the request, or carries another one");
     }
+    let is_named = parts.headers.contains_key(&names.request_id);
+    if signals.refusal.is_some() && !is_named && !lease.is_first_exchange() {
+        return Some("it is a refusal without an id, and may be that of an earlier request");
+    }
     if !signals.signed && signals.refusal.is_none() {
         return Some("it lacks the upstream's signature header");
     }
--- a/crates/upstream/src/service/handle.rs
+++ b/crates/upstream/src/service/handle.rs
@@ -7,6 +7,7 @@
 
 use model::error::{ErrorKind, FleetError};
 use model::pause::PauseTime;
+use model::sizes::ExchangeCount;
 use model::{config, ids};
 use policy::detection::{ServiceLatency, Verdict};
 use policy::ejection::EjectionRecord;
@@ -455,6 +456,12 @@
         self.connection = Some(connection);
     }
 
+    /// Whether the connection that the attempt uses carries no earlier exchange.
+    pub fn is_first_exchange(&self) -> bool {
+        let used = self.connection.map(|connection| connection.exchanges);
+        used == Some(ExchangeCount::default())
+    }
+
     /// Records that the attempt uses a connection that may be stale, so a missing
     /// response is no evidence against the upstream.
     pub fn mark_possibly_stale(&self) {
