--- a/crates/upstream/src/pool/connection_use.rs
+++ b/crates/upstream/src/pool/connection_use.rs
@@ -3,9 +3,9 @@
 use model::sizes;
 
 /// A connection and how many exchanges it had completed when an attempt began to use it.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 pub struct ConnectionUse {
-    /// Its local port.
+    /// Its local port; 0 without a connection.
     pub local_port: sizes::LocalPort,
     /// The exchanges before the attempt.
     pub exchanges: sizes::ExchangeCount,
--- a/crates/upstream/src/service/handle.rs
+++ b/crates/upstream/src/service/handle.rs
@@ -496,6 +496,7 @@
         let AttemptGrant {
             upstream, trial, ..
         } = &self.grant;
+        let used = self.connection.unwrap_or_default();
         log::info!(
             target: "attempt",
             request:% = self.request,
@@ -503,8 +504,8 @@
             service:% = self.service.id,
             purpose:% = self.purpose,
             trial = *trial,
-            connection = self.connection.map(|used| used.local_port.get()),
-            exchanges_before = self.connection.map(|used| used.exchanges.get()),
+            connection = used.local_port.get(),
+            exchanges_before = used.exchanges.get(),
             age_ms = millis(self.granted.elapsed());
             "An attempt ended: {end}."
         );
