fix(server): a body that arrives after its response ends where it ends

Cause: hyper hands a body its end by dropping the sender. Once the response has been sent, it turns to the next head as soon as the last frame is read (`Conn::try_keep_alive` makes the state idle) and keeps the sender until that head arrives, or the connection closes. Trailers wait behind that end, so a chunked body with trailers did not end at all; `Trailer` in the head made us hold the response back, which hid it. A body of known length showed the same to whoever reads until there is no further frame.

Change: when a response has ended and its request's chunks still arrive, hyper is told to close (then it drops the sender after the last chunk); our stream ignores its shutdown, and a new hyper connection goes on with the same stream and the bytes hyper had read. `RequestBody` ends after its last frame by itself. Responses are no longer held back for announced trailers.

Callers: such an upload was answered, but its upstream never got its end.

--- a/crates/http1/src/header.rs
+++ b/crates/http1/src/header.rs
@@ -28,6 +28,15 @@
     }
 }
 
+/// Whether `Connection` says that the connection closes after the message.
+pub fn announces_close(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(header::CONNECTION).iter();
+    values
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .any(|option| option.trim().eq_ignore_ascii_case("close"))
+}
+
 /// The first value of a header as text; none when it is missing or not visible ASCII.
 pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
--- a/crates/http1/src/server/mod.rs
+++ b/crates/http1/src/server/mod.rs
@@ -3,14 +3,16 @@
 mod phase;
 
 use std::convert::Infallible;
+use std::error::Error;
+use std::future;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::body::Body;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::service::{HttpService, service_fn};
 use hyper_util::rt::TokioIo;
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::{TcpListener, TcpStream};
@@ -18,9 +20,12 @@
 use tokio::time::{self, Instant};
 
 use phase::{
-    ConnectionPhase, ConnectionState, PhaseTrackingBody, PhaseTrackingStream, StateSender,
+    BodyState, ConnectionPhase, ConnectionState, PhaseTrackingBody, PhaseTrackingStream,
+    StateSender,
 };
 
+use crate::header;
+
 pub use phase::RequestBody;
 
 /// How long to wait before the next accept when the system could not provide a
@@ -87,54 +92,133 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let (state, mut states) = StateSender::new();
-    let stream = PhaseTrackingStream {
-        stream,
-        state: state.clone(),
-    };
-    let service = service_fn(move |request: http::Request<_>| {
-        let state = state.clone();
+    let service_state = state.clone();
+    let mut service = service_fn(move |request: http::Request<_>| {
+        let state = service_state.clone();
+        state.start_request(&request);
         let request = request.map(|incoming| RequestBody::new(incoming, state.clone()));
-        state.start_request(request.body());
-        let has_trailers = request.headers().contains_key(http::header::TRAILER);
         let response = handler(request);
         async move {
             let response = response.await;
-            if has_trailers {
-                // hyper does not end a body with trailers once its response has been sent.
-                state.wait_body_end().await;
+            if header::announces_close(response.headers()) {
+                state.close_after_response();
             }
             Ok::<_, Infallible>(response.map(|body| PhaseTrackingBody::new(body, state)))
         }
     });
     let initial_limits = limits();
-    let mut connection = http1::Builder::new()
+    let mut builder = http1::Builder::new();
+    builder
         .header_read_timeout(None)
         .max_buf_size(initial_limits.head_bytes.max(MIN_BUFFER_BYTES))
-        .max_headers(initial_limits.headers)
-        .serve_connection(TokioIo::new(stream), service);
-    let exceeded = tokio::select! {
-        result = &mut connection => return log_end(result),
-        _ = stopping.wait_for(|stopping| *stopping) => None,
-        exceeded = wait_for_timeout(&mut states, &limits) => Some(exceeded),
+        .max_headers(initial_limits.headers);
+    let mut stream = PhaseTrackingStream {
+        stream,
+        unread: Bytes::new(),
+        state: state.clone(),
     };
-    match exceeded {
-        None => tokio::select! {
-            result = &mut connection => return log_end(result),
-            () = wait_until_unused(&mut states, &limits) => {}
-        },
-        Some(TimeoutKind::Idle) => {}
-        Some(TimeoutKind::Head) => {
-            let stream = connection.into_parts().io.into_inner().stream;
-            let requests = states.borrow().requests;
-            return respond_head_timeout(stream, requests).await;
+    loop {
+        let connection = builder.serve_connection(TokioIo::new(stream), service);
+        let mut driver = ConnectionDriver::new(connection, state.clone());
+        let exceeded = tokio::select! {
+            result = driver.run() => Ok(result),
+            _ = stopping.wait_for(|stopping| *stopping) => Err(None),
+            exceeded = wait_for_timeout(&mut states, &limits) => Err(Some(exceeded)),
+        };
+        let result = match exceeded {
+            Ok(result) => result,
+            Err(None) => tokio::select! {
+                result = driver.run() => result,
+                () = wait_until_unused(&mut states, &limits) => driver.stop().await,
+            },
+            Err(Some(TimeoutKind::Idle)) => driver.stop().await,
+            Err(Some(TimeoutKind::Head)) => {
+                let stream = driver.connection.into_parts().io.into_inner().stream;
+                let requests = states.borrow().requests;
+                return respond_head_timeout(stream, requests).await;
+            }
+            Err(Some(TimeoutKind::Flush)) => {
+                log::info!(target: "http", "Connection closed: the caller did not read its response in time.");
+                return;
+            }
+        };
+        let is_interrupted = driver.is_interrupted && result.is_ok();
+        log_end(result);
+        let parts = driver.connection.into_parts();
+        stream = parts.io.into_inner();
+        if !is_interrupted || *stopping.borrow() {
+            return close(stream.stream).await;
         }
-        Some(TimeoutKind::Flush) => {
-            log::info!(target: "http", "Connection closed: the caller did not read its response in time.");
-            return;
+        // Without a sender the body has ended as well.
+        let _ = states.wait_for(|state| !state.body.is_open()).await;
+        if states.borrow().body == BodyState::Abandoned {
+            return close(stream.stream).await;
+        }
+        stream.unread = parts.read_buf;
+        service = parts.service;
+    }
+}
+
+/// Drives hyper's side of a connection.
+///
+/// hyper does not end a body with trailers once its response has been sent, unless the
+/// connection is to close. So when chunks follow their response it is told to close; after
+/// the last of them the stream, which is still open, gets a new driver.
+struct ConnectionDriver<S>
+where
+    S: HttpService<Incoming>,
+{
+    connection: http1::Connection<TokioIo<PhaseTrackingStream>, S>,
+    state: StateSender,
+    /// Whether hyper was told to close although the stream stays open.
+    is_interrupted: bool,
+}
+
+impl<S, B> ConnectionDriver<S>
+where
+    S: HttpService<Incoming, ResBody = B>,
+    S::Error: Into<Box<dyn Error + Send + Sync>>,
+    B: Body + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    fn new(
+        connection: http1::Connection<TokioIo<PhaseTrackingStream>, S>,
+        state: StateSender,
+    ) -> Self {
+        Self {
+            connection,
+            state,
+            is_interrupted: false,
         }
     }
-    Pin::new(&mut connection).graceful_shutdown();
-    log_end(connection.await);
+
+    /// Runs until hyper has closed its side.
+    async fn run(&mut self) -> Result<(), hyper::Error> {
+        future::poll_fn(|context| {
+            let polled = Pin::new(&mut self.connection).poll(context);
+            let interrupts = !self.is_interrupted && self.state.current().is_receiving_chunks();
+            if polled.is_ready() || !interrupts {
+                return polled;
+            }
+            self.is_interrupted = true;
+            Pin::new(&mut self.connection).graceful_shutdown();
+            Pin::new(&mut self.connection).poll(context)
+        })
+        .await
+    }
+
+    /// Runs until the request in progress is complete.
+    async fn stop(&mut self) -> Result<(), hyper::Error> {
+        Pin::new(&mut self.connection).graceful_shutdown();
+        self.run().await
+    }
+}
+
+/// Closes a connection.
+async fn close(mut stream: TcpStream) {
+    if let Err(error) = stream.shutdown().await {
+        log::debug!(target: "http", "Closing a connection failed: {error}.");
+    }
 }
 
 /// Which timeout a connection has exceeded.
--- a/crates/http1/src/server/phase.rs
+++ b/crates/http1/src/server/phase.rs
@@ -12,6 +12,8 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::header;
+
 /// What a connection is doing, and since when.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ConnectionPhase {
@@ -34,8 +36,31 @@
     pub(super) phase: ConnectionPhase,
     /// Requests whose heads have arrived.
     pub(super) requests: u64,
-    /// Whether the body of the current request is still arriving.
-    body_is_open: bool,
+    /// The body of the current request.
+    pub(super) body: BodyState,
+    /// Whether the connection closes after the current response, as its request or the
+    /// response says.
+    pub(super) closes: bool,
+}
+
+/// What has become of the body of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum BodyState {
+    /// Still arriving, with a known length.
+    Sized,
+    /// Still arriving in chunks, which trailers may follow.
+    Chunked,
+    /// Read to its end.
+    Ended,
+    /// Failed, or dropped before its end.
+    Abandoned,
+}
+
+impl BodyState {
+    /// Whether the body is still arriving.
+    pub(super) const fn is_open(self) -> bool {
+        matches!(self, Self::Sized | Self::Chunked)
+    }
 }
 
 impl ConnectionState {
@@ -43,19 +68,21 @@
         Self {
             phase: ConnectionPhase::Idle(Instant::now()),
             requests: 0,
-            body_is_open: false,
+            body: BodyState::Ended,
+            closes: false,
         }
     }
 
     /// A head has arrived, and its request is passed to the handler.
-    fn start_request(&mut self, has_body: bool) {
+    fn start_request(&mut self, body: BodyState, closes: bool) {
         self.phase = ConnectionPhase::Busy;
         self.requests += 1;
-        self.body_is_open = has_body;
+        self.body = body;
+        self.closes = closes;
     }
 
-    fn end_request_body(&mut self) {
-        self.body_is_open = false;
+    fn end_request_body(&mut self, end: BodyState) {
+        self.body = end;
         if self.phase == ConnectionPhase::Receiving {
             self.phase = ConnectionPhase::Idle(Instant::now());
         }
@@ -78,7 +105,7 @@
     fn flush(&mut self) -> bool {
         let is_flushing = matches!(self.phase, ConnectionPhase::Flushing(_));
         if is_flushing {
-            self.phase = if self.body_is_open {
+            self.phase = if self.body.is_open() {
                 ConnectionPhase::Receiving
             } else {
                 ConnectionPhase::Idle(Instant::now())
@@ -86,6 +113,16 @@
         }
         is_flushing
     }
+
+    /// Whether the response has ended while its request's body still arrives in chunks, on a
+    /// connection that stays open.
+    pub(super) fn is_receiving_chunks(&self) -> bool {
+        let has_responded = matches!(
+            self.phase,
+            ConnectionPhase::Flushing(_) | ConnectionPhase::Receiving
+        );
+        has_responded && self.body == BodyState::Chunked && !self.closes
+    }
 }
 
 /// Publishes the state to the task that enforces the timeouts.
@@ -99,20 +136,26 @@
         (Self(Arc::new(sender)), receiver)
     }
 
-    /// Records the start of a request whose body is `body`.
-    pub(super) fn start_request(&self, body: &RequestBody) {
-        let has_body = !body.is_end_stream();
-        self.0.send_modify(|state| state.start_request(has_body));
+    /// Records the start of a request.
+    pub(super) fn start_request(&self, request: &http::Request<Incoming>) {
+        let body = request.body();
+        let body = match body.size_hint().exact() {
+            _ if body.is_end_stream() => BodyState::Ended,
+            Some(_) => BodyState::Sized,
+            None => BodyState::Chunked,
+        };
+        let closes = header::announces_close(request.headers());
+        self.0
+            .send_modify(|state| state.start_request(body, closes));
     }
 
-    /// Waits until the body of the current request has ended.
-    pub(super) async fn wait_body_end(&self) {
-        // The sender is alive as long as this handle to it.
-        let _ = self
-            .0
-            .subscribe()
-            .wait_for(|state| !state.body_is_open)
-            .await;
+    /// Records that the current response ends its connection.
+    pub(super) fn close_after_response(&self) {
+        self.0.send_modify(|state| state.closes = true);
+    }
+
+    pub(super) fn current(&self) -> ConnectionState {
+        *self.0.borrow()
     }
 }
 
@@ -120,9 +163,26 @@
 /// response.
 pub(super) struct PhaseTrackingStream {
     pub(super) stream: TcpStream,
+    /// Bytes that have been read and come before those of the stream.
+    pub(super) unread: Bytes,
     pub(super) state: StateSender,
 }
 
+impl PhaseTrackingStream {
+    fn poll_read_bytes(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.unread.is_empty() {
+            return Pin::new(&mut self.stream).poll_read(context, buffer);
+        }
+        let size = self.unread.len().min(buffer.remaining());
+        buffer.put_slice(&self.unread.split_to(size));
+        Poll::Ready(Ok(()))
+    }
+}
+
 impl AsyncRead for PhaseTrackingStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -130,7 +190,7 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let polled = self.poll_read_bytes(context, buffer);
         if buffer.filled().len() > before {
             self.state.0.send_if_modified(ConnectionState::receive);
         }
@@ -169,8 +229,9 @@
         polled
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    /// Leaves the stream open; whoever serves the connection closes it.
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -184,6 +245,7 @@
 }
 
 impl RequestBody {
+    /// The body of the current request.
     pub(super) fn new(incoming: Incoming, state: StateSender) -> Self {
         Self {
             incoming,
@@ -192,16 +254,24 @@
         }
     }
 
-    fn end(&mut self) {
-        if std::mem::take(&mut self.is_open) {
-            self.state.0.send_modify(ConnectionState::end_request_body);
+    fn end(&mut self, end: BodyState) {
+        if !std::mem::take(&mut self.is_open) {
+            return;
         }
+        self.state
+            .0
+            .send_modify(|state| state.end_request_body(end));
     }
 }
 
 impl Drop for RequestBody {
     fn drop(&mut self) {
-        self.end();
+        let end = if self.incoming.is_end_stream() {
+            BodyState::Ended
+        } else {
+            BodyState::Abandoned
+        };
+        self.end(end);
     }
 }
 
@@ -213,16 +283,26 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        if !self.is_open {
+            // hyper may not say that a body has ended before the next request arrives.
+            return Poll::Ready(None);
+        }
         let polled = Pin::new(&mut self.incoming).poll_frame(context);
-        let has_failed = matches!(polled, Poll::Ready(Some(Err(_))));
-        if has_failed || (polled.is_ready() && self.incoming.is_end_stream()) {
-            self.end();
+        match &polled {
+            Poll::Ready(Some(Err(_))) => self.end(BodyState::Abandoned),
+            Poll::Ready(None) => self.end(BodyState::Ended),
+            // Trailers are the last frame.
+            Poll::Ready(Some(Ok(frame))) if frame.is_trailers() => self.end(BodyState::Ended),
+            Poll::Ready(Some(Ok(_))) if self.incoming.is_end_stream() => {
+                self.end(BodyState::Ended);
+            }
+            Poll::Ready(_) | Poll::Pending => {}
         }
         polled
     }
 
     fn is_end_stream(&self) -> bool {
-        self.incoming.is_end_stream()
+        !self.is_open || self.incoming.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
