fix(server): a stop does not cut a body on a connection that closes anyway

Cause: when a stop begins, hyper is told to close. If the response said `Connection: close`, hyper's writing side has ended already, and it then drops the rest of the request's body (`disable_keep_alive`). Change: hyper is not told so on a connection that closes after its response. Measured: `a_stop_does_not_end_a_body_on_a_connection_that_is_to_close` is red on the old code (the body fails), green now. Callers: an upload that was answered early and asked for `close`, or was answered by a draining node, was cut at the stop.

--- a/crates/http1/src/server/mod.rs
+++ b/crates/http1/src/server/mod.rs
@@ -209,7 +209,10 @@
 
     /// Runs until the request in progress is complete.
     async fn stop(&mut self) -> Result<(), hyper::Error> {
-        Pin::new(&mut self.connection).graceful_shutdown();
+        // hyper would not wait for the rest of the body on a connection that closes anyway.
+        if !self.state.current().closes {
+            Pin::new(&mut self.connection).graceful_shutdown();
+        }
         self.run().await
     }
 }
--- a/crates/http1/tests/bodies.rs
+++ b/crates/http1/tests/bodies.rs
@@ -156,3 +156,17 @@
     assert!(closing.await.is_ok(), "the connection stays open");
     assert!(end.is_empty());
 }
+
+#[tokio::test]
+async fn a_stop_does_not_end_a_body_on_a_connection_that_is_to_close() {
+    let (address, mut inbox, stop) = start_early_server(Duration::ZERO).await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let head = b"POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 5\r\n\r\n";
+    stream.write_all(head).await.unwrap();
+    read_ok(&mut stream).await;
+    stop.send_replace(true);
+    time::sleep(Duration::from_millis(100)).await;
+    stream.write_all(b"hello").await.unwrap();
+    let ended = time::timeout(Duration::from_secs(2), inbox.recv()).await;
+    assert_eq!(ended, Ok(Some(5)));
+}
