fix(server): a body that is read late does not end that of the next request

Cause: hyper handles the next request once the last frame of a body is handed over, read or not. When that frame was read, the connection's state took the next body for ended: the rest of it counted as a head, and got a 408 and a close after the head timeout. Change: the end of a body counts only while its request is the current one. Measured: `a_body_that_is_read_late_does_not_end_that_of_the_next_request` is red on the old code (broken pipe in the middle of the second body), green now. Callers: the second of two pipelined uploads, both answered early, was cut and might be told 408 although it ran.

--- a/crates/http1/src/server/phase.rs
+++ b/crates/http1/src/server/phase.rs
@@ -241,15 +241,19 @@
 pub struct RequestBody {
     incoming: Incoming,
     state: StateSender,
+    /// Which request of the connection this is the body of.
+    number: u64,
     is_open: bool,
 }
 
 impl RequestBody {
     /// The body of the current request.
     pub(super) fn new(incoming: Incoming, state: StateSender) -> Self {
+        let number = state.current().requests;
         Self {
             incoming,
             state,
+            number,
             is_open: true,
         }
     }
@@ -258,9 +262,14 @@
         if !std::mem::take(&mut self.is_open) {
             return;
         }
-        self.state
-            .0
-            .send_modify(|state| state.end_request_body(end));
+        self.state.0.send_if_modified(|state| {
+            // The next request may have arrived before the end of this body was read.
+            let is_current = state.requests == self.number;
+            if is_current {
+                state.end_request_body(end);
+            }
+            is_current
+        });
     }
 }
 
--- a/crates/http1/tests/bodies.rs
+++ b/crates/http1/tests/bodies.rs
@@ -170,3 +170,27 @@
     let ended = time::timeout(Duration::from_secs(2), inbox.recv()).await;
     assert_eq!(ended, Ok(Some(5)));
 }
+
+#[tokio::test]
+async fn a_body_that_is_read_late_does_not_end_that_of_the_next_request() {
+    let (address, mut inbox, _stop) = start_early_server(HEAD_TIMEOUT).await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let head = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    read_ok(&mut stream).await;
+    stream.write_all(b"he").await.unwrap();
+    time::sleep(HEAD_TIMEOUT / 4).await;
+    let rest = format!("llo{head}");
+    stream.write_all(rest.as_bytes()).await.unwrap();
+    read_ok(&mut stream).await;
+    for piece in ["he", "l", "lo"] {
+        time::sleep(HEAD_TIMEOUT * 2).await;
+        stream.write_all(piece.as_bytes()).await.unwrap();
+    }
+    for _ in 0..2 {
+        let ended = time::timeout(Duration::from_secs(3), inbox.recv()).await;
+        assert_eq!(ended, Ok(Some(5)));
+    }
+    let silence = time::timeout(HEAD_TIMEOUT, stream.read_u8()).await;
+    assert!(silence.is_err(), "{silence:?}");
+}
