fix(server): a refusal arrives although its body is still being sent

Cause: a body that is refused before it is read (no route, not ready, stopping, too large) stays in the socket's buffer. Closing the connection then sends a reset, which fails the caller's writes and may overtake the response. The same holds for a head that did not arrive in time (408). Change: lingering close. After the last response the writing side is closed, and what still arrives is read and discarded for `LINGER_TIMEOUT` (5 s) and `LINGER_BYTES_MAX` (8 MiB) at most, or until the caller closes. Connections whose body was read to its end close at once, as before.

Callers get the whole 404, 408, 413 or 503 instead of a broken connection, which they cannot tell from a request that ran. A lingering connection counts as open; a stop waits for it, within its grace period.

--- a/crates/http1/src/server/mod.rs
+++ b/crates/http1/src/server/mod.rs
@@ -5,6 +5,7 @@
 use std::convert::Infallible;
 use std::error::Error;
 use std::future;
+use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,7 +15,7 @@
 use hyper::server::conn::http1;
 use hyper::service::{HttpService, service_fn};
 use hyper_util::rt::TokioIo;
-use tokio::io::AsyncWriteExt as _;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{self, Instant};
@@ -34,6 +35,12 @@
 /// How long an idle connection stays open after a stop has begun. A caller that has just
 /// received a response may have sent its next request already.
 const STOP_LINGER: Duration = Duration::from_millis(250);
+/// Limits on what is read and discarded after the last response: a connection that is closed
+/// with unread bytes is reset, and the reset may overtake the response.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(5);
+const LINGER_BYTES_MAX: usize = 8 * 1024 * 1024;
+/// The size of one read while discarding.
+const DISCARD_BUFFER_BYTES: usize = 16 * 1024;
 /// The smallest buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// The response to a request head that does not arrive within the head timeout.
@@ -142,17 +149,21 @@
                 return;
             }
         };
-        let is_interrupted = driver.is_interrupted && result.is_ok();
+        let has_failed = result.is_err();
         log_end(result);
         let parts = driver.connection.into_parts();
         stream = parts.io.into_inner();
-        if !is_interrupted || *stopping.borrow() {
-            return close(stream.stream).await;
+        let resumes = driver.is_interrupted && !has_failed && !*stopping.borrow();
+        if resumes {
+            // Without a sender the body has ended as well.
+            let _ = states.wait_for(|state| !state.body.is_open()).await;
         }
-        // Without a sender the body has ended as well.
-        let _ = states.wait_for(|state| !state.body.is_open()).await;
-        if states.borrow().body == BodyState::Abandoned {
-            return close(stream.stream).await;
+        let has_unread_body = states.borrow().body == BodyState::Abandoned;
+        if has_failed || has_unread_body {
+            return close_lingering(stream.stream).await;
+        }
+        if !resumes {
+            return close(&mut stream.stream).await;
         }
         stream.unread = parts.read_buf;
         service = parts.service;
@@ -217,13 +228,41 @@
     }
 }
 
-/// Closes a connection.
-async fn close(mut stream: TcpStream) {
+/// Sends the end of a connection.
+async fn close(stream: &mut TcpStream) {
     if let Err(error) = stream.shutdown().await {
         log::debug!(target: "http", "Closing a connection failed: {error}.");
     }
 }
 
+/// Closes a connection on which the peer may still be sending: reads and discards until the
+/// peer closes as well, within limits.
+async fn close_lingering(mut stream: TcpStream) {
+    close(&mut stream).await;
+    match time::timeout(LINGER_TIMEOUT, discard(&mut stream)).await {
+        Ok(Ok(0)) => {}
+        Ok(Ok(size)) => {
+            log::debug!(target: "http", "Discarded {size} bytes after the last response.");
+        }
+        Ok(Err(error)) => log::debug!(target: "http", "Connection broke at its end: {error}."),
+        Err(_) => log::debug!(target: "http", "The peer did not close its connection in time."),
+    }
+}
+
+/// Reads up to [`LINGER_BYTES_MAX`], or until the peer closes; returns the bytes read.
+async fn discard(stream: &mut TcpStream) -> io::Result<usize> {
+    let mut buffer = vec![0; DISCARD_BUFFER_BYTES];
+    let mut discarded = 0;
+    while discarded < LINGER_BYTES_MAX {
+        let size = stream.read(&mut buffer).await?;
+        if size == 0 {
+            break;
+        }
+        discarded += size;
+    }
+    Ok(discarded)
+}
+
 /// Which timeout a connection has exceeded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum TimeoutKind {
@@ -300,15 +339,14 @@
 async fn respond_head_timeout(mut stream: TcpStream, requests: u64) {
     let peer = stream.peer_addr().map(|peer| peer.to_string());
     let peer = peer.unwrap_or_default();
-    let sent = match stream.write_all(HEAD_TIMEOUT_RESPONSE).await {
-        Ok(()) => stream.shutdown().await,
-        Err(error) => Err(error),
-    };
-    match sent {
-        Ok(()) => log::info!(
-            target: "http", peer:%, requests;
-            "Request head timed out; responded with 408."
-        ),
+    match stream.write_all(HEAD_TIMEOUT_RESPONSE).await {
+        Ok(()) => {
+            log::info!(
+                target: "http", peer:%, requests;
+                "Request head timed out; responded with 408."
+            );
+            close_lingering(stream).await;
+        }
         Err(error) => {
             log::debug!(target: "http", peer:%, requests; "Sending the 408 failed: {error}.");
         }
