fix(policy): what an upstream stated outlasts the removal of its entry

Callers saw requests sent to an upstream that had asked for a pause, or had stated that it drains, whenever its entry lapsed and was written again. Fleet limits were exceeded likewise.

Cause: a pause, a final drain and a known limit were part of the entry, which is dropped as soon as the configuration no longer lists the upstream and nothing is in flight. The entry that came back was new, although it names the same instance (name:born). A drain that another node stated before the entry was read was dropped, too.

An ended pause is not kept. A drain is applied to instances alone. Another instance has another id and starts clean.

--- a/crates/policy/src/service/balancer/mod.rs
+++ b/crates/policy/src/service/balancer/mod.rs
@@ -5,6 +5,7 @@
 pub(super) mod loads;
 pub(super) mod offers;
 pub(super) mod permits;
+pub(super) mod remembered;
 mod signals;
 mod updates;
 
@@ -21,6 +22,7 @@
 pub use loads::{LoadReport, UpstreamLoad};
 pub use offers::OfferCount;
 
+use self::remembered::RememberedUpstreams;
 use super::entry::{UpstreamEntry, UpstreamView};
 use crate::detection::{self, DetectionThresholds};
 use crate::limit;
@@ -143,6 +145,7 @@
     thresholds: DetectionThresholds,
     upstreams: SlotMap<UpstreamKey, UpstreamEntry>,
     by_id: HashMap<ids::UpstreamId, UpstreamKey>,
+    remembered: RememberedUpstreams,
     attempts: SlotMap<AttemptKey, InFlightAttempt>,
     budget: retry::RetryBudget,
     estimate: detection::LatencyEstimate,
@@ -181,6 +184,7 @@
             local_data_centre,
             upstreams: SlotMap::with_key(),
             by_id: HashMap::new(),
+            remembered: RememberedUpstreams::default(),
             attempts: SlotMap::with_key(),
             budget: retry::RetryBudget::new(service.retry_allowance),
             estimate: detection::LatencyEstimate::default(),
--- a/crates/policy/src/service/balancer/permits.rs
+++ b/crates/policy/src/service/balancer/permits.rs
@@ -45,8 +45,13 @@
 
 impl KnownLimit {
     pub(in crate::service) fn none(now: Instant) -> Self {
+        Self::new(now, LimitState::default())
+    }
+
+    /// A limit that was known before; the owner may have a permit.
+    pub(in crate::service) const fn new(now: Instant, state: LimitState) -> Self {
         Self {
-            state: LimitState::default(),
+            state,
             permits_at: now,
         }
     }
--- a/crates/policy/src/service/balancer/updates.rs
+++ b/crates/policy/src/service/balancer/updates.rs
@@ -31,7 +31,7 @@
             self.upstreams[*key].unconfigured = !configured.contains(id);
         }
         self.service = service;
-        self.remove_idle_unconfigured(&configured);
+        self.remove_idle_unconfigured(now, &configured);
     }
 
     fn put_upstream(&mut self, now: Instant, upstream: Arc<config::Upstream>) {
@@ -45,17 +45,21 @@
             entry.upstream = upstream;
             return;
         }
-        let entry = UpstreamEntry::new(now, upstream, self.thresholds.eject);
+        let mut entry = UpstreamEntry::new(now, upstream, self.thresholds.eject);
+        if let Some(stated) = self.remembered.take(&id) {
+            entry.restore(now, stated);
+        }
         let key = self.upstreams.insert(entry);
         self.by_id.insert(id, key);
     }
 
-    fn remove_idle_unconfigured(&mut self, configured: &BTreeSet<ids::UpstreamId>) {
+    fn remove_idle_unconfigured(&mut self, now: Instant, configured: &BTreeSet<ids::UpstreamId>) {
         let upstreams = &mut self.upstreams;
+        let remembered = &mut self.remembered;
         self.by_id.retain(|id, key| {
             let keep = configured.contains(id) || upstreams[*key].in_flight > 0;
-            if !keep {
-                upstreams.remove(*key);
+            if !keep && let Some(entry) = upstreams.remove(*key) {
+                remembered.insert(id, entry.stated(now));
             }
             keep
         });
@@ -146,12 +150,14 @@
     /// Records that an upstream states that it drains; returns whether that is new. Of an
     /// instance, which never returns to service, that is final.
     pub fn record_drain(&mut self, now: Instant, upstream: &ids::UpstreamId) -> bool {
+        let Some(key) = self.by_id.get(upstream).copied() else {
+            self.remembered.insert_drain(upstream);
+            return false;
+        };
         let is_new = self.record_misdirected(now, upstream);
-        if let Some(key) = self.by_id.get(upstream) {
-            let entry = &mut self.upstreams[*key];
-            if entry.upstream.instance.is_some() {
-                entry.drain = DrainState::Final;
-            }
+        let entry = &mut self.upstreams[key];
+        if entry.upstream.instance.is_some() {
+            entry.drain = DrainState::Final;
         }
         is_new
     }
--- a/crates/policy/src/service/entry.rs
+++ b/crates/policy/src/service/entry.rs
@@ -10,6 +10,7 @@
 use super::balancer::loads::DataCentreLoad;
 use super::balancer::offers::{LastOffer, OFFER_WINDOW};
 use super::balancer::permits::KnownLimit;
+use super::balancer::remembered::StatedSignals;
 use crate::detection;
 use crate::limit;
 use crate::suspicion::SuspicionScore;
@@ -158,6 +159,27 @@
         }
     }
 
+    /// What the upstream stated that still holds, to be remembered while it is not configured.
+    pub(super) fn stated(&self, now: Instant) -> StatedSignals {
+        let is_recent = |until: &Instant| now < *until + PAUSE_RAMP_DURATION;
+        StatedSignals {
+            drains: self.drain == DrainState::Final,
+            paused_until: self.paused_until.filter(is_recent),
+            limit: self.known_limit.state(),
+        }
+    }
+
+    /// Applies what the upstream stated before it was configured again.
+    pub(super) fn restore(&mut self, now: Instant, stated: StatedSignals) {
+        if stated.drains && self.upstream.instance.is_some() {
+            self.drain = DrainState::Final;
+        }
+        if let Some(until) = stated.paused_until {
+            self.pause_until(until);
+        }
+        self.known_limit = KnownLimit::new(now, stated.limit);
+    }
+
     pub(super) fn status(&self) -> UpstreamStatus {
         let drains = self.upstream.state == config::UpstreamState::Draining;
         if drains || self.unconfigured || self.drain != DrainState::None {
@@ -245,7 +267,10 @@
 
     /// Records a pause that the upstream asks for. After it, the load returns gradually.
     pub(super) fn pause(&mut self, now: Instant, pause: PauseTime) {
-        let until = now + pause.get();
+        self.pause_until(now + pause.get());
+    }
+
+    fn pause_until(&mut self, until: Instant) {
         if self.paused_until.is_none_or(|current| current < until) {
             self.paused_until = Some(until);
             self.ramp = Some(LoadRamp {
--- a/crates/policy/tests/balancer.rs
+++ b/crates/policy/tests/balancer.rs
@@ -464,3 +464,101 @@
         assert_eq!(granted, is_used, "{pause} ms: {admission:?}");
     }
 }
+
+/// Removes an upstream from the configuration for a while, as when its entry expires and is
+/// written again.
+async fn remove_for_a_while(balancer: &mut ServiceBalancer, upstream: &UpstreamId) {
+    let configured = Arc::clone(balancer.service());
+    let mut without = configured.as_ref().clone();
+    without.upstreams.retain(|up| up.id != *upstream);
+    balancer.configure(Instant::now(), Arc::new(without));
+    time::advance(Duration::from_millis(500)).await;
+    balancer.configure(Instant::now(), configured);
+}
+
+/// A service whose upstreams are instances, which never return to service.
+fn instance_balancer() -> ServiceBalancer {
+    let mut service = service(3, 4, 4).as_ref().clone();
+    for upstream in &mut service.upstreams {
+        upstream.instance = Some(upstream.id.as_str().into());
+    }
+    ServiceBalancer::new(Instant::now(), Arc::new(service), name("ikeja"), 5)
+}
+
+// An entry that expires and is written again is still the instance that asked for the pause.
+#[tokio::test(start_paused = true)]
+async fn a_pause_outlasts_the_removal_of_the_upstream() {
+    let mut balancer = balancer(3);
+    let paused = name("up-0");
+    balancer.record_pause(Instant::now(), &paused, "2".parse().unwrap());
+    remove_for_a_while(&mut balancer, &paused).await;
+    time::advance(Duration::from_millis(1_400)).await;
+    assert!(!run_requests(&mut balancer, 100, true).contains(&paused));
+    time::advance(Duration::from_secs(5)).await;
+    assert!(run_requests(&mut balancer, 100, true).contains(&paused));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_stated_drain_outlasts_the_removal_of_the_instance() {
+    let mut balancer = instance_balancer();
+    let draining = name("up-0");
+    balancer.record_drain(Instant::now(), &draining);
+    for _ in 0..3 {
+        remove_for_a_while(&mut balancer, &draining).await;
+        time::advance(Duration::from_hours(2)).await;
+        balancer.tick(Instant::now());
+        assert!(!run_requests(&mut balancer, 100, true).contains(&draining));
+    }
+}
+
+/// Adds an instance to the configuration.
+fn add_instance(balancer: &mut ServiceBalancer, id: &UpstreamId) {
+    let mut configured = balancer.service().as_ref().clone();
+    let mut upstream = configured.upstreams[0].clone();
+    upstream.id = id.clone();
+    upstream.instance = Some(id.as_str().into());
+    configured.upstreams.push(upstream);
+    balancer.configure(Instant::now(), Arc::new(configured));
+}
+
+// Another node may state a drain before this one has read the entry of the instance.
+#[tokio::test(start_paused = true)]
+async fn a_drain_of_an_instance_that_is_not_configured_yet_is_kept() {
+    let mut balancer = instance_balancer();
+    let draining: UpstreamId = name("up-9");
+    balancer.record_drain(Instant::now(), &draining);
+    add_instance(&mut balancer, &draining);
+    assert!(!run_requests(&mut balancer, 100, true).contains(&draining));
+}
+
+// Without its limit, an upstream would get requests without a permit from every node at once.
+#[tokio::test(start_paused = true)]
+async fn a_limit_outlasts_the_removal_of_the_upstream() {
+    let mut balancer = balancer(1);
+    let state = LimitState {
+        rate: Some("2".parse().unwrap()),
+        version: LimitVersion::default().next(),
+    };
+    balancer.apply_limit(&name("up-0"), state);
+    remove_for_a_while(&mut balancer, &name("up-0")).await;
+    let admission = balancer.admit(Instant::now(), &request(false));
+    assert!(
+        matches!(admission, Admission::PermitNeeded(_)),
+        "{admission:?}"
+    );
+}
+
+// Instances come and go for as long as a node runs.
+#[tokio::test(start_paused = true)]
+async fn of_the_removed_instances_only_the_last_ones_are_remembered() {
+    let mut balancer = instance_balancer();
+    let gone = |number: usize| name::<UpstreamId>(&format!("gone-{number}"));
+    for number in 0..5_000 {
+        balancer.record_drain(Instant::now(), &gone(number));
+    }
+    add_instance(&mut balancer, &gone(0));
+    add_instance(&mut balancer, &gone(4_999));
+    let used = run_requests(&mut balancer, 200, true);
+    assert!(used.contains(&gone(0)));
+    assert!(!used.contains(&gone(4_999)));
+}
