fix(policy): a pause and a return to service each keep their own ramp

An upstream got its full load at once although it had just returned from a failure or a pause.

Cause: one field held the ramp of both. A short pause in the 30 s of a return to service replaced that ramp by its own of 3 s, and a verdict or an ejection that ended early in a pause replaced the ramp that begins at its end by one that was over by then.

Change: two ramps; the lower share counts.

--- a/crates/policy/src/service/entry.rs
+++ b/crates/policy/src/service/entry.rs
@@ -122,7 +122,10 @@
     pub(super) reports_due: u32,
     /// The limit that the upstream names on the requests of the whole fleet.
     pub(super) known_limit: KnownLimit,
-    ramp: Option<LoadRamp>,
+    /// The return to service.
+    return_ramp: Option<LoadRamp>,
+    /// The return after a pause.
+    pause_ramp: Option<LoadRamp>,
 }
 
 /// The return of an upstream to its full share of the load.
@@ -132,6 +135,14 @@
     duration: Duration,
 }
 
+impl LoadRamp {
+    /// The share of its usual load that the upstream gets.
+    fn share(self, now: Instant) -> f64 {
+        let elapsed = now.saturating_duration_since(self.start).as_secs_f64();
+        (RAMP_INITIAL_SHARE + elapsed / self.duration.as_secs_f64()).min(1.0)
+    }
+}
+
 impl UpstreamEntry {
     pub(super) fn new(now: Instant, upstream: Arc<config::Upstream>, score_cap: f64) -> Self {
         Self {
@@ -155,7 +166,8 @@
             reported_in_flight: 0,
             reports_due: 0,
             known_limit: KnownLimit::none(now),
-            ramp: None,
+            return_ramp: None,
+            pause_ramp: None,
         }
     }
 
@@ -259,7 +271,7 @@
 
     /// Starts the ramp of an upstream that returns to service.
     pub(super) const fn start_ramp(&mut self, now: Instant) {
-        self.ramp = Some(LoadRamp {
+        self.return_ramp = Some(LoadRamp {
             start: now,
             duration: RAMP_DURATION,
         });
@@ -273,7 +285,7 @@
     fn pause_until(&mut self, until: Instant) {
         if self.paused_until.is_none_or(|current| current < until) {
             self.paused_until = Some(until);
-            self.ramp = Some(LoadRamp {
+            self.pause_ramp = Some(LoadRamp {
                 start: until,
                 duration: PAUSE_RAMP_DURATION,
             });
@@ -309,11 +321,9 @@
     }
 
     fn ramp_share(&self, now: Instant) -> f64 {
-        let Some(LoadRamp { start, duration }) = self.ramp else {
-            return 1.0;
-        };
-        let grown = now.saturating_duration_since(start).as_secs_f64() / duration.as_secs_f64();
-        (RAMP_INITIAL_SHARE + grown).min(1.0)
+        let ramps = [self.return_ramp, self.pause_ramp];
+        let shares = ramps.into_iter().flatten().map(|ramp| ramp.share(now));
+        shares.fold(1.0, f64::min)
     }
 
     /// Whether the upstream, which is in this node's data centre, is out of service although
--- a/crates/policy/tests/balancer.rs
+++ b/crates/policy/tests/balancer.rs
@@ -562,3 +562,42 @@
     assert!(used.contains(&gone(0)));
     assert!(!used.contains(&gone(4_999)));
 }
+
+/// How many of 300 requests an upstream gets, one after another. With two others in the data
+/// centre, its share is 100.
+fn count_of_300(balancer: &mut ServiceBalancer, upstream: &UpstreamId) -> usize {
+    let used = run_requests(balancer, 300, false);
+    used.iter().filter(|id| *id == upstream).count()
+}
+
+// An upstream that returns to service slowly does not return faster because it asks for a pause.
+#[tokio::test(start_paused = true)]
+async fn a_short_pause_does_not_shorten_the_return_to_service() {
+    let mut balancer = balancer(9);
+    let returning: UpstreamId = name("up-0");
+    balancer.apply_verdict(Instant::now(), &returning, &Verdict::Eject);
+    balancer.apply_verdict(Instant::now(), &returning, &Verdict::Clear);
+    balancer.record_pause(Instant::now(), &returning, "0.1".parse().unwrap());
+    time::advance(Duration::from_secs(4)).await;
+    let count = count_of_300(&mut balancer, &returning);
+    assert!(count < 60, "{count} requests");
+    time::advance(Duration::from_secs(30)).await;
+    let count = count_of_300(&mut balancer, &returning);
+    assert!(count > 80, "{count} requests");
+}
+
+// A verdict that ends early in a pause does not use up the return after it.
+#[tokio::test(start_paused = true)]
+async fn load_returns_gradually_after_a_pause_in_which_a_verdict_ended() {
+    let mut balancer = balancer(9);
+    let paused: UpstreamId = name("up-0");
+    balancer.record_pause(Instant::now(), &paused, "60".parse().unwrap());
+    balancer.apply_verdict(Instant::now(), &paused, &Verdict::Eject);
+    balancer.apply_verdict(Instant::now(), &paused, &Verdict::Clear);
+    time::advance(Duration::from_millis(60_100)).await;
+    let count = count_of_300(&mut balancer, &paused);
+    assert!(count < 60, "{count} requests");
+    time::advance(Duration::from_secs(3)).await;
+    let count = count_of_300(&mut balancer, &paused);
+    assert!(count > 80, "{count} requests");
+}
