fix(policy): after a pause the nodes return one after the other

An upstream that had asked a whole fleet for the same pause got a request from every node in the first moment after it.

Cause: an upstream that got nothing for a while is due for an offer, and an offer goes before the selection by load. The order in which nodes take over is spread over the time since the last offer, all of which has passed at the end of a long pause, so that it was due at all nodes at once.

Change: for a pause that lasts longer than the interval of offers, the offer is due at its end, and each node draws its turn anew. A node without others in its data centre is the first. Shorter pauses leave the schedule as it was.

--- a/crates/policy/src/service/balancer/offers.rs
+++ b/crates/policy/src/service/balancer/offers.rs
@@ -67,6 +67,22 @@
         }
     }
 
+    /// What the nodes go by after a pause: the next offer is due when it ends, and at one node
+    /// after the other in the order of their turns, since all of them may have been asked for it.
+    pub(in crate::service) fn after_pause(self, until: Instant, turn: f64) -> Self {
+        let Some(at) = until.checked_sub(OFFER_INTERVAL) else {
+            return self;
+        };
+        if at <= self.at {
+            return self;
+        }
+        Self {
+            at,
+            by_own_node: false,
+            turn,
+        }
+    }
+
     pub(in crate::service) fn age(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.at)
     }
@@ -184,6 +200,13 @@
         per_node.mul_f64(f64::from(self.fleet_nodes) * self.local_node_share)
     }
 
+    /// Draws this node's place in the order in which the nodes of the data centre return to an
+    /// upstream after a pause. A node without others is the first.
+    pub(super) fn draw_return_turn(&mut self) -> f64 {
+        let nodes = f64::from(self.fleet_nodes) * self.local_node_share;
+        self.rng.random::<f64>() * (1.0 - nodes.max(1.0).recip())
+    }
+
     /// Records that this node sends a request to an upstream.
     pub(super) fn record_own_offer(&mut self, now: Instant, key: UpstreamKey) {
         self.upstreams[key].last_offer = LastOffer {
--- a/crates/policy/src/service/balancer/updates.rs
+++ b/crates/policy/src/service/balancer/updates.rs
@@ -47,7 +47,7 @@
         }
         let mut entry = UpstreamEntry::new(now, upstream, self.thresholds.eject);
         if let Some(stated) = self.remembered.take(&id) {
-            entry.restore(now, stated);
+            entry.restore(now, stated, self.draw_return_turn());
         }
         let key = self.upstreams.insert(entry);
         self.by_id.insert(id, key);
@@ -178,8 +178,9 @@
 
     /// Records that an upstream asks this node for a pause.
     pub fn record_pause(&mut self, now: Instant, upstream: &ids::UpstreamId, pause: PauseTime) {
-        if let Some(key) = self.by_id.get(upstream) {
-            self.upstreams[*key].pause(now, pause);
+        if let Some(key) = self.by_id.get(upstream).copied() {
+            let turn = self.draw_return_turn();
+            self.upstreams[key].pause(now, pause, turn);
         }
     }
 
--- a/crates/policy/src/service/entry.rs
+++ b/crates/policy/src/service/entry.rs
@@ -182,12 +182,12 @@
     }
 
     /// Applies what the upstream stated before it was configured again.
-    pub(super) fn restore(&mut self, now: Instant, stated: StatedSignals) {
+    pub(super) fn restore(&mut self, now: Instant, stated: StatedSignals, turn: f64) {
         if stated.drains && self.upstream.instance.is_some() {
             self.drain = DrainState::Final;
         }
         if let Some(until) = stated.paused_until {
-            self.pause_until(until);
+            self.pause_until(until, turn);
         }
         self.known_limit = KnownLimit::new(now, stated.limit);
     }
@@ -278,13 +278,15 @@
     }
 
     /// Records a pause that the upstream asks for. After it, the load returns gradually.
-    pub(super) fn pause(&mut self, now: Instant, pause: PauseTime) {
-        self.pause_until(now + pause.get());
+    /// `turn` is the place of this node, from 0 to 1, in the order in which the nodes return.
+    pub(super) fn pause(&mut self, now: Instant, pause: PauseTime, turn: f64) {
+        self.pause_until(now + pause.get(), turn);
     }
 
-    fn pause_until(&mut self, until: Instant) {
+    fn pause_until(&mut self, until: Instant, turn: f64) {
         if self.paused_until.is_none_or(|current| current < until) {
             self.paused_until = Some(until);
+            self.last_offer = self.last_offer.after_pause(until, turn);
             self.pause_ramp = Some(LoadRamp {
                 start: until,
                 duration: PAUSE_RAMP_DURATION,
--- a/crates/policy/tests/balancer.rs
+++ b/crates/policy/tests/balancer.rs
@@ -563,6 +563,62 @@
     assert!(!used.contains(&gone(4_999)));
 }
 
+/// A service whose nodes share the news of their requests.
+fn sharing_service(upstreams: usize) -> Service {
+    Service {
+        profile: DetectionProfile::Episodes,
+        ..service(upstreams, 4, 4).as_ref().clone()
+    }
+}
+
+// Every node of the data centre may have been asked for the same pause. After it, one of them
+// sends the first request, and not all.
+#[tokio::test(start_paused = true)]
+async fn the_nodes_of_a_fleet_do_not_all_return_to_an_upstream_at_once() {
+    const NODES: u32 = 48;
+    let paused: UpstreamId = name("up-0");
+    let mut fleet: Vec<_> = (0..NODES)
+        .map(|seed| {
+            let service = Arc::new(sharing_service(9));
+            let mut balancer =
+                ServiceBalancer::new(Instant::now(), service, name("ikeja"), seed.into());
+            balancer.set_fleet_size(NODES);
+            run_requests(&mut balancer, 40, true);
+            balancer.record_pause(Instant::now(), &paused, "60".parse().unwrap());
+            balancer
+        })
+        .collect();
+    let mut arrivals = 0;
+    for _ in 0..602 {
+        time::advance(Duration::from_millis(100)).await;
+        for balancer in &mut fleet {
+            let used = run_requests(balancer, 1, true);
+            arrivals += used.iter().filter(|id| **id == paused).count();
+        }
+    }
+    // 200 ms after the end of the pause.
+    assert!(arrivals <= 4, "{arrivals} requests");
+}
+
+// After a pause, an upstream is in service again within the time of an offer.
+#[tokio::test(start_paused = true)]
+async fn a_node_without_others_returns_to_an_upstream_soon_after_its_pause() {
+    let paused: UpstreamId = name("up-0");
+    for seed in 0..20 {
+        let service = Arc::new(sharing_service(9));
+        let mut balancer = ServiceBalancer::new(Instant::now(), service, name("ikeja"), seed);
+        run_requests(&mut balancer, 40, true);
+        balancer.record_pause(Instant::now(), &paused, "10".parse().unwrap());
+        time::advance(Duration::from_secs(10)).await;
+        let mut used = Vec::new();
+        for _ in 0..20 {
+            time::advance(Duration::from_millis(50)).await;
+            used.extend(run_requests(&mut balancer, 1, true));
+        }
+        assert!(used.contains(&paused), "seed {seed}: {used:?}");
+    }
+}
+
 /// How many of 300 requests an upstream gets, one after another. With two others in the data
 /// centre, its share is 100.
 fn count_of_300(balancer: &mut ServiceBalancer, upstream: &UpstreamId) -> usize {
