fix(policy): a retry that no upstream can serve tells the first return of any

The caller whose request met the pause of the last upstream was told to come back after the usual 250 ms, and found it paused; one whose retry excluded a tried upstream was told the end of the others' pauses, up to five minutes, though the tried one would have served a new request.

Cause: the time was taken over the upstreams that the attempt had not tried, and without any of those there was none. A caller that comes back sends a new request, which may use all.

Change: the time is that of the first return over all eligible upstreams, none for one that was tried and does not pause. If all pause, the retry is rejected with that time also when all were tried.

--- a/crates/policy/src/service/balancer/admission.rs
+++ b/crates/policy/src/service/balancer/admission.rs
@@ -123,15 +123,16 @@
         request: &AttemptRequest,
         limited_use: LimitedUse,
     ) -> Admission {
-        let mut could_serve = self
-            .upstreams
-            .values()
-            .filter(|entry| entry.is_eligible() && !request.exclude.contains(&entry.upstream.id));
-        let any_could_serve = could_serve.clone().next().is_some();
-        if !any_could_serve || request.purpose == AttemptPurpose::Hedge {
+        let eligible = self.upstreams.values().filter(|entry| entry.is_eligible());
+        let untried = || {
+            let upstreams = eligible.clone();
+            upstreams.filter(|entry| !request.exclude.contains(&entry.upstream.id))
+        };
+        let may_return = untried().next().is_some() || self.all_pause(now);
+        if request.purpose == AttemptPurpose::Hedge || !may_return {
             return Admission::Refuse(error::ErrorKind::NoUpstream);
         }
-        if could_serve.all(|entry| !limited_use.may_select(now, entry)) {
+        if untried().all(|entry| !limited_use.may_select(now, entry)) {
             return Admission::RateLimited(self.selection_wait(now, request));
         }
         Admission::Wait
--- a/crates/policy/src/service/balancer/permits.rs
+++ b/crates/policy/src/service/balancer/permits.rs
@@ -160,19 +160,25 @@
         }
     }
 
-    /// Time until a permit may be available or a pause ends, over the upstreams that the
-    /// request may be sent to.
+    /// Whether all upstreams that could serve asked for a pause, and there is one.
+    pub(super) fn all_pause(&self, now: Instant) -> bool {
+        let eligible = self.upstreams.values().filter(|entry| entry.is_eligible());
+        let mut pauses = eligible.map(|entry| entry.pause_left(now)).peekable();
+        pauses.peek().is_some() && pauses.all(|pause| pause.is_some())
+    }
+
+    /// Time until a permit may be available or a pause ends. Upstreams that were tried count,
+    /// too, since a caller that comes back sends a new request.
     pub(super) fn selection_wait(&self, now: Instant, request: &AttemptRequest) -> Duration {
-        let eligible = self
-            .upstreams
-            .values()
-            .filter(|entry| entry.is_eligible() && !request.exclude.contains(&entry.upstream.id));
+        let eligible = self.upstreams.values().filter(|entry| entry.is_eligible());
         let waits = eligible.filter_map(|entry| {
             let permit_wait = entry
                 .known_limit
                 .awaits_permit(now)
                 .then(|| entry.known_limit.permits_at.saturating_duration_since(now));
-            permit_wait.max(entry.pause_left(now))
+            let was_tried = request.exclude.contains(&entry.upstream.id);
+            let wait = permit_wait.max(entry.pause_left(now));
+            wait.or(was_tried.then_some(Duration::ZERO))
         });
         waits.min().unwrap_or_default()
     }
--- a/crates/policy/tests/balancer.rs
+++ b/crates/policy/tests/balancer.rs
@@ -657,3 +657,42 @@
     let count = count_of_300(&mut balancer, &paused);
     assert!(count > 80, "{count} requests");
 }
+
+// A caller that comes back sends a new request, which may use the upstreams that were tried.
+#[tokio::test(start_paused = true)]
+async fn a_retry_that_only_paused_upstreams_could_serve_tells_the_first_return() {
+    let mut balancer = balancer(2);
+    for (upstream, seconds) in [("up-0", "7"), ("up-1", "3")] {
+        balancer.record_pause(Instant::now(), &name(upstream), seconds.parse().unwrap());
+    }
+    let mut retry = AttemptRequest {
+        purpose: AttemptPurpose::Retry,
+        exclude: vec![name("up-1")],
+        ..request(true)
+    };
+    for _ in 0..2 {
+        let admission = balancer.admit(Instant::now(), &retry);
+        let Admission::RateLimited(wait) = admission else {
+            panic!("the retry was not rejected with a time: {admission:?}");
+        };
+        assert_eq!(wait, Duration::from_secs(3));
+        retry.exclude.push(name("up-0"));
+    }
+}
+
+// One that was tried and asks for no pause may serve at once when the caller comes back.
+#[tokio::test(start_paused = true)]
+async fn a_retry_tells_no_long_time_if_a_tried_upstream_does_not_pause() {
+    let mut balancer = balancer(2);
+    balancer.record_pause(Instant::now(), &name("up-0"), "30".parse().unwrap());
+    let retry = AttemptRequest {
+        purpose: AttemptPurpose::Retry,
+        exclude: vec![name("up-1")],
+        ..request(true)
+    };
+    let admission = balancer.admit(Instant::now(), &retry);
+    let Admission::RateLimited(wait) = admission else {
+        panic!("the retry was not rejected with a time: {admission:?}");
+    };
+    assert_eq!(wait, Duration::ZERO);
+}
