feat(telemetry): paused upstreams in the metrics and on the status page

Change: the gauge upstream_paused for each service; /status tells pause_left_s and pause_age_s; the view of an upstream holds both. The log line with request, upstream and value existed.

--- a/bins/entry/src/ops.rs
+++ b/bins/entry/src/ops.rs
@@ -89,6 +89,8 @@
                     "limit": view.limit,
                     "unoffered": view.unoffered,
                     "rate_limit": view.rate_limit.map(RateLimit::get),
+                    "pause_left_s": view.pause.map(|pause| pause.left.as_secs_f64()),
+                    "pause_age_s": view.pause.map(|pause| pause.age.as_secs_f64()),
                 })
             });
             services.insert(id.to_string(), upstreams.collect());
@@ -115,6 +117,9 @@
             let limited = views.values().filter(|view| view.rate_limit.is_some());
             self.metrics
                 .set_rate_limited_count(service, limited.count() as u64);
+            let paused = views.values().filter(|view| view.pause.is_some());
+            self.metrics
+                .set_paused_count(service, paused.count() as u64);
             for status in UpstreamStatus::ALL {
                 let matching = views.values().filter(|view| view.status == *status);
                 self.metrics
--- a/crates/policy/src/service/balancer/remembered.rs
+++ b/crates/policy/src/service/balancer/remembered.rs
@@ -16,15 +16,15 @@
 pub(in crate::service) struct StatedSignals {
     /// Whether it stated that it drains, which is final for an instance.
     pub(in crate::service) drains: bool,
-    /// The end of the pause that it asked for.
-    pub(in crate::service) paused_until: Option<Instant>,
+    /// When it asked for a pause, and the end of that.
+    pub(in crate::service) pause: Option<(Instant, Instant)>,
     /// The limit that it named.
     pub(in crate::service) limit: LimitState,
 }
 
 impl StatedSignals {
     fn is_empty(&self) -> bool {
-        !self.drains && self.paused_until.is_none() && self.limit == LimitState::default()
+        !self.drains && self.pause.is_none() && self.limit == LimitState::default()
     }
 }
 
--- a/crates/policy/src/service/entry.rs
+++ b/crates/policy/src/service/entry.rs
@@ -61,6 +61,17 @@
     pub unoffered: bool,
     /// The rate of requests that it takes from the whole fleet; `None` without a limit.
     pub rate_limit: Option<sizes::RateLimit>,
+    /// The pause that it asked for; `None` without one.
+    pub pause: Option<UpstreamPause>,
+}
+
+/// A pause that an upstream asked this node for, for the status page.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UpstreamPause {
+    /// Time since the upstream last asked for it.
+    pub age: Duration,
+    /// Time to its end.
+    pub left: Duration,
 }
 
 /// What is known of a drain of an upstream beyond its configuration.
@@ -100,8 +111,10 @@
     pub(super) ejected: bool,
     /// What responses, probes and other nodes tell of a drain.
     pub(super) drain: DrainState,
-    /// The end of the pause that the upstream last asked for.
+    /// The end of the pause that the upstream asked for.
     paused_until: Option<Instant>,
+    /// The time at which it asked for that end.
+    pause_asked_at: Instant,
     /// Whether the configuration no longer contains the upstream.
     pub(super) unconfigured: bool,
     /// Earliest time of this node's next trial; unused if the nodes share signals, since
@@ -157,6 +170,7 @@
             ejected: false,
             drain: DrainState::None,
             paused_until: None,
+            pause_asked_at: now,
             unconfigured: false,
             next_trial_at: now,
             suspicion: None,
@@ -174,9 +188,10 @@
     /// What the upstream stated that still holds, to be remembered while it is not configured.
     pub(super) fn stated(&self, now: Instant) -> StatedSignals {
         let is_recent = |until: &Instant| now < *until + PAUSE_RAMP_DURATION;
+        let until = self.paused_until.filter(is_recent);
         StatedSignals {
             drains: self.drain == DrainState::Final,
-            paused_until: self.paused_until.filter(is_recent),
+            pause: until.map(|until| (self.pause_asked_at, until)),
             limit: self.known_limit.state(),
         }
     }
@@ -186,8 +201,8 @@
         if stated.drains && self.upstream.instance.is_some() {
             self.drain = DrainState::Final;
         }
-        if let Some(until) = stated.paused_until {
-            self.pause_until(until, turn);
+        if let Some((asked_at, until)) = stated.pause {
+            self.pause_until(asked_at, until, turn);
         }
         self.known_limit = KnownLimit::new(now, stated.limit);
     }
@@ -280,12 +295,13 @@
     /// Records a pause that the upstream asks for. After it, the load returns gradually.
     /// `turn` is the place of this node, from 0 to 1, in the order in which the nodes return.
     pub(super) fn pause(&mut self, now: Instant, pause: PauseTime, turn: f64) {
-        self.pause_until(now + pause.get(), turn);
+        self.pause_until(now, now + pause.get(), turn);
     }
 
-    fn pause_until(&mut self, until: Instant, turn: f64) {
+    fn pause_until(&mut self, asked_at: Instant, until: Instant, turn: f64) {
         if self.paused_until.is_none_or(|current| current < until) {
             self.paused_until = Some(until);
+            self.pause_asked_at = asked_at;
             self.last_offer = self.last_offer.after_pause(until, turn);
             self.pause_ramp = Some(LoadRamp {
                 start: until,
@@ -345,6 +361,10 @@
             limit: self.limit.get(),
             unoffered: is_local && self.is_unoffered(now),
             rate_limit: self.known_limit.state().rate,
+            pause: self.pause_left(now).map(|left| UpstreamPause {
+                age: now.saturating_duration_since(self.pause_asked_at),
+                left,
+            }),
         }
     }
 }
--- a/crates/policy/src/service/mod.rs
+++ b/crates/policy/src/service/mod.rs
@@ -10,6 +10,6 @@
     Admission, AttemptGrant, AttemptKey, AttemptPurpose, AttemptRequest, LoadReport, OfferCount,
     ServiceBalancer, UpstreamLoad,
 };
-pub use entry::{UpstreamStatus, UpstreamView};
+pub use entry::{UpstreamPause, UpstreamStatus, UpstreamView};
 pub use load_totals::LoadTotals;
 pub use subset::{choose_subset, subset_size};
--- a/crates/policy/tests/balancer.rs
+++ b/crates/policy/tests/balancer.rs
@@ -696,3 +696,20 @@
     };
     assert_eq!(wait, Duration::ZERO);
 }
+
+// Operators see why an upstream gets nothing, and since when.
+#[tokio::test(start_paused = true)]
+async fn the_view_of_an_upstream_tells_the_age_and_the_rest_of_its_pause() {
+    let mut balancer = balancer(1);
+    let paused: UpstreamId = name("up-0");
+    balancer.record_pause(Instant::now(), &paused, "10".parse().unwrap());
+    time::advance(Duration::from_secs(3)).await;
+    // A shorter one changes nothing.
+    balancer.record_pause(Instant::now(), &paused, "1".parse().unwrap());
+    remove_for_a_while(&mut balancer, &paused).await;
+    let pause = balancer.views(Instant::now())[&paused].pause.unwrap();
+    assert_eq!(pause.age, Duration::from_millis(3_500));
+    assert_eq!(pause.left, Duration::from_millis(6_500));
+    time::advance(Duration::from_secs(7)).await;
+    assert_eq!(balancer.views(Instant::now())[&paused].pause, None);
+}
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -33,6 +33,7 @@
     upstreams: Gauge<u64>,
     unoffered: Gauge<u64>,
     rate_limited: Gauge<u64>,
+    paused: Gauge<u64>,
     permit_draws: Counter<u64>,
     in_flight: Gauge<u64>,
     nodes: Gauge<u64>,
@@ -111,6 +112,10 @@
                 .u64_gauge("upstream.rate_limited")
                 .with_description("Upstreams that name a limit on their requests per second.")
                 .build(),
+            paused: meter
+                .u64_gauge("upstream.paused")
+                .with_description("Upstreams that asked the node for a pause, by service.")
+                .build(),
             permit_draws: meter
                 .u64_counter("upstream.permit.draws")
                 .with_description("Draws of permits for upstreams with a rate limit, by result.")
@@ -201,6 +206,12 @@
         self.rate_limited.record(count, &[service]);
     }
 
+    /// Sets the number of a service's upstreams that asked this node for a pause.
+    pub fn set_paused_count(&self, service: &ids::ServiceId, count: u64) {
+        let service = KeyValue::new("service", service.as_str().to_owned());
+        self.paused.record(count, &[service]);
+    }
+
     /// Counts a draw of a permit for an upstream with a rate limit.
     pub fn record_permit_draw(&self, service: &ids::ServiceId, result: &'static str) {
         let service = KeyValue::new("service", service.as_str().to_owned());
