--- a/crates/policy/src/service/entry.rs
+++ b/crates/policy/src/service/entry.rs
@@ -10,6 +10,7 @@
 use super::balancer::loads::DataCentreLoad;
 use super::balancer::offers::{LastOffer, OFFER_WINDOW};
 use super::balancer::permits::KnownLimit;
+use super::balancer::remembered::StatedSignals;
 use crate::detection;
 use crate::limit;
 use crate::suspicion::SuspicionScore;
@@ -60,6 +61,17 @@
     pub unoffered: bool,
     /// The rate of requests that it takes from the whole fleet; `None` without a limit.
     pub rate_limit: Option<sizes::RateLimit>,
+    /// The pause that it asked for; `None` without one.
+    pub pause: Option<UpstreamPause>,
+}
+
+/// A pause that an upstream asked this node for, for the status page.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UpstreamPause {
+    /// Time since the upstream last asked for it.
+    pub age: Duration,
+    /// Time to its end.
+    pub left: Duration,
 }
 
 /// What is known of a drain of an upstream beyond its configuration.
@@ -99,8 +111,10 @@
     pub(super) ejected: bool,
     /// What responses, probes and other nodes tell of a drain.
     pub(super) drain: DrainState,
-    /// The end of the pause that the upstream last asked for.
+    /// The end of the pause that the upstream asked for.
     paused_until: Option<Instant>,
+    /// The time at which it asked for that end.
+    pause_asked_at: Instant,
     /// Whether the configuration no longer contains the upstream.
     pub(super) unconfigured: bool,
     /// Earliest time of this node's next trial; unused if the nodes share signals, since
@@ -121,7 +135,10 @@
     pub(super) reports_due: u32,
     /// The limit that the upstream names on the requests of the whole fleet.
     pub(super) known_limit: KnownLimit,
-    ramp: Option<LoadRamp>,
+    /// The return to service.
+    return_ramp: Option<LoadRamp>,
+    /// The return after a pause.
+    pause_ramp: Option<LoadRamp>,
 }
 
 /// The return of an upstream to its full share of the load.
@@ -131,6 +148,14 @@
     duration: Duration,
 }
 
+impl LoadRamp {
+    /// The share of its usual load that the upstream gets.
+    fn share(self, now: Instant) -> f64 {
+        let elapsed = now.saturating_duration_since(self.start).as_secs_f64();
+        (RAMP_INITIAL_SHARE + elapsed / self.duration.as_secs_f64()).min(1.0)
+    }
+}
+
 impl UpstreamEntry {
     pub(super) fn new(now: Instant, upstream: Arc<config::Upstream>, score_cap: f64) -> Self {
         Self {
@@ -145,6 +170,7 @@
             ejected: false,
             drain: DrainState::None,
             paused_until: None,
+            pause_asked_at: now,
             unconfigured: false,
             next_trial_at: now,
             suspicion: None,
@@ -154,8 +180,31 @@
             reported_in_flight: 0,
             reports_due: 0,
             known_limit: KnownLimit::none(now),
-            ramp: None,
+            return_ramp: None,
+            pause_ramp: None,
+        }
+    }
+
+    /// What the upstream stated that still holds, to be remembered while it is not configured.
+    pub(super) fn stated(&self, now: Instant) -> StatedSignals {
+        let is_recent = |until: &Instant| now < *until + PAUSE_RAMP_DURATION;
+        let until = self.paused_until.filter(is_recent);
+        StatedSignals {
+            drains: self.drain == DrainState::Final,
+            pause: until.map(|until| (self.pause_asked_at, until)),
+            limit: self.known_limit.state(),
+        }
+    }
+
+    /// Applies what the upstream stated before it was configured again.
+    pub(super) fn restore(&mut self, now: Instant, stated: StatedSignals, turn: f64) {
+        if stated.drains && self.upstream.instance.is_some() {
+            self.drain = DrainState::Final;
         }
+        if let Some((asked_at, until)) = stated.pause {
+            self.pause_until(asked_at, until, turn);
+        }
+        self.known_limit = KnownLimit::new(now, stated.limit);
     }
 
     pub(super) fn status(&self) -> UpstreamStatus {
@@ -237,18 +286,24 @@
 
     /// Starts the ramp of an upstream that returns to service.
     pub(super) const fn start_ramp(&mut self, now: Instant) {
-        self.ramp = Some(LoadRamp {
+        self.return_ramp = Some(LoadRamp {
             start: now,
             duration: RAMP_DURATION,
         });
     }
 
     /// Records a pause that the upstream asks for. After it, the load returns gradually.
-    pub(super) fn pause(&mut self, now: Instant, pause: PauseTime) {
-        let until = now + pause.get();
+    /// `turn` is the place of this node, from 0 to 1, in the order in which the nodes return.
+    pub(super) fn pause(&mut self, now: Instant, pause: PauseTime, turn: f64) {
+        self.pause_until(now, now + pause.get(), turn);
+    }
+
+    fn pause_until(&mut self, asked_at: Instant, until: Instant, turn: f64) {
         if self.paused_until.is_none_or(|current| current < until) {
             self.paused_until = Some(until);
-            self.ramp = Some(LoadRamp {
+            self.pause_asked_at = asked_at;
+            self.last_offer = self.last_offer.after_pause(until, turn);
+            self.pause_ramp = Some(LoadRamp {
                 start: until,
                 duration: PAUSE_RAMP_DURATION,
             });
@@ -284,11 +339,9 @@
     }
 
     fn ramp_share(&self, now: Instant) -> f64 {
-        let Some(LoadRamp { start, duration }) = self.ramp else {
-            return 1.0;
-        };
-        let grown = now.saturating_duration_since(start).as_secs_f64() / duration.as_secs_f64();
-        (RAMP_INITIAL_SHARE + grown).min(1.0)
+        let ramps = [self.return_ramp, self.pause_ramp];
+        let shares = ramps.into_iter().flatten().map(|ramp| ramp.share(now));
+        shares.fold(1.0, f64::min)
     }
 
     /// Whether the upstream, which is in this node's data centre, is out of service although
@@ -308,6 +361,10 @@
             limit: self.limit.get(),
             unoffered: is_local && self.is_unoffered(now),
             rate_limit: self.known_limit.state().rate,
+            pause: self.pause_left(now).map(|left| UpstreamPause {
+                age: now.saturating_duration_since(self.pause_asked_at),
+                left,
+            }),
         }
     }
 }
