--- a/crates/policy/tests/balancer.rs
+++ b/crates/policy/tests/balancer.rs
@@ -713,3 +713,66 @@
     time::advance(Duration::from_secs(7)).await;
     assert_eq!(balancer.views(Instant::now())[&paused].pause, None);
 }
+
+// Whatever makes an attempt, and however upstreams are compared, a drain and a pause hold.
+#[tokio::test(start_paused = true)]
+async fn no_attempt_of_any_purpose_goes_to_an_upstream_that_drains_or_pauses() {
+    for profile in [DetectionProfile::Detection, DetectionProfile::Episodes] {
+        let service = Service {
+            profile,
+            ..service(9, 4, 4).as_ref().clone()
+        };
+        let service = Arc::new(service);
+        let mut balancer = ServiceBalancer::new(Instant::now(), service, name("ikeja"), 5);
+        let (draining, paused): (UpstreamId, UpstreamId) = (name("up-0"), name("up-3"));
+        balancer.record_drain(Instant::now(), &draining);
+        balancer.record_pause(Instant::now(), &paused, "50".parse().unwrap());
+        for id in [&draining, &paused] {
+            balancer.apply_verdict(Instant::now(), id, &Verdict::Eject);
+        }
+        for _ in 0..40 {
+            // An offer, a trial and a probe of recovery are due by now.
+            time::advance(Duration::from_secs(1)).await;
+            for purpose in AttemptPurpose::ALL {
+                let request = AttemptRequest {
+                    purpose: *purpose,
+                    charge: RetryCharge::Trial,
+                    ..request(true)
+                };
+                let Admission::Grant(grant) = balancer.admit(Instant::now(), &request) else {
+                    continue;
+                };
+                let used = &grant.upstream.id;
+                assert!(![&draining, &paused].contains(&used), "{purpose}: {used}");
+                finish(&mut balancer, &grant, AttemptEnd::Answered);
+            }
+        }
+    }
+}
+
+// Another instance that responds at the address says nothing final about the one that was meant.
+#[tokio::test(start_paused = true)]
+async fn an_upstream_whose_address_had_another_instance_is_tried_again() {
+    let mut balancer = instance_balancer();
+    let misdirected: UpstreamId = name("up-0");
+    assert!(balancer.record_misdirected(Instant::now(), &misdirected));
+    time::advance(Duration::from_secs(50)).await;
+    balancer.tick(Instant::now());
+    assert!(!run_requests(&mut balancer, 50, true).contains(&misdirected));
+    time::advance(Duration::from_secs(11)).await;
+    balancer.tick(Instant::now());
+    assert!(run_requests(&mut balancer, 50, true).contains(&misdirected));
+}
+
+// The next instance of a backend has another id, and nothing of the former one holds for it.
+#[tokio::test(start_paused = true)]
+async fn the_next_instance_at_an_address_starts_clean() {
+    let mut balancer = instance_balancer();
+    let (former, next): (UpstreamId, UpstreamId) = (name("up-0"), name("up-0:2"));
+    balancer.record_drain(Instant::now(), &former);
+    balancer.record_pause(Instant::now(), &former, "50".parse().unwrap());
+    let mut configured = balancer.service().as_ref().clone();
+    configured.upstreams[0].id = next.clone();
+    balancer.configure(Instant::now(), Arc::new(configured));
+    assert!(run_requests(&mut balancer, 50, true).contains(&next));
+}
--- a/crates/upstream/tests/pauses.rs
+++ b/crates/upstream/tests/pauses.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, SystemTime};
 
-use gooseberrydyke_upstream::wire::{PauseSignal, read_pause};
+use gooseberrydyke_upstream::wire::{PauseSignal, UpstreamHeaders, read_pause};
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 
 /// 2021-03-07 12:00:00 UTC.
@@ -61,3 +61,25 @@
     let twice = read(StatusCode::SERVICE_UNAVAILABLE, &["3", "3"]);
     assert_eq!(twice, PauseSignal::Unreadable);
 }
+
+// A backend that leaves says so in whatever it returns.
+#[test]
+fn a_drain_is_read_from_every_status() {
+    let names = UpstreamHeaders::default();
+    for status in [200, 400, 404, 421, 429, 500, 503, 504] {
+        let status = StatusCode::from_u16(status).unwrap();
+        let mut headers = HeaderMap::new();
+        assert!(!names.read_signals(status, &headers).draining);
+        headers.append(&names.state, HeaderValue::from_static("active"));
+        assert!(!names.read_signals(status, &headers).draining);
+        headers.append(&names.state, names.draining.clone());
+        assert!(names.read_signals(status, &headers).draining, "{status}");
+    }
+}
+
+#[test]
+fn spaces_around_a_pause_are_no_part_of_it() {
+    assert_eq!(read_refused(" 2 "), asked(2_000));
+    assert_eq!(read_refused(" "), PauseSignal::Unreadable);
+    assert_eq!(read_refused("2, 3"), PauseSignal::Unreadable);
+}
