fix(server): a refusal says that its connection closes

Cause: a body is refused and the response made in the same step, so hyper wrote the response before it noticed that nobody reads the body. It then closed the connection, which its response had kept open in words. Change: hyper gets a turn in between. It drains what has arrived, and goes on, or announces the close. Callers: one that reused the connection lost its next request without a response, and could not tell whether it ran.

--- a/crates/http1/src/server/mod.rs
+++ b/crates/http1/src/server/mod.rs
@@ -18,6 +18,7 @@
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::task;
 use tokio::time::{self, Instant};
 
 use phase::{
@@ -107,6 +108,11 @@
         let response = handler(request);
         async move {
             let response = response.await;
+            if state.current().body == BodyState::Abandoned {
+                // hyper has to notice it first, so that the response says that the connection
+                // closes, unless the rest of the body has arrived already.
+                task::yield_now().await;
+            }
             if header::announces_close(response.headers()) {
                 state.close_after_response();
             }
--- a/crates/http1/tests/refused_bodies.rs
+++ b/crates/http1/tests/refused_bodies.rs
@@ -16,14 +16,18 @@
 const PIECE_BYTES: usize = 10_000;
 const PIECES: usize = 30;
 const PIECE_PAUSE: Duration = Duration::from_millis(10);
+/// How long the server decides about a request.
+const DECISION_TIME: Duration = Duration::from_millis(20);
 const HEAD_TIMEOUT: Duration = Duration::from_millis(200);
 /// Longer than a connection lingers.
 const PATIENCE: Duration = Duration::from_secs(8);
 
-/// Refuses each request without reading its body.
+/// Refuses each request after a moment, without reading its body.
 async fn start_refusing_server() -> (SocketAddr, watch::Sender<bool>) {
-    let handler: Handler<BodyStream> = Arc::new(|_| {
-        Box::pin(async {
+    let handler: Handler<BodyStream> = Arc::new(|request| {
+        Box::pin(async move {
+            time::sleep(DECISION_TIME).await;
+            drop(request);
             let mut response = http::Response::new(call::full_body(vec![b'r'; RESPONSE_BYTES]));
             *response.status_mut() = http::StatusCode::SERVICE_UNAVAILABLE;
             response
@@ -107,3 +111,31 @@
     // Of this, the system holds some megabytes in its buffers.
     assert!(sent < 32 * 1024 * 1024, "{sent}");
 }
+
+async fn read_head(stream: &mut TcpStream) -> String {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.unwrap());
+    }
+    String::from_utf8(head).unwrap()
+}
+
+#[tokio::test]
+async fn a_refusal_says_whether_its_connection_closes() {
+    let (address, _stop) = start_refusing_server().await;
+    for (body, closes) in [("", true), ("hello", false)] {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let request = format!("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\n{body}");
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let head = read_head(&mut stream).await;
+        assert_eq!(head.contains("connection: close"), closes, "{body}: {head}");
+        let mut response = vec![0; RESPONSE_BYTES];
+        stream.read_exact(&mut response).await.unwrap();
+        if closes {
+            continue;
+        }
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let head = read_head(&mut stream).await;
+        assert!(head.starts_with("HTTP/1.1 503 "), "{head}");
+    }
+}
