--- a/bins/entry/src/permits.rs
+++ b/bins/entry/src/permits.rs
@@ -21,7 +21,8 @@
         Box::pin(async move {
             let service = request.service.clone();
             let reply = limits.draw(request).await;
-            metrics.record_permit_draw(&service, draw_label(reply.as_ref()));
+            metrics
+                .record_permit_draw(&service, draw_label(reply.as_ref().map(|(reply, _)| reply)));
             reply
         })
     })
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -237,6 +237,9 @@
                 };
             }
             NodeRequest::Settle(settlements) => self.shards.settle(settlements).await,
+            NodeRequest::Office(request) => {
+                return NodeReply::Office(self.limits.handle_office(request).await);
+            }
             NodeRequest::Limit(request) => return self.limits.handle_request(request).await,
             NodeRequest::Crash(request) => return self.crashes.handle_request(request).await,
             NodeRequest::Replica(_)
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,10 +22,12 @@
 pub mod crashes;
 pub mod fleet;
 pub mod follow;
+mod holder_clock;
 pub mod keys;
 pub mod limits;
 pub mod link;
 pub mod members;
+mod office;
 pub mod replica;
 pub mod wire;
 
--- a/crates/node/src/limits/fleet.rs
+++ b/crates/node/src/limits/fleet.rs
@@ -5,6 +5,7 @@
 
 use model::ids;
 use policy::membership::Member;
+use policy::office::{HolderTerm, HolderTime, OfficeGrant, OfficeTerm};
 use policy::permit::{LimitRecord, LimitReport, PermitReply, PermitRequest};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
@@ -12,7 +13,9 @@
 use super::task::{self, COMMANDS_MAX, LimitCommand};
 use crate::link::{ContactGap, PeerSet};
 use crate::members::MemberSet;
-use crate::wire::{LimitReply, LimitRequest, NodeReply, NodeRequest};
+use crate::wire::{
+    LimitReply, LimitRequest, NodeReply, NodeRequest, OfficeNames, OfficeReply, OfficeRequest,
+};
 
 /// Timeout for a draw. A request that gets no permit in time goes to another upstream.
 const DRAW_TIMEOUT: Duration = Duration::from_millis(150);
@@ -50,7 +53,7 @@
     /// Starts the task; it ends with the last handle.
     pub fn start(parts: LimitParts) -> Self {
         let (commands, inbox) = mpsc::channel(COMMANDS_MAX);
-        tokio::spawn(task::run(parts.clone(), inbox));
+        tokio::spawn(task::run(parts.clone(), inbox, commands.downgrade()));
         Self {
             parts,
             commands,
@@ -59,19 +62,35 @@
     }
 
     /// Draws a permit from the owner; returns `None` if there is none or it did not reply.
-    pub async fn draw(&self, request: PermitRequest) -> Option<PermitReply> {
+    pub async fn draw(&self, request: PermitRequest) -> Option<(PermitReply, OfficeGrant)> {
+        let asked_at = Instant::now();
         let owner = self.owner(&request.service, &request.data_centre)?;
-        if self.is_own(&owner) {
-            return self.draw_here(request).await;
-        }
-        let request = NodeRequest::Limit(LimitRequest::Draw(request));
+        let holder = owner.node.clone();
+        let (reply, term) = if self.is_own(&owner) {
+            self.draw_here(request).await?
+        } else {
+            self.draw_from(&owner, request).await?
+        };
+        let grant = OfficeGrant::new(asked_at, HolderTerm { holder, term });
+        Some((reply, grant))
+    }
+
+    async fn draw_from(
+        &self,
+        owner: &Arc<Member>,
+        request: PermitRequest,
+    ) -> Option<(PermitReply, OfficeTerm)> {
+        let request = NodeRequest::Office(OfficeRequest::DrawPermit {
+            holder: owner.node.clone(),
+            request,
+        });
         let reply = self
             .parts
             .peers
-            .request(&owner, &request, DRAW_TIMEOUT)
+            .request(owner, &request, DRAW_TIMEOUT)
             .await;
         match reply {
-            Ok(NodeReply::Limit(LimitReply::Drawn(reply))) => reply,
+            Ok(NodeReply::Office(OfficeReply::Permit(term, reply))) => Some((reply, term)),
             other => {
                 log::info!(target: "limits", "Node {} granted no permit: {other:?}.", owner.node);
                 None
@@ -79,6 +98,69 @@
         }
     }
 
+    /// Handles a request to this node as the owner of limits.
+    pub(crate) async fn handle_office(&self, request: OfficeRequest) -> OfficeReply {
+        if *request.holder() != self.parts.members.table().own().node {
+            return OfficeReply::NotHolder;
+        }
+        match request {
+            OfficeRequest::Vote {
+                from,
+                offices: OfficeNames::Limits(services),
+                heard,
+                voters,
+                ..
+            } => {
+                self.ask_task(|reply| LimitCommand::Votes {
+                    from,
+                    services,
+                    heard,
+                    voters: usize::try_from(voters).unwrap_or(usize::MAX),
+                    reply,
+                })
+                .await
+            }
+            OfficeRequest::Release {
+                from,
+                offices: OfficeNames::Limits(services),
+                ..
+            } => {
+                self.ask_task(|reply| LimitCommand::Release {
+                    from,
+                    services,
+                    reply,
+                })
+                .await
+            }
+            OfficeRequest::DrawPermit { request, .. } => {
+                let owner = self.owner(&request.service, &request.data_centre);
+                let drawn = match owner {
+                    Some(owner) if self.is_own(&owner) => self.draw_here(request).await,
+                    _ => None,
+                };
+                drawn.map_or(OfficeReply::NotHolder, |(reply, term)| {
+                    OfficeReply::Permit(term, reply)
+                })
+            }
+            OfficeRequest::Vote { .. }
+            | OfficeRequest::Release { .. }
+            | OfficeRequest::DrawRetryToken { .. } => OfficeReply::NotHolder,
+        }
+    }
+
+    async fn ask_task(
+        &self,
+        command: impl FnOnce(oneshot::Sender<HolderTime>) -> LimitCommand,
+    ) -> OfficeReply {
+        let (sender, reply) = oneshot::channel();
+        if self.commands.send(command(sender)).await.is_err() {
+            return OfficeReply::NotHolder;
+        }
+        reply
+            .await
+            .map_or(OfficeReply::NotHolder, OfficeReply::Time)
+    }
+
     /// Reports what a response stated to the owner of the limit.
     pub fn report(&self, report: LimitReport) {
         match self.owner(&report.service, &report.data_centre) {
@@ -99,6 +181,7 @@
                     Some(owner) if self.is_own(&owner) => self.draw_here(request).await,
                     _ => None,
                 };
+                let reply = reply.map(|(reply, _)| reply);
                 NodeReply::Limit(LimitReply::Drawn(reply))
             }
             LimitRequest::Report(report) => {
@@ -114,16 +197,8 @@
                 self.send_or_drop(LimitCommand::Apply(records));
                 NodeReply::Done
             }
-            LimitRequest::Votes {
-                from,
-                services,
-                voters,
-            } => {
-                self.send_or_drop(LimitCommand::Votes {
-                    from,
-                    services,
-                    voters: usize::try_from(voters).unwrap_or(usize::MAX),
-                });
+            LimitRequest::Votes { from, .. } => {
+                log::debug!(target: "limits", "Votes of an earlier release from {from} do not count.");
                 NodeReply::Done
             }
             LimitRequest::List => {
@@ -169,7 +244,7 @@
         }
     }
 
-    async fn draw_here(&self, request: PermitRequest) -> Option<PermitReply> {
+    async fn draw_here(&self, request: PermitRequest) -> Option<(PermitReply, OfficeTerm)> {
         let (sender, reply) = oneshot::channel();
         let command = LimitCommand::Draw(request, sender);
         self.commands.send(command).await.ok()?;
--- a/crates/node/src/limits/offices.rs
+++ b/crates/node/src/limits/offices.rs
@@ -4,31 +4,42 @@
 
 use model::{ids, sizes};
 use policy::membership::MemberTable;
-use policy::office::{OfficeVote, VOTE_INTERVAL, VoteTally};
+use policy::office::{
+    HolderTime, HolderTimes, OfficeTerm, OfficeVote, VOTE_INTERVAL, VOTE_RETRY_INTERVAL, VoteStep,
+    VoteTally,
+};
 use tokio::time::Instant;
 
-use super::fleet::LimitParts;
-use crate::wire::{LimitRequest, NodeRequest};
+use crate::holder_clock::HolderClock;
 
-/// Services in one datagram of votes. An id takes about 20 bytes, and a datagram of 1,200 bytes
-/// passes on every network path.
-const SERVICES_PER_DATAGRAM: usize = 32;
+/// What is to be sent to one owner.
+#[derive(Debug, Default)]
+pub(super) struct OwnerMessages {
+    /// Services whose owner gets the vote of this node.
+    pub(super) votes: Vec<ids::ServiceId>,
+    /// Services whose owner is asked to release the vote.
+    pub(super) releases: Vec<ids::ServiceId>,
+}
 
 /// The offices of limit owners, one for each service of this data centre.
 pub(super) struct LimitOffices {
+    clock: HolderClock,
     /// The vote of this process in each office, before its first one.
     new_vote: OfficeVote,
     votes: BTreeMap<ids::ServiceId, OfficeVote>,
     tallies: BTreeMap<ids::ServiceId, VoteTally>,
+    heard: HolderTimes,
     vote_at: Instant,
 }
 
 impl LimitOffices {
     pub(super) fn new(now: Instant, first_start: bool) -> Self {
         Self {
+            clock: HolderClock::start(),
             new_vote: OfficeVote::new(now, first_start),
             votes: BTreeMap::new(),
             tallies: BTreeMap::new(),
+            heard: HolderTimes::default(),
             vote_at: now,
         }
     }
@@ -44,59 +55,106 @@
         (!limited.is_empty()).then_some(self.vote_at)
     }
 
-    /// Votes for the owners of the limits of these services.
-    pub(super) fn cast(&mut self, parts: &LimitParts, limited: BTreeSet<ids::ServiceId>) {
+    /// Votes for the owners of the limits of these services; returns what to send to the others.
+    pub(super) fn cast(
+        &mut self,
+        table: &MemberTable,
+        limited: BTreeSet<ids::ServiceId>,
+    ) -> BTreeMap<ids::NodeId, OwnerMessages> {
         let now = Instant::now();
+        let own = table.own();
         self.vote_at = now + VOTE_INTERVAL;
         self.votes.retain(|service, _| limited.contains(service));
-        let table = parts.members.table();
-        let own = table.own();
+        self.heard.retain(|node| table.find(node).is_some());
+        self.heard.hear(&own.node, self.clock.now());
         let is_leaving = |node: &ids::NodeId| table.find(node).is_some_and(|member| member.leaving);
-        let mut by_owner: BTreeMap<ids::NodeId, Vec<ids::ServiceId>> = BTreeMap::new();
+        let mut messages: BTreeMap<ids::NodeId, OwnerMessages> = BTreeMap::new();
         for service in limited {
             let vote = self.votes.entry(service.clone());
             let vote = vote.or_insert_with(|| self.new_vote.clone());
             let Some(owner) = table.limit_owner(now, &service, &own.data_centre) else {
                 continue;
             };
-            if vote.cast(now, &owner.node, is_leaving) {
-                by_owner
-                    .entry(owner.node.clone())
-                    .or_default()
-                    .push(service);
-            }
-        }
-        let voters = table.local_voters(now);
-        for (owner, services) in by_owner {
-            if owner == own.node {
-                self.record(now, &owner, services, voters);
-                continue;
+            let heard = self.heard.last(&owner.node);
+            let step = vote.step(now, &owner.node, heard, is_leaving);
+            if heard.is_none() || !matches!(step, VoteStep::Cast(_)) {
+                self.vote_at = now + VOTE_RETRY_INTERVAL;
             }
-            let Some(owner) = table.find(&owner) else {
-                continue;
-            };
-            for services in services.chunks(SERVICES_PER_DATAGRAM) {
-                let message = LimitRequest::Votes {
-                    from: own.node.clone(),
-                    services: services.to_vec(),
-                    voters: u32::try_from(voters).unwrap_or(u32::MAX),
-                };
-                parts.peers.notify(owner, &NodeRequest::Limit(message));
+            match step {
+                VoteStep::Cast(owner) => messages.entry(owner).or_default().votes.push(service),
+                VoteStep::Release(owner) => {
+                    messages.entry(owner).or_default().releases.push(service);
+                }
+                VoteStep::Wait => {}
             }
         }
+        if let Some(OwnerMessages { votes, releases }) = messages.remove(&own.node) {
+            let voters = table.local_voters(now);
+            let heard = self.heard.last(&own.node);
+            self.record(&own.node, &votes, heard, voters);
+            let released = self.release(&own.node, &releases);
+            self.apply_release(&own.node, &releases, released);
+        }
+        messages
+    }
+
+    /// The last time of an owner.
+    pub(super) fn heard(&self, owner: &ids::NodeId) -> Option<HolderTime> {
+        self.heard.last(owner)
     }
 
-    /// Counts votes for this node.
+    /// Counts votes for this node; returns its time.
     pub(super) fn record(
         &mut self,
-        now: Instant,
         from: &ids::NodeId,
-        services: Vec<ids::ServiceId>,
+        services: &[ids::ServiceId],
+        heard: Option<HolderTime>,
         voters: usize,
+    ) -> HolderTime {
+        let now = self.clock.now();
+        if let Some(heard) = heard {
+            for service in services {
+                let tally = self.tallies.entry(service.clone()).or_default();
+                tally.record(now, from.clone(), heard, voters);
+            }
+        }
+        now
+    }
+
+    /// Releases votes for this node; returns its time.
+    pub(super) fn release(
+        &mut self,
+        from: &ids::NodeId,
+        services: &[ids::ServiceId],
+    ) -> HolderTime {
+        let now = self.clock.now();
+        for service in services {
+            let tally = self.tallies.entry(service.clone()).or_default();
+            tally.release(now, from.clone());
+        }
+        now
+    }
+
+    /// Records the time that an owner stated.
+    pub(super) fn hear(&mut self, owner: &ids::NodeId, time: HolderTime) {
+        if self.heard.hear(owner, time) {
+            self.vote_at = Instant::now();
+        }
+    }
+
+    /// Records that an owner released votes of this node.
+    pub(super) fn apply_release(
+        &mut self,
+        owner: &ids::NodeId,
+        services: &[ids::ServiceId],
+        released: HolderTime,
     ) {
+        let now = Instant::now();
         for service in services {
-            let tally = self.tallies.entry(service).or_default();
-            tally.record(now, from.clone(), voters);
+            let vote = self.votes.get_mut(service);
+            if vote.is_some_and(|vote| vote.release(now, owner, released)) {
+                self.vote_at = now;
+            }
         }
     }
 
@@ -108,12 +166,23 @@
         service: &ids::ServiceId,
         centre: &ids::DataCentreId,
     ) -> sizes::Share {
+        if table.own().leaving {
+            return sizes::Share::new(0.0);
+        }
         if *centre != table.own().data_centre {
             // A data centre without nodes has no votes, and one owner at a time elsewhere.
             return table.reachable_share(now);
         }
         let voters = table.local_voters(now);
         let tally = self.tallies.get(service);
-        tally.map_or(sizes::Share::new(0.0), |tally| tally.share(now, voters))
+        tally.map_or(sizes::Share::new(0.0), |tally| {
+            tally.share(self.clock.now(), voters)
+        })
+    }
+
+    /// The term of this node as the owner of the limits of a service.
+    pub(super) fn term(&self, service: &ids::ServiceId) -> OfficeTerm {
+        let tally = self.tallies.get(service);
+        tally.map(VoteTally::term).unwrap_or_default()
     }
 }
--- a/crates/node/src/limits/task.rs
+++ b/crates/node/src/limits/task.rs
@@ -1,15 +1,19 @@
 //! The task that owns a node's ledger of limits and permits.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use model::error::{ErrorKind, FleetError};
 use model::ids;
+use policy::office::{HolderTime, OfficeTerm};
 use policy::permit::{LimitRecord, LimitReport, PermitLedger, PermitReply, PermitRequest};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{self, Instant};
 
 use super::fleet::LimitParts;
 use super::offices::LimitOffices;
+use crate::office;
+use crate::wire::{OfficeNames, OfficeRequest};
 
 /// Messages queued for the task; senders wait when the queue is full, but reports are
 /// dropped, since the next response is reported again.
@@ -20,19 +24,36 @@
 /// A message to the task.
 #[derive(Debug)]
 pub(super) enum LimitCommand {
-    Draw(PermitRequest, oneshot::Sender<PermitReply>),
+    Draw(PermitRequest, oneshot::Sender<(PermitReply, OfficeTerm)>),
     Report(LimitReport),
     Apply(Vec<LimitRecord>),
     List(oneshot::Sender<Vec<LimitRecord>>),
+    /// Count votes of a node; replies with the time of this one.
     Votes {
         from: ids::NodeId,
         services: Vec<ids::ServiceId>,
+        heard: Option<HolderTime>,
         voters: usize,
+        reply: oneshot::Sender<HolderTime>,
     },
+    /// Release votes of a node; replies with the time of this one.
+    Release {
+        from: ids::NodeId,
+        services: Vec<ids::ServiceId>,
+        reply: oneshot::Sender<HolderTime>,
+    },
+    /// An owner stated its time.
+    Heard(ids::NodeId, HolderTime),
+    /// An owner released votes of this node.
+    Released(ids::NodeId, Vec<ids::ServiceId>, HolderTime),
 }
 
 /// Runs until the last handle is dropped.
-pub(super) async fn run(parts: LimitParts, mut inbox: mpsc::Receiver<LimitCommand>) {
+pub(super) async fn run(
+    parts: LimitParts,
+    mut inbox: mpsc::Receiver<LimitCommand>,
+    own_inbox: mpsc::WeakSender<LimitCommand>,
+) {
     let mut ledger = PermitLedger::default();
     let mut offices = LimitOffices::new(Instant::now(), parts.first_start);
     let mut expire_at = Instant::now() + EXPIRE_INTERVAL;
@@ -47,7 +68,7 @@
                 handle(&parts, &mut ledger, &mut offices, command);
             }
             () = time::sleep_until(vote_at.unwrap_or(now)), if vote_at.is_some() => {
-                offices.cast(&parts, limited);
+                cast_votes(&parts, &mut offices, &own_inbox, limited);
             }
             () = time::sleep_until(announce_at.unwrap_or(now)), if announce_at.is_some() => {
                 parts.announce(&ledger.take_announcements(Instant::now()));
@@ -72,7 +93,8 @@
             // When the sender of the draw has given up, the permit is lost.
             let table = parts.members.table();
             let share = offices.share(now, &table, &request.service, &request.data_centre);
-            let _ = reply.send(ledger.draw(now, &request, share));
+            let term = offices.term(&request.service);
+            let _ = reply.send((ledger.draw(now, &request, share), term));
         }
         LimitCommand::Report(report) => {
             if let Some(state) = ledger.report(now, &report) {
@@ -95,14 +117,70 @@
         LimitCommand::Votes {
             from,
             services,
+            heard,
             voters,
-        } => offices.record(now, &from, services, voters),
+            reply,
+        } => {
+            let _ = reply.send(offices.record(&from, &services, heard, voters));
+        }
+        LimitCommand::Release {
+            from,
+            services,
+            reply,
+        } => {
+            let _ = reply.send(offices.release(&from, &services));
+        }
+        LimitCommand::Heard(owner, time) => offices.hear(&owner, time),
+        LimitCommand::Released(owner, services, time) => {
+            offices.hear(&owner, time);
+            offices.apply_release(&owner, &services, time);
+        }
         LimitCommand::List(reply) => {
             let _ = reply.send(ledger.records());
         }
     }
 }
 
+/// Casts the votes of this node. The replies of their holders come back as messages.
+fn cast_votes(
+    parts: &LimitParts,
+    offices: &mut LimitOffices,
+    own_inbox: &mpsc::WeakSender<LimitCommand>,
+    limited: BTreeSet<ids::ServiceId>,
+) {
+    let table = parts.members.table();
+    let voters = u32::try_from(table.local_voters(Instant::now())).unwrap_or(u32::MAX);
+    let from = &table.own().node;
+    for (owner, messages) in offices.cast(&table, limited) {
+        let heard = offices.heard(&owner);
+        let Some(member) = table.find(&owner) else {
+            continue;
+        };
+        if !messages.votes.is_empty() {
+            let vote = OfficeRequest::Vote {
+                holder: owner.clone(),
+                from: from.clone(),
+                offices: OfficeNames::Limits(messages.votes),
+                heard,
+                voters,
+            };
+            let to_command = move |time| LimitCommand::Heard(owner, time);
+            office::ask_holder(&parts.peers, member, vote, own_inbox, to_command);
+        }
+        if !messages.releases.is_empty() {
+            let owner = member.node.clone();
+            let release = OfficeRequest::Release {
+                holder: owner.clone(),
+                from: from.clone(),
+                offices: OfficeNames::Limits(messages.releases.clone()),
+            };
+            let services = messages.releases;
+            let to_command = move |time| LimitCommand::Released(owner, services, time);
+            office::ask_holder(&parts.peers, member, release, own_inbox, to_command);
+        }
+    }
+}
+
 /// The error of a message to a task that has ended.
 pub(super) fn stopping() -> FleetError {
     FleetError::new(ErrorKind::PeerUnreachable, "this node is stopping")
--- a/crates/node/src/replica/fleet.rs
+++ b/crates/node/src/replica/fleet.rs
@@ -7,6 +7,7 @@
 
 use model::ids;
 use policy::membership::Member;
+use policy::office::{HolderTerm, OfficeGrant};
 use policy::permit::LimitRecord;
 use policy::service::{LoadReport, UpstreamLoad};
 use policy::suspicion::{SignalSource, SuspicionSignal};
@@ -24,7 +25,9 @@
 use crate::limits::{LimitFleet, LimitParts};
 use crate::link::{self, PeerSet, RequestHandler, SentObserver};
 use crate::members::MemberSet;
-use crate::wire::{NodeReply, NodeRequest, ReplicaRequest};
+use crate::wire::{
+    NodeReply, NodeRequest, OfficeNames, OfficeReply, OfficeRequest, ReplicaRequest,
+};
 
 /// Timeout for drawing a retry token from the relay. A hedge that gets no token in time
 /// is refused and requested again later.
@@ -170,22 +173,27 @@
         self.retry_pool.report(report);
     }
 
-    /// Draws a retry token from the data centre's pool, which its relay owns; returns
-    /// whether there was one.
-    pub async fn draw_retry_token(&self, service: ids::ServiceId) -> bool {
+    /// Draws a retry token from the data centre's pool, which its relay owns.
+    pub async fn draw_retry_token(&self, service: ids::ServiceId) -> Option<OfficeGrant> {
+        let asked_at = Instant::now();
         let table = self.members.table();
         let own = table.own();
-        match table.snapshot_relay(Instant::now(), &own.data_centre) {
+        let (holder, term) = match table.snapshot_relay(asked_at, &own.data_centre) {
             Some(relay) if relay.node != own.node => {
-                let request = NodeRequest::DrawRetryToken(service);
+                let request = NodeRequest::Office(OfficeRequest::DrawRetryToken {
+                    holder: relay.node.clone(),
+                    service,
+                });
                 let reply = self.peers.request(&relay, &request, DRAW_TIMEOUT).await;
-                if let Err(error) = &reply {
-                    log::debug!(target: "replica", "No retry token from {}: {error}.", relay.node);
-                }
-                matches!(reply, Ok(NodeReply::RetryToken(true)))
+                let Ok(NodeReply::Office(OfficeReply::RetryToken(term))) = reply else {
+                    log::debug!(target: "replica", "No retry token from {}: {reply:?}.", relay.node);
+                    return None;
+                };
+                (relay.node.clone(), term?)
             }
-            _ => self.retry_pool.draw(service).await,
-        }
+            _ => (own.node.clone(), self.retry_pool.draw(service).await?),
+        };
+        Some(OfficeGrant::new(asked_at, HolderTerm { holder, term }))
     }
 
     /// Closes every connection to other nodes.
@@ -259,18 +267,21 @@
             }
             NodeRequest::Loads { from, report } => {
                 if let Some(deposit) = report.deposit {
-                    self.retry_pool.deposit(from.clone(), deposit);
+                    self.retry_pool.deposit(deposit);
                 }
                 self.load_aggregator.record(from, report.loads);
             }
             NodeRequest::DrawRetryToken(service) => {
-                return NodeReply::RetryToken(self.retry_pool.draw(service).await);
+                return NodeReply::RetryToken(self.retry_pool.draw(service).await.is_some());
             }
             NodeRequest::LoadSums(loads) => {
                 for load in loads {
                     publish_update(&self.updates, NodeUpdate::Load(load));
                 }
             }
+            NodeRequest::Office(request) => {
+                return NodeReply::Office(self.handle_office(request).await);
+            }
             NodeRequest::Limit(request) => return self.limits.handle_request(request).await,
             NodeRequest::Crash(request) => return self.crashes.handle_request(request).await,
             _ => {
@@ -281,6 +292,30 @@
         }
         NodeReply::Done
     }
+
+    async fn handle_office(&self, request: OfficeRequest) -> OfficeReply {
+        if *request.holder() != self.members.table().own().node {
+            return OfficeReply::NotHolder;
+        }
+        match request {
+            OfficeRequest::Vote {
+                from,
+                offices: OfficeNames::RetryTokens,
+                heard,
+                voters,
+                ..
+            } => self.retry_pool.handle_vote(from, heard, voters).await,
+            OfficeRequest::Release {
+                from,
+                offices: OfficeNames::RetryTokens,
+                ..
+            } => self.retry_pool.handle_release(from).await,
+            OfficeRequest::DrawRetryToken { service, .. } => {
+                OfficeReply::RetryToken(self.retry_pool.draw(service).await)
+            }
+            request => self.limits.handle_office(request).await,
+        }
+    }
 }
 
 pub(super) fn publish_update(updates: &mpsc::Sender<NodeUpdate>, update: NodeUpdate) {
--- a/crates/node/src/replica/retry_pool.rs
+++ b/crates/node/src/replica/retry_pool.rs
@@ -1,21 +1,26 @@
 //! The task that owns the retry tokens of a data centre, and the vote of this node for its relay.
 //!
 //! Every node runs the task, but only the relay's pool is used. A relay hands out tokens by the
-//! share of its data centre's nodes that vote for it: a report with a deposit is a vote. A former
-//! relay loses its balance with its votes. Outside the first start of a fleet, the pool of a new
+//! share of its data centre's nodes that vote for it. A former relay loses its balance with its
+//! votes. Outside the first start of a fleet, the pool of a new
 //! relay is empty, since its predecessor may have spent every token.
 
 use model::ids;
-use policy::office::{OfficeVote, VoteTally};
+use policy::office::{
+    HolderTime, HolderTimes, OfficeTerm, OfficeVote, VOTE_INTERVAL, VOTE_RETRY_INTERVAL, VoteStep,
+    VoteTally,
+};
 use policy::retry::{RetryDeposit, RetryPool};
 use policy::service::LoadReport;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::Instant;
+use tokio::time::{self, Instant};
 
 use super::load_aggregator::LoadAggregator;
+use crate::holder_clock::HolderClock;
 use crate::link::PeerSet;
 use crate::members::MemberSet;
-use crate::wire::NodeRequest;
+use crate::office;
+use crate::wire::{NodeRequest, OfficeNames, OfficeReply, OfficeRequest};
 
 /// Messages queued for the task. When the queue is full, reports and deposits are dropped, which
 /// only reduces the number of retries; loads are reported again.
@@ -25,9 +30,22 @@
 enum RetryPoolCommand {
     /// Send a report of this node to the relay.
     Report(LoadReport),
-    /// Count a deposit, and the vote of the node that made it.
-    Deposit(ids::NodeId, RetryDeposit),
-    Draw(ids::ServiceId, oneshot::Sender<bool>),
+    Deposit(RetryDeposit),
+    /// Draw a token; replies with the term in which it was granted.
+    Draw(ids::ServiceId, oneshot::Sender<Option<OfficeTerm>>),
+    /// Count the vote of a node; replies with the time of this one.
+    Vote {
+        from: ids::NodeId,
+        heard: Option<HolderTime>,
+        voters: usize,
+        reply: oneshot::Sender<HolderTime>,
+    },
+    /// Release the vote of a node; replies with the time of this one.
+    Release(ids::NodeId, oneshot::Sender<HolderTime>),
+    /// A relay stated its time.
+    Heard(ids::NodeId, HolderTime),
+    /// A relay released the vote of this node.
+    Released(ids::NodeId, HolderTime),
 }
 
 /// What the task needs.
@@ -50,7 +68,7 @@
     /// Starts the task; it ends with the last handle.
     pub(super) fn start(parts: RetryPoolParts) -> Self {
         let (commands, inbox) = mpsc::channel(COMMANDS_MAX);
-        tokio::spawn(run(parts, inbox));
+        tokio::spawn(run(parts, inbox, commands.downgrade()));
         Self { commands }
     }
 
@@ -60,15 +78,52 @@
     }
 
     /// Adds what the requests of one node deposited.
-    pub(super) fn deposit(&self, from: ids::NodeId, deposit: RetryDeposit) {
-        self.send_or_drop(RetryPoolCommand::Deposit(from, deposit));
+    pub(super) fn deposit(&self, deposit: RetryDeposit) {
+        self.send_or_drop(RetryPoolCommand::Deposit(deposit));
     }
 
-    /// Draws one retry token; returns whether there was one.
-    pub(super) async fn draw(&self, service: ids::ServiceId) -> bool {
+    /// Draws one retry token; returns the term in which it was granted, if there was one.
+    pub(super) async fn draw(&self, service: ids::ServiceId) -> Option<OfficeTerm> {
         let (sender, reply) = oneshot::channel();
         let command = RetryPoolCommand::Draw(service, sender);
-        self.commands.send(command).await.is_ok() && reply.await.unwrap_or(false)
+        self.commands.send(command).await.ok()?;
+        reply.await.ok()?
+    }
+
+    /// Counts the vote of another node for this process.
+    pub(super) async fn handle_vote(
+        &self,
+        from: ids::NodeId,
+        heard: Option<HolderTime>,
+        voters: u32,
+    ) -> OfficeReply {
+        let voters = usize::try_from(voters).unwrap_or(usize::MAX);
+        self.ask_task(|reply| RetryPoolCommand::Vote {
+            from,
+            heard,
+            voters,
+            reply,
+        })
+        .await
+    }
+
+    /// Releases the vote of another node for this process.
+    pub(super) async fn handle_release(&self, from: ids::NodeId) -> OfficeReply {
+        self.ask_task(|reply| RetryPoolCommand::Release(from, reply))
+            .await
+    }
+
+    async fn ask_task(
+        &self,
+        command: impl FnOnce(oneshot::Sender<HolderTime>) -> RetryPoolCommand,
+    ) -> OfficeReply {
+        let (sender, reply) = oneshot::channel();
+        if self.commands.send(command(sender)).await.is_err() {
+            return OfficeReply::NotHolder;
+        }
+        reply
+            .await
+            .map_or(OfficeReply::NotHolder, OfficeReply::Time)
     }
 
     fn send_or_drop(&self, command: RetryPoolCommand) {
@@ -78,22 +133,28 @@
     }
 }
 
-async fn run(parts: RetryPoolParts, mut inbox: mpsc::Receiver<RetryPoolCommand>) {
+async fn run(
+    parts: RetryPoolParts,
+    mut inbox: mpsc::Receiver<RetryPoolCommand>,
+    own_inbox: mpsc::WeakSender<RetryPoolCommand>,
+) {
     let now = Instant::now();
     let mut pool = RelayPool {
         pool: RetryPool::new(now, parts.first_start),
+        clock: HolderClock::start(),
         tally: VoteTally::default(),
         vote: OfficeVote::new(now, parts.first_start),
+        heard: HolderTimes::default(),
+        vote_at: now,
         parts,
     };
-    while let Some(command) = inbox.recv().await {
-        match command {
-            RetryPoolCommand::Report(report) => pool.report(report),
-            RetryPoolCommand::Deposit(from, deposit) => pool.deposit(from, &deposit),
-            RetryPoolCommand::Draw(service, sender) => {
-                // When the requesting node has timed out, the drawn token is lost.
-                let _ = sender.send(pool.draw(&service));
+    loop {
+        tokio::select! {
+            command = inbox.recv() => {
+                let Some(command) = command else { return };
+                pool.handle(command);
             }
+            () = time::sleep_until(pool.vote_at) => pool.cast_vote(&own_inbox),
         }
     }
 }
@@ -102,21 +163,127 @@
 struct RelayPool {
     parts: RetryPoolParts,
     pool: RetryPool,
+    clock: HolderClock,
     tally: VoteTally,
     vote: OfficeVote,
+    heard: HolderTimes,
+    vote_at: Instant,
 }
 
 impl RelayPool {
+    fn handle(&mut self, command: RetryPoolCommand) {
+        match command {
+            RetryPoolCommand::Report(report) => self.report(report),
+            RetryPoolCommand::Deposit(deposit) => self.deposit(&deposit),
+            RetryPoolCommand::Draw(service, reply) => {
+                // When the requesting node has timed out, the drawn token is lost.
+                let _ = reply.send(self.draw(&service));
+            }
+            RetryPoolCommand::Vote {
+                from,
+                heard,
+                voters,
+                reply,
+            } => {
+                let now = self.clock.now();
+                if let Some(heard) = heard {
+                    self.tally.record(now, from, heard, voters);
+                }
+                let _ = reply.send(now);
+            }
+            RetryPoolCommand::Release(from, reply) => {
+                let now = self.clock.now();
+                self.tally.release(now, from);
+                let _ = reply.send(now);
+            }
+            RetryPoolCommand::Heard(relay, time) => {
+                if self.heard.hear(&relay, time) {
+                    self.vote_at = Instant::now();
+                }
+            }
+            RetryPoolCommand::Released(relay, time) => {
+                self.heard.hear(&relay, time);
+                if self.vote.release(Instant::now(), &relay, time) {
+                    self.vote_at = Instant::now();
+                }
+            }
+        }
+    }
+
+    /// Votes for the relay that this node knows.
+    fn cast_vote(&mut self, own_inbox: &mpsc::WeakSender<RetryPoolCommand>) {
+        let now = Instant::now();
+        self.vote_at = now + VOTE_INTERVAL;
+        let table = self.parts.members.table();
+        let own = table.own();
+        self.heard.retain(|node| table.find(node).is_some());
+        self.heard.hear(&own.node, self.clock.now());
+        let is_leaving = |node: &ids::NodeId| table.find(node).is_some_and(|member| member.leaving);
+        let relay = table.snapshot_relay(now, &own.data_centre);
+        let relay_node = relay.as_ref().map_or(&own.node, |relay| &relay.node);
+        let heard = self.heard.last(relay_node);
+        let step = self.vote.step(now, relay_node, heard, is_leaving);
+        if heard.is_none() || !matches!(step, VoteStep::Cast(_)) {
+            self.vote_at = now + VOTE_RETRY_INTERVAL;
+        }
+        let voters = table.local_voters(now);
+        let from = own.node.clone();
+        match step {
+            VoteStep::Cast(holder) if holder == own.node => {
+                if let Some(heard) = heard {
+                    self.tally.record(self.clock.now(), from, heard, voters);
+                }
+            }
+            VoteStep::Cast(holder) => {
+                let Some(member) = table.find(&holder) else {
+                    return;
+                };
+                let vote = OfficeRequest::Vote {
+                    holder: holder.clone(),
+                    from,
+                    offices: OfficeNames::RetryTokens,
+                    heard,
+                    voters: u32::try_from(voters).unwrap_or(u32::MAX),
+                };
+                let to_command = move |time| RetryPoolCommand::Heard(holder, time);
+                office::ask_holder(&self.parts.peers, member, vote, own_inbox, to_command);
+            }
+            VoteStep::Release(holder) if holder == own.node => {
+                let released = self.clock.now();
+                self.tally.release(released, from);
+                if self.vote.release(now, &holder, released) {
+                    self.vote_at = now;
+                }
+            }
+            VoteStep::Release(holder) => {
+                let Some(member) = table.find(&holder) else {
+                    return;
+                };
+                let release = OfficeRequest::Release {
+                    holder: holder.clone(),
+                    from,
+                    offices: OfficeNames::RetryTokens,
+                };
+                let to_command = move |time| RetryPoolCommand::Released(holder, time);
+                office::ask_holder(&self.parts.peers, member, release, own_inbox, to_command);
+            }
+            VoteStep::Wait => {}
+        }
+    }
+
     /// Sends a report to the relay. While another relay may still count this node's vote, its
     /// deposits are lost.
     fn report(&mut self, mut report: LoadReport) {
         let now = Instant::now();
         let table = self.parts.members.table();
         let own = table.own();
-        let is_leaving = |node: &ids::NodeId| table.find(node).is_some_and(|member| member.leaving);
         let relay = table.snapshot_relay(now, &own.data_centre);
         let relay_node = relay.as_ref().map_or(&own.node, |relay| &relay.node);
-        if !self.vote.cast(now, relay_node, is_leaving) {
+        if self
+            .vote
+            .holder()
+            .is_some_and(|holder| holder != relay_node)
+        {
             report.deposit = None;
         }
         let from = own.node.clone();
@@ -127,28 +294,27 @@
             }
             _ => {
                 if let Some(deposit) = report.deposit {
-                    self.deposit(from.clone(), &deposit);
+                    self.deposit(&deposit);
                 }
                 self.parts.load_aggregator.record(from, report.loads);
             }
         }
     }
 
-    fn deposit(&mut self, from: ids::NodeId, deposit: &RetryDeposit) {
+    fn deposit(&mut self, deposit: &RetryDeposit) {
         let now = Instant::now();
-        let voters = self.parts.members.table().local_voters(now);
-        self.tally.record(now, from, voters);
         let [share, full_share] = self.shares(now);
         self.pool.limit_balances(now, share, full_share);
         self.pool.deposit(now, deposit, full_share);
         self.pool.limit_balances(now, share, full_share);
     }
 
-    fn draw(&mut self, service: &ids::ServiceId) -> bool {
+    fn draw(&mut self, service: &ids::ServiceId) -> Option<OfficeTerm> {
         let now = Instant::now();
         let [share, full_share] = self.shares(now);
         self.pool.limit_balances(now, share, full_share);
-        self.pool.draw(now, service)
+        let is_granted = self.pool.draw(now, service);
+        is_granted.then(|| self.tally.term())
     }
 
     /// The share of the fleet's limit that this node may hold, and the one with all votes.
@@ -160,7 +326,7 @@
         if table.own().leaving {
             return [0.0, full_share];
         }
-        let votes = self.tally.share(now, table.local_voters(now));
+        let votes = self.tally.share(self.clock.now(), table.local_voters(now));
         [full_share * votes.get(), full_share]
     }
 }
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -12,6 +12,7 @@
 use policy::detection::{EvidenceReport, ServiceLatency, VerdictChange};
 use policy::ejection::EjectionRecord;
 use policy::membership::Member;
+use policy::office::{HolderTime, OfficeTerm};
 use policy::permit::{LimitRecord, LimitReport, PermitReply, PermitRequest};
 use policy::quarantine::{CrashRecord, CrashReport};
 use policy::replica::UpstreamChange;
@@ -118,7 +119,7 @@
         },
         /// Return the limits that the node knows.
         List,
-        /// Count votes for the owner of the limits in the data centre of the sender.
+        /// Votes of an earlier release. They do not tell when they were cast, so they do not count.
         Votes {
             /// The node that votes.
             from: ids::NodeId,
@@ -137,6 +138,67 @@
         Records(Vec<LimitRecord>),
     }
 
+    /// A request to the holder of an office. It names the process that it is meant for: another
+    /// one at the same address does not act on it.
+    pub enum OfficeRequest {
+        /// Count the vote of a node.
+        Vote {
+            /// The process that is to count it.
+            holder: ids::NodeId,
+            /// The node that votes.
+            from: ids::NodeId,
+            /// The offices.
+            offices: OfficeNames,
+            /// The last time of the holder that the sender heard; `None` only asks for it.
+            heard: Option<HolderTime>,
+            /// The nodes of the data centre that have a vote, as far as the sender knows.
+            voters: u32,
+        },
+        /// Count no vote of the node any more that was cast until now.
+        Release {
+            /// The process that counts it.
+            holder: ids::NodeId,
+            /// The node that voted.
+            from: ids::NodeId,
+            /// The offices.
+            offices: OfficeNames,
+        },
+        /// Draw a permit.
+        DrawPermit {
+            /// The owner of the limits.
+            holder: ids::NodeId,
+            /// The draw.
+            request: PermitRequest,
+        },
+        /// Draw a retry token.
+        DrawRetryToken {
+            /// The relay of the data centre.
+            holder: ids::NodeId,
+            /// The service.
+            service: ids::ServiceId,
+        },
+    }
+
+    /// Offices of a data centre.
+    pub enum OfficeNames {
+        /// The owners of the limits of these services.
+        Limits(Vec<ids::ServiceId>),
+        /// The relay that has the retry tokens.
+        RetryTokens,
+    }
+
+    /// A reply of the holder of an office, on the stream of the request.
+    pub enum OfficeReply {
+        /// The time of the holder when it handled a vote or a release.
+        Time(HolderTime),
+        /// The result of a draw of a permit, and the term in which it was granted.
+        Permit(OfficeTerm, PermitReply),
+        /// The term in which a retry token was granted; `None` if there was none.
+        RetryToken(Option<OfficeTerm>),
+        /// The request was meant for another process, or this one does not hold the office.
+        NotHolder,
+    }
+
     /// A request about crashes from one node to another.
     pub enum CrashRequest {
         /// Record that upstreams crashed while they ran requests.
@@ -249,6 +311,8 @@
             /// Whether to forward them to the other nodes of the data centre.
             forward: bool,
         },
+        /// A request to the holder of an office.
+        Office(OfficeRequest),
     }
 
     /// A reply to a [`NodeRequest`].
@@ -278,6 +342,20 @@
         Limit(LimitReply),
         /// A reply about crashes.
         Crash(CrashReply),
+        /// A reply of the holder of an office.
+        Office(OfficeReply),
+    }
+}
+
+impl OfficeRequest {
+    /// The process that the request is meant for.
+    pub const fn holder(&self) -> &ids::NodeId {
+        match self {
+            Self::Vote { holder, .. }
+            | Self::Release { holder, .. }
+            | Self::DrawPermit { holder, .. }
+            | Self::DrawRetryToken { holder, .. } => holder,
+        }
     }
 }
 
--- a/crates/policy/src/office/mod.rs
+++ b/crates/policy/src/office/mod.rs
@@ -8,9 +8,14 @@
 //!
 //! - [`OfficeVote`]: the vote of one node.
 //! - [`VoteTally`]: the votes that a holder has.
+//! - [`OfficeGrant`]: what a node was handed out, and until when it may use it.
 
+mod grant;
 mod tally;
+mod time;
 mod vote;
 
+pub use grant::{HolderTerm, OfficeGrant, OfficeTerm};
 pub use tally::VoteTally;
-pub use vote::{OfficeVote, VOTE_INTERVAL};
+pub use time::{HolderTime, HolderTimes};
+pub use vote::{OfficeVote, VOTE_INTERVAL, VOTE_RETRY_INTERVAL, VoteStep};
--- a/crates/policy/src/permit/message.rs
+++ b/crates/policy/src/permit/message.rs
@@ -6,10 +6,7 @@
 use tokio::time::Instant;
 
 use super::{LimitSignal, LimitState, LimitVersion};
-
-/// Time after its draw in which a permit may be used. A process that was paused or slow for
-/// longer draws another one.
-const PERMIT_TTL: Duration = Duration::from_millis(500);
+use crate::office::OfficeGrant;
 
 model::record! {
     /// An upstream for which a permit is drawn.
@@ -86,10 +83,10 @@
 pub struct PermitDraw {
     /// The draw.
     pub request: PermitRequest,
-    /// When it was made.
-    pub at: Instant,
     /// The reply; `None` if the owner did not send one.
     pub reply: Option<PermitReply>,
+    /// Who replied, and until when a permit may be used.
+    pub grant: Option<OfficeGrant>,
     /// Whether no further permit is drawn for the request: without this one, it goes to an
     /// upstream without a limit.
     pub is_last: bool,
@@ -99,9 +96,9 @@
     /// The permit that was granted, unless it is too old to be used: its owner may have granted
     /// others since, or a new owner taken over.
     pub fn valid_permit(&self, now: Instant) -> Option<&Permit> {
-        let age = now.saturating_duration_since(self.at);
+        let grant = self.grant.as_ref()?;
         let permit = self.reply.as_ref()?.permit.as_ref();
-        permit.filter(|_| age <= PERMIT_TTL)
+        permit.filter(|_| grant.is_valid(now))
     }
 }
 
--- a/crates/policy/src/retry/budget.rs
+++ b/crates/policy/src/retry/budget.rs
@@ -5,6 +5,8 @@
 use model::config::{self, RetryAllowance};
 use tokio::time::Instant;
 
+use crate::office::OfficeGrant;
+
 /// Cost of one retry: a whole token, in thousandths.
 pub(super) const RETRY_COST_MILLITOKENS: u32 = 1_000;
 /// How long the pool counts as empty after it denied a token. A data centre's requests
@@ -14,11 +16,13 @@
 /// Retry tokens of one service at one node, in thousandths of a token.
 ///
 /// If the whole fleet shares a limit, requests deposit into the data centre's pool
-/// instead, and the node holds only the tokens that it drew from there.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// instead, and the node holds only the tokens that it drew from there, each for a short time.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RetryBudget {
     allowance: config::RetryAllowance,
     balance: u32,
+    /// Tokens drawn from the pool and not spent.
+    drawn: Vec<OfficeGrant>,
     /// Deposits not yet reported to the pool.
     unreported: u32,
     /// Time at which the pool last denied a token.
@@ -42,6 +46,7 @@
         Self {
             allowance,
             balance,
+            drawn: Vec::new(),
             unreported: 0,
             denied_at: None,
         }
@@ -86,18 +91,25 @@
         (unreported > 0).then_some((unreported, self.allowance.fleet_max_millitokens))
     }
 
-    /// Records whether the pool granted a token.
-    pub fn record_token_draw(&mut self, now: Instant, granted: bool) {
-        if granted {
-            self.balance = self.balance.saturating_add(RETRY_COST_MILLITOKENS);
-            self.denied_at = None;
-        } else {
+    /// Records whether the pool granted a token. Tokens of another holder or term are lost: they
+    /// may have been granted once more since.
+    pub fn record_token_draw(&mut self, now: Instant, granted: Option<OfficeGrant>) {
+        let Some(grant) = granted else {
             self.denied_at = Some(now);
-        }
+            return;
+        };
+        self.drawn
+            .retain(|token| token.is_valid(now) && token.given_by() == grant.given_by());
+        self.drawn.push(grant);
+        self.denied_at = None;
     }
 
-    /// Spends a token on a retry; returns false if the balance is too low.
-    pub fn spend(&mut self) -> bool {
+    /// Spends a token on a retry; returns false if there is none.
+    pub fn spend(&mut self, now: Instant) -> bool {
+        self.drawn.retain(|token| token.is_valid(now));
+        if self.drawn.pop().is_some() {
+            return true;
+        }
         let sufficient = self.balance >= RETRY_COST_MILLITOKENS;
         if sufficient {
             self.balance -= RETRY_COST_MILLITOKENS;
@@ -109,15 +121,16 @@
     /// pool has not denied a token recently.
     pub fn can_spend(&self, now: Instant) -> bool {
         let is_recent = |at| now.saturating_duration_since(at) < DENIED_TTL;
-        self.covers_retry() || (self.is_pooled() && !self.denied_at.is_some_and(is_recent))
+        self.covers_retry(now) || (self.is_pooled() && !self.denied_at.is_some_and(is_recent))
     }
 
-    /// Whether this node's own balance covers a retry.
-    pub const fn covers_retry(&self) -> bool {
-        self.balance >= RETRY_COST_MILLITOKENS
+    /// Whether this node has a token for a retry.
+    pub fn covers_retry(&self, now: Instant) -> bool {
+        let has_drawn = self.drawn.iter().any(|token| token.is_valid(now));
+        has_drawn || self.balance >= RETRY_COST_MILLITOKENS
     }
 
-    /// Current balance, in thousandths of a token.
+    /// Current balance without drawn tokens, in thousandths of a token.
     pub const fn balance(&self) -> u32 {
         self.balance
     }
--- a/crates/policy/src/retry/decide.rs
+++ b/crates/policy/src/retry/decide.rs
@@ -4,6 +4,8 @@
 
 use model::error;
 
+use tokio::time::Instant;
+
 use super::budget::RetryBudget;
 
 /// Maximum number of attempts for one request, unless its route sets a lower limit.
@@ -138,7 +140,11 @@
 ///
 /// # Errors
 /// The first reason against another attempt.
-pub fn decide(context: &RetryContext, budget: &mut RetryBudget) -> Result<(), RetryRefusal> {
+pub fn decide(
+    now: Instant,
+    context: &RetryContext,
+    budget: &mut RetryBudget,
+) -> Result<(), RetryRefusal> {
     let not_run = context.end.is_not_run(context.shed_is_not_run);
     if !context.repeatable && !not_run {
         return Err(RetryRefusal::Rule);
@@ -153,7 +159,7 @@
         return Err(RetryRefusal::Time);
     }
     let reached_upstream = !matches!(context.end, AttemptEnd::ConnectFailed | AttemptEnd::NotSent);
-    if reached_upstream && context.charge == RetryCharge::Budget && !budget.spend() {
+    if reached_upstream && context.charge == RetryCharge::Budget && !budget.spend(now) {
         return Err(RetryRefusal::Budget);
     }
     Ok(())
--- a/crates/policy/src/service/balancer/admission.rs
+++ b/crates/policy/src/service/balancer/admission.rs
@@ -44,7 +44,7 @@
             return self.wait_or_refuse(now, request, limited_use);
         };
         if self.upstreams[key].known_limit.is_limited() {
-            if !(self.is_free(request) || self.budget.covers_retry()) {
+            if !(self.is_free(request) || self.budget.covers_retry(now)) {
                 return Admission::NoBudget;
             }
             return Admission::PermitNeeded(self.permit_request(now, key, request));
@@ -65,7 +65,7 @@
         request: &AttemptRequest,
         permit: Option<LimitVersion>,
     ) -> Admission {
-        if !(self.is_free(request) || self.budget.spend()) {
+        if !(self.is_free(request) || self.budget.spend(now)) {
             return Admission::NoBudget;
         }
         Admission::Grant(self.grant(now, key, request, permit))
--- a/crates/policy/src/service/balancer/mod.rs
+++ b/crates/policy/src/service/balancer/mod.rs
@@ -24,6 +24,7 @@
 use super::entry::{UpstreamEntry, UpstreamView};
 use crate::detection::{self, DetectionThresholds};
 use crate::limit;
+use crate::office::OfficeGrant;
 use crate::permit::{LimitVersion, PermitRequest};
 use crate::retry::{self, AttemptEnd};
 use crate::suspicion::{LateShare, SignalKind, SuspicionSignal};
@@ -248,7 +249,7 @@
     }
 
     /// Records whether the retry pool granted a token.
-    pub fn record_token_draw(&mut self, now: Instant, granted: bool) {
+    pub fn record_token_draw(&mut self, now: Instant, granted: Option<OfficeGrant>) {
         self.budget.record_token_draw(now, granted);
     }
 
@@ -409,13 +410,14 @@
     /// The reason why no further attempt is made.
     pub fn decide_retry(
         &mut self,
+        now: Instant,
         context: &retry::RetryContext,
     ) -> Result<(), retry::RetryRefusal> {
         let mut context = *context;
         if self.shares_signals() {
             context.charge = retry::RetryCharge::Budget;
         }
-        retry::decide(&context, &mut self.budget)
+        retry::decide(now, &context, &mut self.budget)
     }
 
     /// Records an outcome seen outside of an attempt: that of a health probe.
--- a/crates/policy/tests/balancer.rs
+++ b/crates/policy/tests/balancer.rs
@@ -8,6 +8,7 @@
 use common::{name, service};
 use gooseberrydyke_policy::detection::{Verdict, VerdictScope};
 use gooseberrydyke_policy::ejection::{Ejection, EjectionRecord};
+use gooseberrydyke_policy::office::{HolderTerm, OfficeGrant, OfficeTerm};
 use gooseberrydyke_policy::permit::{LimitState, LimitVersion, Permit, PermitDraw, PermitReply};
 use gooseberrydyke_policy::retry::{AttemptEnd, RetryCharge, RetryContext, RetryRefusal};
 use gooseberrydyke_policy::service::{
@@ -21,6 +22,13 @@
 use model::sizes::RequestCount;
 use tokio::time::{self, Instant};
 
+fn holder_term() -> HolderTerm {
+    HolderTerm {
+        holder: "owner".parse().unwrap(),
+        term: OfficeTerm::default(),
+    }
+}
+
 fn balancer(upstreams: usize) -> ServiceBalancer {
     ServiceBalancer::new(Instant::now(), service(upstreams, 4, 4), name("ikeja"), 5)
 }
@@ -284,14 +292,17 @@
         repeatable: false,
         ..context
     };
-    assert_eq!(balancer.decide_retry(&once_only), Err(RetryRefusal::Rule));
+    assert_eq!(
+        balancer.decide_retry(Instant::now(), &once_only),
+        Err(RetryRefusal::Rule)
+    );
     for end in [
         AttemptEnd::ConnectFailed,
         AttemptEnd::NotSent,
         AttemptEnd::Shed,
     ] {
         assert_eq!(
-            balancer.decide_retry(&RetryContext { end, ..once_only }),
+            balancer.decide_retry(Instant::now(), &RetryContext { end, ..once_only }),
             Ok(())
         );
     }
@@ -301,7 +312,7 @@
         ..once_only
     };
     assert_eq!(
-        balancer.decide_retry(&shed_may_have_run),
+        balancer.decide_retry(Instant::now(), &shed_may_have_run),
         Err(RetryRefusal::Rule)
     );
     let near_deadline = RetryContext {
@@ -309,7 +320,7 @@
         ..context
     };
     assert_eq!(
-        balancer.decide_retry(&near_deadline),
+        balancer.decide_retry(Instant::now(), &near_deadline),
         Err(RetryRefusal::Time)
     );
     let exhausted = RetryContext {
@@ -317,29 +328,38 @@
         ..context
     };
     assert_eq!(
-        balancer.decide_retry(&exhausted),
+        balancer.decide_retry(Instant::now(), &exhausted),
         Err(RetryRefusal::Attempts)
     );
     // The initial balance covers three retries. Of the retries above, only the one after
     // a shed response was charged, because the others did not reach an upstream.
     for _ in 0..2 {
-        assert_eq!(balancer.decide_retry(&context), Ok(()));
+        assert_eq!(balancer.decide_retry(Instant::now(), &context), Ok(()));
     }
-    assert_eq!(balancer.decide_retry(&context), Err(RetryRefusal::Budget));
+    assert_eq!(
+        balancer.decide_retry(Instant::now(), &context),
+        Err(RetryRefusal::Budget)
+    );
     let not_connected = RetryContext {
         end: AttemptEnd::ConnectFailed,
         ..context
     };
-    assert_eq!(balancer.decide_retry(&not_connected), Ok(()));
     assert_eq!(
-        balancer.decide_retry(&RetryContext {
-            charge: RetryCharge::Trial,
-            ..context
-        }),
+        balancer.decide_retry(Instant::now(), &not_connected),
+        Ok(())
+    );
+    assert_eq!(
+        balancer.decide_retry(
+            Instant::now(),
+            &RetryContext {
+                charge: RetryCharge::Trial,
+                ..context
+            }
+        ),
         Ok(())
     );
     run_requests(&mut balancer, 10, false);
-    assert_eq!(balancer.decide_retry(&context), Ok(()));
+    assert_eq!(balancer.decide_retry(Instant::now(), &context), Ok(()));
 }
 
 /// The fleet's bound on retries counts each request once, however often it is decided on.
@@ -451,7 +471,7 @@
         };
         let draw = PermitDraw {
             request: permit_request,
-            at: Instant::now(),
+            grant: Some(OfficeGrant::new(Instant::now(), holder_term())),
             reply: Some(PermitReply {
                 permit: Some(permit),
                 outlooks: Vec::new(),
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -171,11 +171,11 @@
 #[test]
 fn ten_requests_allow_one_retry() {
     let mut budget = RetryBudget::default();
-    while budget.spend() {}
+    while budget.spend(Instant::now()) {}
     let mut retries = 0;
     for _ in 0..1_000 {
         budget.deposit();
-        retries += u32::from(budget.spend());
+        retries += u32::from(budget.spend(Instant::now()));
     }
     assert!((99..=100).contains(&retries), "{retries}");
 }
--- a/crates/policy/tests/rate_limits/fleet.rs
+++ b/crates/policy/tests/rate_limits/fleet.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use gooseberrydyke_policy::office::{HolderTerm, OfficeGrant, OfficeTerm};
 use gooseberrydyke_policy::permit::{
     LimitRecord, LimitReport, LimitSignal, PermitDraw, PermitLedger, PermitReply, PermitRequest,
 };
@@ -245,8 +246,12 @@
             let Admission::PermitNeeded(permit) = admission else {
                 break;
             };
+            let given_by = HolderTerm {
+                holder: "owner".parse().unwrap(),
+                term: OfficeTerm::default(),
+            };
             let draw = PermitDraw {
-                at: Instant::now(),
+                grant: Some(OfficeGrant::new(Instant::now(), given_by)),
                 reply: self.draw(&permit),
                 request: permit,
                 is_last: drawn == PERMIT_DRAWS_MAX,
--- a/crates/upstream/src/service/handle.rs
+++ b/crates/upstream/src/service/handle.rs
@@ -10,6 +10,7 @@
 use model::{config, ids};
 use policy::detection::{ServiceLatency, Verdict};
 use policy::ejection::EjectionRecord;
+use policy::office::OfficeGrant;
 use policy::permit::{LimitSignal, LimitState, PermitDraw, PermitRequest};
 use policy::retry::{AttemptEnd, RetryCharge, RetryContext, RetryRefusal};
 use policy::service::{AttemptGrant, AttemptPurpose, AttemptRequest, UpstreamLoad, UpstreamView};
@@ -115,7 +116,7 @@
         upstream: ids::UpstreamId,
         state: LimitState,
     },
-    RetryTokenDrawn(bool),
+    RetryTokenDrawn(Option<OfficeGrant>),
     Views(oneshot::Sender<BTreeMap<ids::UpstreamId, UpstreamView>>),
 }
 
@@ -181,12 +182,11 @@
             match refusal {
                 LeaseRefusal::PermitNeeded(permit) => {
                     draws_left = draws_left.saturating_sub(1);
-                    let at = Instant::now();
-                    let reply = self.permits.draw(permit.clone()).await;
+                    let (reply, grant) = self.permits.draw(permit.clone()).await.unzip();
                     draw = Some(PermitDraw {
                         request: permit,
-                        at,
                         reply,
+                        grant,
                         is_last: draws_left == 0,
                     });
                 }
@@ -208,8 +208,9 @@
             return false;
         };
         let drawn = source.draw().await;
+        let is_granted = drawn.is_some();
         self.send(ServiceCommand::RetryTokenDrawn(drawn)).await;
-        drawn
+        is_granted
     }
 
     async fn request_lease(
--- a/crates/upstream/src/service/mod.rs
+++ b/crates/upstream/src/service/mod.rs
@@ -10,6 +10,6 @@
 pub use handle::{
     AdmissionError, AttemptLease, FleetSize, OutpacedFlag, ServiceHandle, WorkspacePermit,
 };
-pub use permit_source::{PermitFuture, PermitSource};
+pub use permit_source::{PermitFuture, PermitOffer, PermitSource};
 pub use retry_tokens::{RetryTokenFuture, RetryTokenSource};
 pub use task::{DrainSink, LimitSink, LoadSink, ServiceSettings, SignalSink, start};
--- a/crates/upstream/src/service/permit_source.rs
+++ b/crates/upstream/src/service/permit_source.rs
@@ -4,10 +4,14 @@
 use std::pin::Pin;
 use std::sync::Arc;
 
+use policy::office::OfficeGrant;
 use policy::permit::{PermitReply, PermitRequest};
 
+/// The owner's reply, and who gave it and until when a permit may be used.
+pub type PermitOffer = (PermitReply, OfficeGrant);
+
 /// A draw in progress; resolves to the owner's reply, or to `None` if there was none.
-pub type PermitFuture = Pin<Box<dyn Future<Output = Option<PermitReply>> + Send>>;
+pub type PermitFuture = Pin<Box<dyn Future<Output = Option<PermitOffer>> + Send>>;
 
 /// Draws permits from the owner of a limit.
 #[derive(Clone)]
@@ -20,7 +24,7 @@
     }
 
     /// Draws one permit.
-    pub async fn draw(&self, request: PermitRequest) -> Option<PermitReply> {
+    pub async fn draw(&self, request: PermitRequest) -> Option<PermitOffer> {
         (self.0)(request).await
     }
 }
--- a/crates/upstream/src/service/retry_tokens.rs
+++ b/crates/upstream/src/service/retry_tokens.rs
@@ -4,8 +4,10 @@
 use std::pin::Pin;
 use std::sync::Arc;
 
-/// A draw in progress; resolves to whether the pool granted a token.
-pub type RetryTokenFuture = Pin<Box<dyn Future<Output = bool> + Send>>;
+use policy::office::OfficeGrant;
+
+/// A draw in progress; resolves to the token, if the pool granted one.
+pub type RetryTokenFuture = Pin<Box<dyn Future<Output = Option<OfficeGrant>> + Send>>;
 
 /// Draws retry tokens for one service from the shared pool.
 #[derive(Clone)]
@@ -17,8 +19,8 @@
         Self(Arc::new(draw))
     }
 
-    /// Draws one token; returns whether the pool granted it.
-    pub async fn draw(&self) -> bool {
+    /// Draws one token; returns `None` if the pool did not grant it.
+    pub async fn draw(&self) -> Option<OfficeGrant> {
         (self.0)().await
     }
 }
--- a/crates/upstream/src/service/task.rs
+++ b/crates/upstream/src/service/task.rs
@@ -288,7 +288,7 @@
                 }
             }
             ServiceCommand::DecideRetry { context, reply } => {
-                let decision = self.balancer.decide_retry(&context);
+                let decision = self.balancer.decide_retry(now, &context);
                 if decision == Err(RetryRefusal::Budget) {
                     self.report_before_draw();
                 }
