fix(office): a vote is kept while its holder may count it, though the limit ended meanwhile

Cause: a node forgot its vote for the owner of a service's limits once no upstream of the service had a limit. When a limit came back within the term, it had a fresh vote, and could give it to another owner while the former still counted the first.

Change: a vote is dropped only when it is free (OfficeVote::is_bound). Tallies drop votes that have ended when a new voter comes, so restarts of voters do not add up.

Tests: a unit test for is_bound. The forgetting was in the node's task, which has no test of its own without a network; not seen red there.

--- a/crates/node/src/limits/offices.rs
+++ b/crates/node/src/limits/offices.rs
@@ -64,7 +64,9 @@
         let now = Instant::now();
         let own = table.own();
         self.vote_at = now + VOTE_INTERVAL;
-        self.votes.retain(|service, _| limited.contains(service));
+        // A limit that ends and comes back finds its vote where it was.
+        self.votes
+            .retain(|service, vote| vote.is_bound(now) || limited.contains(service));
         self.heard.retain(|node| table.find(node).is_some());
         self.heard.hear(&own.node, self.clock.now());
         let is_leaving = |node: &ids::NodeId| table.find(node).is_some_and(|member| member.leaving);
--- a/crates/policy/src/office/tally.rs
+++ b/crates/policy/src/office/tally.rs
@@ -39,6 +39,9 @@
         if self.votes.values().all(|vote| vote.ends_at <= now) {
             self.term = self.term.next();
         }
+        if !self.votes.contains_key(&from) {
+            self.votes.retain(|_, vote| vote.ends_at > now);
+        }
         let vote = self.votes.entry(from);
         let vote = vote.or_insert(CountedVote { ends_at, nodes });
         if vote.ends_at <= ends_at {
--- a/crates/policy/src/office/vote.rs
+++ b/crates/policy/src/office/vote.rs
@@ -98,6 +98,11 @@
         is_free
     }
 
+    /// Whether a holder may still count the vote, or one of an earlier process of this node.
+    pub fn is_bound(&self, now: Instant) -> bool {
+        self.free_at > now
+    }
+
     /// The holder that has the vote, or had it last.
     pub const fn holder(&self) -> Option<&ids::NodeId> {
         self.holder.as_ref()
--- a/crates/policy/tests/offices/main.rs
+++ b/crates/policy/tests/offices/main.rs
@@ -141,6 +141,22 @@
     );
 }
 
+/// A vote that is forgotten while it is bound could be given twice.
+#[tokio::test(start_paused = true)]
+async fn a_vote_is_bound_as_long_as_it_may_count() {
+    let mut vote = OfficeVote::new(Instant::now(), true);
+    assert!(!vote.is_bound(Instant::now()));
+    vote.step(Instant::now(), &node("a"), Some(at(10)), stays);
+    time::advance(Duration::from_millis(1_800)).await;
+    assert!(vote.is_bound(Instant::now()));
+    time::advance(Duration::from_millis(100)).await;
+    assert!(!vote.is_bound(Instant::now()));
+    vote.step(Instant::now(), &node("a"), Some(at(10)), stays);
+    vote.release(Instant::now(), &node("a"), at(10));
+    assert!(!vote.is_bound(Instant::now()));
+    assert!(OfficeVote::new(Instant::now(), false).is_bound(Instant::now()));
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_holder_releases_a_vote() {
     let (mut vote, mut tally) = (OfficeVote::new(Instant::now(), true), VoteTally::default());
