fix(members): a node that leaves does not come back by a late message

Cause: the entry of a member was replaced by whatever message arrived last. One that the node sent before it began to leave, and that was delayed, gave it its shared jobs back, though it hands out nothing more; nodes that had moved their votes moved them back.

Change: leaving is final for a name, which is one run of a process.

--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -94,11 +94,13 @@
     }
 
     /// Adds or updates a node that contacted this one and clears its suspicion. Returns
-    /// whether anything changed.
-    pub fn record_contact(&mut self, member: Member) -> bool {
+    /// whether anything changed. A node that leaves does not come back under the same name: a
+    /// message that says otherwise is late.
+    pub fn record_contact(&mut self, mut member: Member) -> bool {
         if member.node == self.own.node {
             return false;
         }
+        member.leaving |= self.find(&member.node).is_some_and(|known| known.leaving);
         let was_suspect = self.suspects.remove(&member.node).is_some();
         if self
             .find(&member.node)
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -167,6 +167,21 @@
     assert!(limit.has_room(0) && !limit.has_room(1));
 }
 
+/// A message that a node sent before it began to leave and that arrives later must not give it
+/// its jobs back: it hands out nothing more.
+#[test]
+fn a_late_message_does_not_undo_that_a_node_leaves() {
+    let mut table = MemberTable::new(member(0));
+    let early = member(1);
+    table.record_contact(early.clone());
+    table.record_contact(Member {
+        leaving: true,
+        ..member(1)
+    });
+    assert!(!table.record_contact(early));
+    assert!(table.find(&member(1).node).unwrap().leaving);
+}
+
 /// Without the budget, retries would multiply the load of a service that fails.
 #[test]
 fn ten_requests_allow_one_retry() {
