perf(limits): owners by eight shards of services, so that votes stay cheap

Cause: each limited service had an owner of its own in each data centre. With 300 limited services a node voted for up to 43 owners 2.2 times a second and named each service: 15 KB/s as reckoned in docs/CAPACITY.md, all of the bound.

Change: LimitShard, eight for each data centre; an owner, a vote and a tally are for a shard. The ledger and the permits are unchanged.

Mixed fleets: nodes of an earlier release look for other owners and get no permits until they are updated.

--- a/crates/node/src/limits/fleet.rs
+++ b/crates/node/src/limits/fleet.rs
@@ -106,14 +106,14 @@
         match request {
             OfficeRequest::Vote {
                 from,
-                offices: OfficeNames::Limits(services),
+                offices: OfficeNames::Limits(shards),
                 heard,
                 voters,
                 ..
             } => {
                 self.ask_task(|reply| LimitCommand::Votes {
                     from,
-                    services,
+                    shards,
                     heard,
                     voters: usize::try_from(voters).unwrap_or(usize::MAX),
                     reply,
@@ -122,12 +122,12 @@
             }
             OfficeRequest::Release {
                 from,
-                offices: OfficeNames::Limits(services),
+                offices: OfficeNames::Limits(shards),
                 ..
             } => {
                 self.ask_task(|reply| LimitCommand::Release {
                     from,
-                    services,
+                    shards,
                     reply,
                 })
                 .await
--- a/crates/node/src/limits/offices.rs
+++ b/crates/node/src/limits/offices.rs
@@ -8,6 +8,7 @@
     HolderTime, HolderTimes, OfficeTerm, OfficeVote, VOTE_INTERVAL, VOTE_RETRY_INTERVAL, VoteStep,
     VoteTally,
 };
+use policy::permit::LimitShard;
 use tokio::time::Instant;
 
 use crate::holder_clock::HolderClock;
@@ -15,19 +16,19 @@
 /// What is to be sent to one owner.
 #[derive(Debug, Default)]
 pub(super) struct OwnerMessages {
-    /// Services whose owner gets the vote of this node.
-    pub(super) votes: Vec<ids::ServiceId>,
-    /// Services whose owner is asked to release the vote.
-    pub(super) releases: Vec<ids::ServiceId>,
+    /// Shards whose owner gets the vote of this node.
+    pub(super) votes: Vec<LimitShard>,
+    /// Shards whose owner is asked to release the vote.
+    pub(super) releases: Vec<LimitShard>,
 }
 
-/// The offices of limit owners, one for each service of this data centre.
+/// The offices of limit owners, one for each shard of services in this data centre.
 pub(super) struct LimitOffices {
     clock: HolderClock,
     /// The vote of this process in each office, before its first one.
     new_vote: OfficeVote,
-    votes: BTreeMap<ids::ServiceId, OfficeVote>,
-    tallies: BTreeMap<ids::ServiceId, VoteTally>,
+    votes: BTreeMap<LimitShard, OfficeVote>,
+    tallies: BTreeMap<LimitShard, VoteTally>,
     heard: HolderTimes,
     vote_at: Instant,
 }
@@ -44,37 +45,35 @@
         }
     }
 
-    /// When the node votes next, if there are limited services.
-    pub(super) fn vote_at(&self, limited: &BTreeSet<ids::ServiceId>) -> Option<Instant> {
-        let has_new = limited
-            .iter()
-            .any(|service| !self.votes.contains_key(service));
+    /// When the node votes next, if services of any shard have a limit.
+    pub(super) fn vote_at(&self, limited: &BTreeSet<LimitShard>) -> Option<Instant> {
+        let has_new = limited.iter().any(|shard| !self.votes.contains_key(shard));
         if has_new {
             return Some(Instant::now());
         }
         (!limited.is_empty()).then_some(self.vote_at)
     }
 
-    /// Votes for the owners of the limits of these services; returns what to send to the others.
+    /// Votes for the owners of these shards; returns what to send to the others.
     pub(super) fn cast(
         &mut self,
         table: &MemberTable,
-        limited: BTreeSet<ids::ServiceId>,
+        limited: BTreeSet<LimitShard>,
     ) -> BTreeMap<ids::NodeId, OwnerMessages> {
         let now = Instant::now();
         let own = table.own();
         self.vote_at = now + VOTE_INTERVAL;
         // A limit that ends and comes back finds its vote where it was.
         self.votes
-            .retain(|service, vote| vote.is_bound(now) || limited.contains(service));
+            .retain(|shard, vote| vote.is_bound(now) || limited.contains(shard));
         self.heard.retain(|node| table.find(node).is_some());
         self.heard.hear(&own.node, self.clock.now());
         let is_leaving = |node: &ids::NodeId| table.find(node).is_some_and(|member| member.leaving);
         let mut messages: BTreeMap<ids::NodeId, OwnerMessages> = BTreeMap::new();
-        for service in limited {
-            let vote = self.votes.entry(service.clone());
+        for shard in limited {
+            let vote = self.votes.entry(shard);
             let vote = vote.or_insert_with(|| self.new_vote.clone());
-            let Some(owner) = table.limit_owner(now, &service, &own.data_centre) else {
+            let Some(owner) = table.limit_shard_owner(now, shard, &own.data_centre) else {
                 continue;
             };
             let heard = self.heard.last(&owner.node);
@@ -83,9 +82,9 @@
                 self.vote_at = now + VOTE_RETRY_INTERVAL;
             }
             match step {
-                VoteStep::Cast(owner) => messages.entry(owner).or_default().votes.push(service),
+                VoteStep::Cast(owner) => messages.entry(owner).or_default().votes.push(shard),
                 VoteStep::Release(owner) => {
-                    messages.entry(owner).or_default().releases.push(service);
+                    messages.entry(owner).or_default().releases.push(shard);
                 }
                 VoteStep::Wait => {}
             }
@@ -109,14 +108,14 @@
     pub(super) fn record(
         &mut self,
         from: &ids::NodeId,
-        services: &[ids::ServiceId],
+        shards: &[LimitShard],
         heard: Option<HolderTime>,
         voters: usize,
     ) -> HolderTime {
         let now = self.clock.now();
         if let Some(heard) = heard {
-            for service in services {
-                let tally = self.tallies.entry(service.clone()).or_default();
+            for shard in shards {
+                let tally = self.tallies.entry(*shard).or_default();
                 tally.record(now, from.clone(), heard, voters);
             }
         }
@@ -124,14 +123,10 @@
     }
 
     /// Releases votes for this node; returns its time.
-    pub(super) fn release(
-        &mut self,
-        from: &ids::NodeId,
-        services: &[ids::ServiceId],
-    ) -> HolderTime {
+    pub(super) fn release(&mut self, from: &ids::NodeId, shards: &[LimitShard]) -> HolderTime {
         let now = self.clock.now();
-        for service in services {
-            let tally = self.tallies.entry(service.clone()).or_default();
+        for shard in shards {
+            let tally = self.tallies.entry(*shard).or_default();
             tally.release(now, from.clone());
         }
         now
@@ -148,12 +143,12 @@
     pub(super) fn apply_release(
         &mut self,
         owner: &ids::NodeId,
-        services: &[ids::ServiceId],
+        shards: &[LimitShard],
         released: HolderTime,
     ) {
         let now = Instant::now();
-        for service in services {
-            let vote = self.votes.get_mut(service);
+        for shard in shards {
+            let vote = self.votes.get_mut(shard);
             if vote.is_some_and(|vote| vote.release(now, owner, released)) {
                 self.vote_at = now;
             }
@@ -176,7 +171,7 @@
             return table.reachable_share(now);
         }
         let voters = table.local_voters(now);
-        let tally = self.tallies.get(service);
+        let tally = self.tallies.get(&LimitShard::of(service));
         tally.map_or(sizes::Share::new(0.0), |tally| {
             tally.share(self.clock.now(), voters)
         })
@@ -184,7 +179,7 @@
 
     /// The term of this node as the owner of the limits of a service.
     pub(super) fn term(&self, service: &ids::ServiceId) -> OfficeTerm {
-        let tally = self.tallies.get(service);
+        let tally = self.tallies.get(&LimitShard::of(service));
         tally.map(VoteTally::term).unwrap_or_default()
     }
 }
--- a/crates/node/src/limits/task.rs
+++ b/crates/node/src/limits/task.rs
@@ -6,7 +6,9 @@
 use model::error::{ErrorKind, FleetError};
 use model::ids;
 use policy::office::{HolderTime, OfficeTerm};
-use policy::permit::{LimitRecord, LimitReport, PermitLedger, PermitReply, PermitRequest};
+use policy::permit::{
+    LimitRecord, LimitReport, LimitShard, PermitLedger, PermitReply, PermitRequest,
+};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{self, Instant};
 
@@ -31,7 +33,7 @@
     /// Count votes of a node; replies with the time of this one.
     Votes {
         from: ids::NodeId,
-        services: Vec<ids::ServiceId>,
+        shards: Vec<LimitShard>,
         heard: Option<HolderTime>,
         voters: usize,
         reply: oneshot::Sender<HolderTime>,
@@ -39,13 +41,13 @@
     /// Release votes of a node; replies with the time of this one.
     Release {
         from: ids::NodeId,
-        services: Vec<ids::ServiceId>,
+        shards: Vec<LimitShard>,
         reply: oneshot::Sender<HolderTime>,
     },
     /// An owner stated its time.
     Heard(ids::NodeId, HolderTime),
     /// An owner released votes of this node.
-    Released(ids::NodeId, Vec<ids::ServiceId>, HolderTime),
+    Released(ids::NodeId, Vec<LimitShard>, HolderTime),
 }
 
 /// Runs until the last handle is dropped.
@@ -60,7 +62,7 @@
     loop {
         let now = Instant::now();
         let announce_at = ledger.next_announcement_at(now);
-        let limited = ledger.limited_services();
+        let limited = ledger.limited_shards();
         let vote_at = offices.vote_at(&limited);
         tokio::select! {
             command = inbox.recv() => {
@@ -116,24 +118,24 @@
         }
         LimitCommand::Votes {
             from,
-            services,
+            shards,
             heard,
             voters,
             reply,
         } => {
-            let _ = reply.send(offices.record(&from, &services, heard, voters));
+            let _ = reply.send(offices.record(&from, &shards, heard, voters));
         }
         LimitCommand::Release {
             from,
-            services,
+            shards,
             reply,
         } => {
-            let _ = reply.send(offices.release(&from, &services));
+            let _ = reply.send(offices.release(&from, &shards));
         }
         LimitCommand::Heard(owner, time) => offices.hear(&owner, time),
-        LimitCommand::Released(owner, services, time) => {
+        LimitCommand::Released(owner, shards, time) => {
             offices.hear(&owner, time);
-            offices.apply_release(&owner, &services, time);
+            offices.apply_release(&owner, &shards, time);
         }
         LimitCommand::List(reply) => {
             let _ = reply.send(ledger.records());
@@ -146,7 +148,7 @@
     parts: &LimitParts,
     offices: &mut LimitOffices,
     own_inbox: &mpsc::WeakSender<LimitCommand>,
-    limited: BTreeSet<ids::ServiceId>,
+    limited: BTreeSet<LimitShard>,
 ) {
     let table = parts.members.table();
     let voters = u32::try_from(table.local_voters(Instant::now())).unwrap_or(u32::MAX);
@@ -174,8 +176,8 @@
                 from: from.clone(),
                 offices: OfficeNames::Limits(messages.releases.clone()),
             };
-            let services = messages.releases;
-            let to_command = move |time| LimitCommand::Released(owner, services, time);
+            let shards = messages.releases;
+            let to_command = move |time| LimitCommand::Released(owner, shards, time);
             office::ask_holder(&parts.peers, member, release, own_inbox, to_command);
         }
     }
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -13,7 +13,7 @@
 use policy::ejection::EjectionRecord;
 use policy::membership::Member;
 use policy::office::{HolderTime, OfficeTerm};
-use policy::permit::{LimitRecord, LimitReport, PermitReply, PermitRequest};
+use policy::permit::{LimitRecord, LimitReport, LimitShard, PermitReply, PermitRequest};
 use policy::quarantine::{CrashRecord, CrashReport};
 use policy::replica::UpstreamChange;
 use policy::service::{LoadReport, UpstreamLoad};
@@ -181,8 +181,8 @@
 
     /// Offices of a data centre.
     pub enum OfficeNames {
-        /// The owners of the limits of these services.
-        Limits(Vec<ids::ServiceId>),
+        /// The owners of the limits of these shards.
+        Limits(Vec<LimitShard>),
         /// The relay that has the retry tokens.
         RetryTokens,
     }
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::claim::ShardId;
+use crate::permit::LimitShard;
 use crate::rendezvous;
 
 /// How long a node that did not respond is excluded from shared jobs.
@@ -276,7 +277,17 @@
         service: &ids::ServiceId,
         centre: &ids::DataCentreId,
     ) -> Option<Arc<Member>> {
-        let job = format!("limits/{service}/{centre}");
+        self.limit_shard_owner(now, LimitShard::of(service), centre)
+    }
+
+    /// The node that owns the rate limits of all services of a shard in one data centre.
+    pub fn limit_shard_owner(
+        &self,
+        now: Instant,
+        shard: LimitShard,
+        centre: &ids::DataCentreId,
+    ) -> Option<Arc<Member>> {
+        let job = format!("limits/{shard}/{centre}");
         let mut candidates = self.high_capacity_in(now, centre, OWNER_CAPACITY_DIVISOR);
         let mut members = self.members.values();
         let may_have_owner = |member: &Arc<Member>| {
--- a/crates/policy/src/permit/ledger.rs
+++ b/crates/policy/src/permit/ledger.rs
@@ -8,8 +8,8 @@
 
 use super::announcement::LimitAnnouncement;
 use super::{
-    LimitRecord, LimitReport, LimitSignal, LimitState, LimitVersion, Permit, PermitCandidate,
-    PermitOutlook, PermitReply, PermitRequest,
+    LimitRecord, LimitReport, LimitShard, LimitSignal, LimitState, LimitVersion, Permit,
+    PermitCandidate, PermitOutlook, PermitReply, PermitRequest,
 };
 
 /// Rate at which an upstream with a lower limit still gets requests, since only its
@@ -253,13 +253,15 @@
             .collect()
     }
 
-    /// The services with upstreams that have a limit.
-    pub fn limited_services(&self) -> BTreeSet<ids::ServiceId> {
+    /// The shards of the services with upstreams that have a limit.
+    pub fn limited_shards(&self) -> BTreeSet<LimitShard> {
         let limited = self
             .limits
             .iter()
             .filter(|(_, entry)| entry.state.rate.is_some());
-        limited.map(|((service, _), _)| service.clone()).collect()
+        limited
+            .map(|((service, _), _)| LimitShard::of(service))
+            .collect()
     }
 
     /// When the next announcement is due.
--- a/crates/policy/src/permit/mod.rs
+++ b/crates/policy/src/permit/mod.rs
@@ -9,6 +9,7 @@
 mod announcement;
 mod ledger;
 mod message;
+mod shard;
 mod signal;
 mod state;
 
@@ -16,5 +17,6 @@
 pub use message::{
     LimitReport, Permit, PermitCandidate, PermitDraw, PermitOutlook, PermitReply, PermitRequest,
 };
+pub use shard::{LIMIT_SHARDS, LimitShard};
 pub use signal::LimitSignal;
 pub use state::{LimitRecord, LimitState, LimitVersion};
