--- a/crates/node/tests/vote_cost.rs
+++ b/crates/node/tests/vote_cost.rs
@@ -62,6 +62,19 @@
     let rate = f64::from(u32::try_from(bytes).unwrap()) / VOTE_INTERVAL.as_secs_f64();
     println!("votes of a node: {rate:.0} bytes a second");
     assert!(rate < BYTES_PER_SECOND_MAX, "{rate}");
+    let relay_vote = NodeRequest::Office(OfficeRequest::Vote {
+        holder: member(1).node,
+        from: member(0).node,
+        offices: OfficeNames::RetryTokens,
+        heard: Some(HolderTime::new(86_400_000)),
+        voters: u32::try_from(NODES).unwrap(),
+    });
+    let relay_bytes = wire::encode(&relay_vote).unwrap().len() + PACKETS * PACKET_OVERHEAD;
+    let relay_rate = relay_bytes * 1_000 / 450;
+    println!("vote of a node for its relay: {relay_rate} bytes a second");
     let time = NodeReply::Office(OfficeReply::Time(HolderTime::new(86_400_000)));
-    assert!(wire::encode(&time).unwrap().len() < 16, "replies are small");
+    let reply_bytes = wire::encode(&time).unwrap().len() + PACKETS * PACKET_OVERHEAD;
+    assert!(reply_bytes < PACKETS * PACKET_OVERHEAD + 16);
+    let reply_rate = (NODES - 1) * reply_bytes * 1_000 / 450;
+    println!("replies of an owner to all others: {reply_rate} bytes a second");
 }
