--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::claim::ShardId;
+use crate::permit::LimitShard;
 use crate::rendezvous;
 
 /// How long a node that did not respond is excluded from shared jobs.
@@ -94,11 +95,13 @@
     }
 
     /// Adds or updates a node that contacted this one and clears its suspicion. Returns
-    /// whether anything changed.
-    pub fn record_contact(&mut self, member: Member) -> bool {
+    /// whether anything changed. A node that leaves does not come back under the same name: a
+    /// message that says otherwise is late.
+    pub fn record_contact(&mut self, mut member: Member) -> bool {
         if member.node == self.own.node {
             return false;
         }
+        member.leaving |= self.find(&member.node).is_some_and(|known| known.leaving);
         let was_suspect = self.suspects.remove(&member.node).is_some();
         if self
             .find(&member.node)
@@ -274,7 +277,17 @@
         service: &ids::ServiceId,
         centre: &ids::DataCentreId,
     ) -> Option<Arc<Member>> {
-        let job = format!("limits/{service}/{centre}");
+        self.limit_shard_owner(now, LimitShard::of(service), centre)
+    }
+
+    /// The node that owns the rate limits of all services of a shard in one data centre.
+    pub fn limit_shard_owner(
+        &self,
+        now: Instant,
+        shard: LimitShard,
+        centre: &ids::DataCentreId,
+    ) -> Option<Arc<Member>> {
+        let job = format!("limits/{shard}/{centre}");
         let mut candidates = self.high_capacity_in(now, centre, OWNER_CAPACITY_DIVISOR);
         let mut members = self.members.values();
         let may_have_owner = |member: &Arc<Member>| {
