--- a/crates/http1/src/server/mod.rs
+++ b/crates/http1/src/server/mod.rs
@@ -3,24 +3,30 @@
 mod phase;
 
 use std::convert::Infallible;
+use std::error::Error;
+use std::future;
+use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::body::Body;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::service::{HttpService, service_fn};
 use hyper_util::rt::TokioIo;
-use tokio::io::AsyncWriteExt as _;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{self, Instant};
 
 use phase::{
-    ConnectionPhase, ConnectionState, PhaseTrackingBody, PhaseTrackingStream, StateSender,
+    BodyState, ConnectionPhase, ConnectionState, PhaseTrackingBody, PhaseTrackingStream,
+    StateSender,
 };
 
+use crate::header;
+
 pub use phase::RequestBody;
 
 /// How long to wait before the next accept when the system could not provide a
@@ -29,6 +35,12 @@
 /// How long an idle connection stays open after a stop has begun. A caller that has just
 /// received a response may have sent its next request already.
 const STOP_LINGER: Duration = Duration::from_millis(250);
+/// Limits on what is read and discarded after the last response: a connection that is closed
+/// with unread bytes is reset, and the reset may overtake the response.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(5);
+const LINGER_BYTES_MAX: usize = 8 * 1024 * 1024;
+/// The size of one read while discarding.
+const DISCARD_BUFFER_BYTES: usize = 16 * 1024;
 /// The smallest buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// The response to a request head that does not arrive within the head timeout.
@@ -87,54 +99,168 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let (state, mut states) = StateSender::new();
-    let stream = PhaseTrackingStream {
-        stream,
-        state: state.clone(),
-    };
-    let service = service_fn(move |request: http::Request<_>| {
-        let state = state.clone();
+    let service_state = state.clone();
+    let mut service = service_fn(move |request: http::Request<_>| {
+        let state = service_state.clone();
+        state.start_request(&request);
         let request = request.map(|incoming| RequestBody::new(incoming, state.clone()));
-        state.start_request(request.body());
-        let has_trailers = request.headers().contains_key(http::header::TRAILER);
         let response = handler(request);
         async move {
             let response = response.await;
-            if has_trailers {
-                // hyper does not end a body with trailers once its response has been sent.
-                state.wait_body_end().await;
+            if header::announces_close(response.headers()) {
+                state.close_after_response();
             }
             Ok::<_, Infallible>(response.map(|body| PhaseTrackingBody::new(body, state)))
         }
     });
     let initial_limits = limits();
-    let mut connection = http1::Builder::new()
+    let mut builder = http1::Builder::new();
+    builder
         .header_read_timeout(None)
         .max_buf_size(initial_limits.head_bytes.max(MIN_BUFFER_BYTES))
-        .max_headers(initial_limits.headers)
-        .serve_connection(TokioIo::new(stream), service);
-    let exceeded = tokio::select! {
-        result = &mut connection => return log_end(result),
-        _ = stopping.wait_for(|stopping| *stopping) => None,
-        exceeded = wait_for_timeout(&mut states, &limits) => Some(exceeded),
+        .max_headers(initial_limits.headers);
+    let mut stream = PhaseTrackingStream {
+        stream,
+        unread: Bytes::new(),
+        state: state.clone(),
     };
-    match exceeded {
-        None => tokio::select! {
-            result = &mut connection => return log_end(result),
-            () = wait_until_unused(&mut states, &limits) => {}
-        },
-        Some(TimeoutKind::Idle) => {}
-        Some(TimeoutKind::Head) => {
-            let stream = connection.into_parts().io.into_inner().stream;
-            let requests = states.borrow().requests;
-            return respond_head_timeout(stream, requests).await;
+    loop {
+        let connection = builder.serve_connection(TokioIo::new(stream), service);
+        let mut driver = ConnectionDriver::new(connection, state.clone());
+        let exceeded = tokio::select! {
+            result = driver.run() => Ok(result),
+            _ = stopping.wait_for(|stopping| *stopping) => Err(None),
+            exceeded = wait_for_timeout(&mut states, &limits) => Err(Some(exceeded)),
+        };
+        let result = match exceeded {
+            Ok(result) => result,
+            Err(None) => tokio::select! {
+                result = driver.run() => result,
+                () = wait_until_unused(&mut states, &limits) => driver.stop().await,
+            },
+            Err(Some(TimeoutKind::Idle)) => driver.stop().await,
+            Err(Some(TimeoutKind::Head)) => {
+                let stream = driver.connection.into_parts().io.into_inner().stream;
+                let requests = states.borrow().requests;
+                return respond_head_timeout(stream, requests).await;
+            }
+            Err(Some(TimeoutKind::Flush)) => {
+                log::info!(target: "http", "Connection closed: the caller did not read its response in time.");
+                return;
+            }
+        };
+        let has_failed = result.is_err();
+        log_end(result);
+        let parts = driver.connection.into_parts();
+        stream = parts.io.into_inner();
+        let resumes = driver.is_interrupted && !has_failed && !*stopping.borrow();
+        if resumes {
+            // Without a sender the body has ended as well.
+            let _ = states.wait_for(|state| !state.body.is_open()).await;
+        }
+        let has_unread_body = states.borrow().body == BodyState::Abandoned;
+        if has_failed || has_unread_body {
+            return close_lingering(stream.stream).await;
+        }
+        if !resumes {
+            return close(&mut stream.stream).await;
+        }
+        stream.unread = parts.read_buf;
+        service = parts.service;
+    }
+}
+
+/// Drives hyper's side of a connection.
+///
+/// hyper does not end a body with trailers once its response has been sent, unless the
+/// connection is to close. So when chunks follow their response it is told to close; after
+/// the last of them the stream, which is still open, gets a new driver.
+struct ConnectionDriver<S>
+where
+    S: HttpService<Incoming>,
+{
+    connection: http1::Connection<TokioIo<PhaseTrackingStream>, S>,
+    state: StateSender,
+    /// Whether hyper was told to close although the stream stays open.
+    is_interrupted: bool,
+}
+
+impl<S, B> ConnectionDriver<S>
+where
+    S: HttpService<Incoming, ResBody = B>,
+    S::Error: Into<Box<dyn Error + Send + Sync>>,
+    B: Body + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    fn new(
+        connection: http1::Connection<TokioIo<PhaseTrackingStream>, S>,
+        state: StateSender,
+    ) -> Self {
+        Self {
+            connection,
+            state,
+            is_interrupted: false,
         }
-        Some(TimeoutKind::Flush) => {
-            log::info!(target: "http", "Connection closed: the caller did not read its response in time.");
-            return;
+    }
+
+    /// Runs until hyper has closed its side.
+    async fn run(&mut self) -> Result<(), hyper::Error> {
+        future::poll_fn(|context| {
+            let polled = Pin::new(&mut self.connection).poll(context);
+            let interrupts = !self.is_interrupted && self.state.current().is_receiving_chunks();
+            if polled.is_ready() || !interrupts {
+                return polled;
+            }
+            self.is_interrupted = true;
+            Pin::new(&mut self.connection).graceful_shutdown();
+            Pin::new(&mut self.connection).poll(context)
+        })
+        .await
+    }
+
+    /// Runs until the request in progress is complete.
+    async fn stop(&mut self) -> Result<(), hyper::Error> {
+        // hyper would not wait for the rest of the body on a connection that closes anyway.
+        if !self.state.current().closes {
+            Pin::new(&mut self.connection).graceful_shutdown();
         }
+        self.run().await
+    }
+}
+
+/// Sends the end of a connection.
+async fn close(stream: &mut TcpStream) {
+    if let Err(error) = stream.shutdown().await {
+        log::debug!(target: "http", "Closing a connection failed: {error}.");
     }
-    Pin::new(&mut connection).graceful_shutdown();
-    log_end(connection.await);
+}
+
+/// Closes a connection on which the peer may still be sending: reads and discards until the
+/// peer closes as well, within limits.
+async fn close_lingering(mut stream: TcpStream) {
+    close(&mut stream).await;
+    match time::timeout(LINGER_TIMEOUT, discard(&mut stream)).await {
+        Ok(Ok(0)) => {}
+        Ok(Ok(size)) => {
+            log::debug!(target: "http", "Discarded {size} bytes after the last response.");
+        }
+        Ok(Err(error)) => log::debug!(target: "http", "Connection broke at its end: {error}."),
+        Err(_) => log::debug!(target: "http", "The peer did not close its connection in time."),
+    }
+}
+
+/// Reads up to [`LINGER_BYTES_MAX`], or until the peer closes; returns the bytes read.
+async fn discard(stream: &mut TcpStream) -> io::Result<usize> {
+    let mut buffer = vec![0; DISCARD_BUFFER_BYTES];
+    let mut discarded = 0;
+    while discarded < LINGER_BYTES_MAX {
+        let size = stream.read(&mut buffer).await?;
+        if size == 0 {
+            break;
+        }
+        discarded += size;
+    }
+    Ok(discarded)
 }
 
 /// Which timeout a connection has exceeded.
@@ -213,15 +339,14 @@
 async fn respond_head_timeout(mut stream: TcpStream, requests: u64) {
     let peer = stream.peer_addr().map(|peer| peer.to_string());
     let peer = peer.unwrap_or_default();
-    let sent = match stream.write_all(HEAD_TIMEOUT_RESPONSE).await {
-        Ok(()) => stream.shutdown().await,
-        Err(error) => Err(error),
-    };
-    match sent {
-        Ok(()) => log::info!(
-            target: "http", peer:%, requests;
-            "Request head timed out; responded with 408."
-        ),
+    match stream.write_all(HEAD_TIMEOUT_RESPONSE).await {
+        Ok(()) => {
+            log::info!(
+                target: "http", peer:%, requests;
+                "Request head timed out; responded with 408."
+            );
+            close_lingering(stream).await;
+        }
         Err(error) => {
             log::debug!(target: "http", peer:%, requests; "Sending the 408 failed: {error}.");
         }
--- a/crates/policy/tests/balancer.rs
+++ b/crates/policy/tests/balancer.rs
@@ -464,3 +464,252 @@
         assert_eq!(granted, is_used, "{pause} ms: {admission:?}");
     }
 }
+
+/// Removes an upstream from the configuration for a while, as when its entry expires and is
+/// written again.
+async fn remove_for_a_while(balancer: &mut ServiceBalancer, upstream: &UpstreamId) {
+    let configured = Arc::clone(balancer.service());
+    let mut without = configured.as_ref().clone();
+    without.upstreams.retain(|up| up.id != *upstream);
+    balancer.configure(Instant::now(), Arc::new(without));
+    time::advance(Duration::from_millis(500)).await;
+    balancer.configure(Instant::now(), configured);
+}
+
+/// A service whose upstreams are instances, which never return to service.
+fn instance_balancer() -> ServiceBalancer {
+    let mut service = service(3, 4, 4).as_ref().clone();
+    for upstream in &mut service.upstreams {
+        upstream.instance = Some(upstream.id.as_str().into());
+    }
+    ServiceBalancer::new(Instant::now(), Arc::new(service), name("ikeja"), 5)
+}
+
+// An entry that expires and is written again is still the instance that asked for the pause.
+#[tokio::test(start_paused = true)]
+async fn a_pause_outlasts_the_removal_of_the_upstream() {
+    let mut balancer = balancer(3);
+    let paused = name("up-0");
+    balancer.record_pause(Instant::now(), &paused, "2".parse().unwrap());
+    remove_for_a_while(&mut balancer, &paused).await;
+    time::advance(Duration::from_millis(1_400)).await;
+    assert!(!run_requests(&mut balancer, 100, true).contains(&paused));
+    time::advance(Duration::from_secs(5)).await;
+    assert!(run_requests(&mut balancer, 100, true).contains(&paused));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_stated_drain_outlasts_the_removal_of_the_instance() {
+    let mut balancer = instance_balancer();
+    let draining = name("up-0");
+    balancer.record_drain(Instant::now(), &draining);
+    for _ in 0..3 {
+        remove_for_a_while(&mut balancer, &draining).await;
+        time::advance(Duration::from_hours(2)).await;
+        balancer.tick(Instant::now());
+        assert!(!run_requests(&mut balancer, 100, true).contains(&draining));
+    }
+}
+
+/// Adds an instance to the configuration.
+fn add_instance(balancer: &mut ServiceBalancer, id: &UpstreamId) {
+    let mut configured = balancer.service().as_ref().clone();
+    let mut upstream = configured.upstreams[0].clone();
+    upstream.id = id.clone();
+    upstream.instance = Some(id.as_str().into());
+    configured.upstreams.push(upstream);
+    balancer.configure(Instant::now(), Arc::new(configured));
+}
+
+// Another node may state a drain before this one has read the entry of the instance.
+#[tokio::test(start_paused = true)]
+async fn a_drain_of_an_instance_that_is_not_configured_yet_is_kept() {
+    let mut balancer = instance_balancer();
+    let draining: UpstreamId = name("up-9");
+    balancer.record_drain(Instant::now(), &draining);
+    add_instance(&mut balancer, &draining);
+    assert!(!run_requests(&mut balancer, 100, true).contains(&draining));
+}
+
+// Without its limit, an upstream would get requests without a permit from every node at once.
+#[tokio::test(start_paused = true)]
+async fn a_limit_outlasts_the_removal_of_the_upstream() {
+    let mut balancer = balancer(1);
+    let state = LimitState {
+        rate: Some("2".parse().unwrap()),
+        version: LimitVersion::default().next(),
+    };
+    balancer.apply_limit(&name("up-0"), state);
+    remove_for_a_while(&mut balancer, &name("up-0")).await;
+    let admission = balancer.admit(Instant::now(), &request(false));
+    assert!(
+        matches!(admission, Admission::PermitNeeded(_)),
+        "{admission:?}"
+    );
+}
+
+// Instances come and go for as long as a node runs.
+#[tokio::test(start_paused = true)]
+async fn of_the_removed_instances_only_the_last_ones_are_remembered() {
+    let mut balancer = instance_balancer();
+    let gone = |number: usize| name::<UpstreamId>(&format!("gone-{number}"));
+    for number in 0..5_000 {
+        balancer.record_drain(Instant::now(), &gone(number));
+    }
+    add_instance(&mut balancer, &gone(0));
+    add_instance(&mut balancer, &gone(4_999));
+    let used = run_requests(&mut balancer, 200, true);
+    assert!(used.contains(&gone(0)));
+    assert!(!used.contains(&gone(4_999)));
+}
+
+/// A service whose nodes share the news of their requests.
+fn sharing_service(upstreams: usize) -> Service {
+    Service {
+        profile: DetectionProfile::Episodes,
+        ..service(upstreams, 4, 4).as_ref().clone()
+    }
+}
+
+// Every node of the data centre may have been asked for the same pause. After it, one of them
+// sends the first request, and not all.
+#[tokio::test(start_paused = true)]
+async fn the_nodes_of_a_fleet_do_not_all_return_to_an_upstream_at_once() {
+    const NODES: u32 = 48;
+    let paused: UpstreamId = name("up-0");
+    let mut fleet: Vec<_> = (0..NODES)
+        .map(|seed| {
+            let service = Arc::new(sharing_service(9));
+            let mut balancer =
+                ServiceBalancer::new(Instant::now(), service, name("ikeja"), seed.into());
+            balancer.set_fleet_size(NODES);
+            run_requests(&mut balancer, 40, true);
+            balancer.record_pause(Instant::now(), &paused, "60".parse().unwrap());
+            balancer
+        })
+        .collect();
+    let mut arrivals = 0;
+    for _ in 0..602 {
+        time::advance(Duration::from_millis(100)).await;
+        for balancer in &mut fleet {
+            let used = run_requests(balancer, 1, true);
+            arrivals += used.iter().filter(|id| **id == paused).count();
+        }
+    }
+    // 200 ms after the end of the pause.
+    assert!(arrivals <= 4, "{arrivals} requests");
+}
+
+// After a pause, an upstream is in service again within the time of an offer.
+#[tokio::test(start_paused = true)]
+async fn a_node_without_others_returns_to_an_upstream_soon_after_its_pause() {
+    let paused: UpstreamId = name("up-0");
+    for seed in 0..20 {
+        let service = Arc::new(sharing_service(9));
+        let mut balancer = ServiceBalancer::new(Instant::now(), service, name("ikeja"), seed);
+        run_requests(&mut balancer, 40, true);
+        balancer.record_pause(Instant::now(), &paused, "10".parse().unwrap());
+        time::advance(Duration::from_secs(10)).await;
+        let mut used = Vec::new();
+        for _ in 0..20 {
+            time::advance(Duration::from_millis(50)).await;
+            used.extend(run_requests(&mut balancer, 1, true));
+        }
+        assert!(used.contains(&paused), "seed {seed}: {used:?}");
+    }
+}
+
+/// How many of 300 requests an upstream gets, one after another. With two others in the data
+/// centre, its share is 100.
+fn count_of_300(balancer: &mut ServiceBalancer, upstream: &UpstreamId) -> usize {
+    let used = run_requests(balancer, 300, false);
+    used.iter().filter(|id| *id == upstream).count()
+}
+
+// An upstream that returns to service slowly does not return faster because it asks for a pause.
+#[tokio::test(start_paused = true)]
+async fn a_short_pause_does_not_shorten_the_return_to_service() {
+    let mut balancer = balancer(9);
+    let returning: UpstreamId = name("up-0");
+    balancer.apply_verdict(Instant::now(), &returning, &Verdict::Eject);
+    balancer.apply_verdict(Instant::now(), &returning, &Verdict::Clear);
+    balancer.record_pause(Instant::now(), &returning, "0.1".parse().unwrap());
+    time::advance(Duration::from_secs(4)).await;
+    let count = count_of_300(&mut balancer, &returning);
+    assert!(count < 60, "{count} requests");
+    time::advance(Duration::from_secs(30)).await;
+    let count = count_of_300(&mut balancer, &returning);
+    assert!(count > 80, "{count} requests");
+}
+
+// A verdict that ends early in a pause does not use up the return after it.
+#[tokio::test(start_paused = true)]
+async fn load_returns_gradually_after_a_pause_in_which_a_verdict_ended() {
+    let mut balancer = balancer(9);
+    let paused: UpstreamId = name("up-0");
+    balancer.record_pause(Instant::now(), &paused, "60".parse().unwrap());
+    balancer.apply_verdict(Instant::now(), &paused, &Verdict::Eject);
+    balancer.apply_verdict(Instant::now(), &paused, &Verdict::Clear);
+    time::advance(Duration::from_millis(60_100)).await;
+    let count = count_of_300(&mut balancer, &paused);
+    assert!(count < 60, "{count} requests");
+    time::advance(Duration::from_secs(3)).await;
+    let count = count_of_300(&mut balancer, &paused);
+    assert!(count > 80, "{count} requests");
+}
+
+// A caller that comes back sends a new request, which may use the upstreams that were tried.
+#[tokio::test(start_paused = true)]
+async fn a_retry_that_only_paused_upstreams_could_serve_tells_the_first_return() {
+    let mut balancer = balancer(2);
+    for (upstream, seconds) in [("up-0", "7"), ("up-1", "3")] {
+        balancer.record_pause(Instant::now(), &name(upstream), seconds.parse().unwrap());
+    }
+    let mut retry = AttemptRequest {
+        purpose: AttemptPurpose::Retry,
+        exclude: vec![name("up-1")],
+        ..request(true)
+    };
+    for _ in 0..2 {
+        let admission = balancer.admit(Instant::now(), &retry);
+        let Admission::RateLimited(wait) = admission else {
+            panic!("the retry was not rejected with a time: {admission:?}");
+        };
+        assert_eq!(wait, Duration::from_secs(3));
+        retry.exclude.push(name("up-0"));
+    }
+}
+
+// One that was tried and asks for no pause may serve at once when the caller comes back.
+#[tokio::test(start_paused = true)]
+async fn a_retry_tells_no_long_time_if_a_tried_upstream_does_not_pause() {
+    let mut balancer = balancer(2);
+    balancer.record_pause(Instant::now(), &name("up-0"), "30".parse().unwrap());
+    let retry = AttemptRequest {
+        purpose: AttemptPurpose::Retry,
+        exclude: vec![name("up-1")],
+        ..request(true)
+    };
+    let admission = balancer.admit(Instant::now(), &retry);
+    let Admission::RateLimited(wait) = admission else {
+        panic!("the retry was not rejected with a time: {admission:?}");
+    };
+    assert_eq!(wait, Duration::ZERO);
+}
+
+// Operators see why an upstream gets nothing, and since when.
+#[tokio::test(start_paused = true)]
+async fn the_view_of_an_upstream_tells_the_age_and_the_rest_of_its_pause() {
+    let mut balancer = balancer(1);
+    let paused: UpstreamId = name("up-0");
+    balancer.record_pause(Instant::now(), &paused, "10".parse().unwrap());
+    time::advance(Duration::from_secs(3)).await;
+    // A shorter one changes nothing.
+    balancer.record_pause(Instant::now(), &paused, "1".parse().unwrap());
+    remove_for_a_while(&mut balancer, &paused).await;
+    let pause = balancer.views(Instant::now())[&paused].pause.unwrap();
+    assert_eq!(pause.age, Duration::from_millis(3_500));
+    assert_eq!(pause.left, Duration::from_millis(6_500));
+    time::advance(Duration::from_secs(7)).await;
+    assert_eq!(balancer.views(Instant::now())[&paused].pause, None);
+}
--- a/crates/upstream/src/service/handle.rs
+++ b/crates/upstream/src/service/handle.rs
@@ -7,6 +7,7 @@
 
 use model::error::{ErrorKind, FleetError};
 use model::pause::PauseTime;
+use model::sizes::ExchangeCount;
 use model::{config, ids};
 use policy::detection::{ServiceLatency, Verdict};
 use policy::ejection::EjectionRecord;
@@ -455,6 +456,12 @@
         self.connection = Some(connection);
     }
 
+    /// Whether the connection that the attempt uses carries no earlier exchange.
+    pub fn is_first_exchange(&self) -> bool {
+        let used = self.connection.map(|connection| connection.exchanges);
+        used == Some(ExchangeCount::default())
+    }
+
     /// Records that the attempt uses a connection that may be stale, so a missing
     /// response is no evidence against the upstream.
     pub fn mark_possibly_stale(&self) {
@@ -489,6 +496,7 @@
         let AttemptGrant {
             upstream, trial, ..
         } = &self.grant;
+        let used = self.connection.unwrap_or_default();
         log::info!(
             target: "attempt",
             request:% = self.request,
@@ -496,8 +504,8 @@
             service:% = self.service.id,
             purpose:% = self.purpose,
             trial = *trial,
-            connection = self.connection.map(|used| used.local_port.get()),
-            exchanges_before = self.connection.map(|used| used.exchanges.get()),
+            connection = used.local_port.get(),
+            exchanges_before = used.exchanges.get(),
             age_ms = millis(self.granted.elapsed());
             "An attempt ended: {end}."
         );
