fix(attempt): a connection whose response was rejected is not used again

Callers of upstreams that return no ids got the response to another request ("/orders/2 got the response to /orders/1"); on the users' platform each once-only request behind a response too many without a body was lost with 502, one after the other, though its upstream was sound.

Cause: the connection was returned to the pool before it was decided whether the response belongs to the request. When it does not, the one that does is still due there, and the connection stays one response out of step.

Change: a connection is returned only after its response was accepted; otherwise it closes.

--- a/crates/upstream/src/attempt.rs
+++ b/crates/upstream/src/attempt.rs
@@ -148,14 +148,19 @@
             return Err(AttemptFailure::new(end));
         }
     };
+    lease.record_head();
+    let Some(signals) = check_response(handle.headers(), &lease, context, &response) else {
+        // The connection closes: the response to the request is still due on it.
+        lease.end(AttemptEnd::Broken);
+        return Err(AttemptFailure::new(AttemptEnd::Broken));
+    };
     let pool = lease.pool().clone();
     tokio::spawn(async move {
         if let Some(reusable) = returned_connection.await {
             pool.release(reusable.connection, carried).await;
         }
     });
-    lease.record_head();
-    receive_response(handle, lease, context, response).await
+    receive_response(handle, lease, context, signals, response).await
 }
 
 fn build_request(
@@ -193,28 +198,38 @@
     request
 }
 
+/// Reads what a response states; `None` if it cannot be the response to the request.
+fn check_response(
+    names: &UpstreamHeaders,
+    lease: &AttemptLease,
+    context: &AttemptContext,
+    response: &http::Response<ResponseBody>,
+) -> Option<UpstreamSignals> {
+    let signals = names.read_signals(response.status(), response.headers());
+    let rejection = rejection_reason(names, context, lease, response.headers(), signals);
+    lease.record_limit(trusted_limit(context, lease, signals, rejection.is_some()));
+    let Some(reason) = rejection else {
+        return Some(signals);
+    };
+    log::info!(
+        target: "attempt",
+        request:% = context.request,
+        upstream:% = lease.upstream().id,
+        status = response.status().as_u16();
+        "A response was rejected: {reason}."
+    );
+    None
+}
+
 async fn receive_response(
     handle: &ServiceHandle,
     lease: AttemptLease,
     context: &AttemptContext,
+    signals: UpstreamSignals,
     response: http::Response<ResponseBody>,
 ) -> Result<CallResponse, AttemptFailure> {
     let (parts, body) = response.into_parts();
     let names = handle.headers();
-    let signals = names.read_signals(parts.status, &parts.headers);
-    let rejection = rejection_reason(names, context, &lease, &parts, signals);
-    lease.record_limit(trusted_limit(context, &lease, signals, rejection.is_some()));
-    if let Some(reason) = rejection {
-        log::info!(
-            target: "attempt",
-            request:% = context.request,
-            upstream:% = lease.upstream().id,
-            status = parts.status.as_u16();
-            "A response was rejected: {reason}."
-        );
-        lease.end(AttemptEnd::Broken);
-        return Err(AttemptFailure::new(AttemptEnd::Broken));
-    }
     report_signals(handle, &lease, context, signals).await;
     let mut headers = parts.headers;
     http1::header::strip_hop_by_hop(&mut headers);
@@ -339,20 +354,20 @@
     names: &UpstreamHeaders,
     context: &AttemptContext,
     lease: &AttemptLease,
-    parts: &http::response::Parts,
+    headers: &http::HeaderMap,
     signals: UpstreamSignals,
 ) -> Option<&'static str> {
-    if !names.names_request(&parts.headers, &context.sent_id) {
+    if !names.names_request(headers, &context.sent_id) {
         return Some("it does not carry the id of the request, or carries another one");
     }
-    let is_named = parts.headers.contains_key(&names.request_id);
+    let is_named = headers.contains_key(&names.request_id);
     if signals.refusal.is_some() && !is_named && !lease.is_first_exchange() {
         return Some("it is a refusal without an id, and may be that of an earlier request");
     }
     if !signals.signed && signals.refusal.is_none() {
         return Some("it lacks the upstream's signature header");
     }
-    let encoded = parts.headers.contains_key(header::CONTENT_ENCODING);
+    let encoded = headers.contains_key(header::CONTENT_ENCODING);
     if encoded && !context.head.headers.contains_key(header::ACCEPT_ENCODING) {
         return Some("it has a content encoding that the request did not accept");
     }
