fix(caller): a request runs with the target that was sent, or not at all

What callers saw: `POST a.example` ran as `POST /` on the host named as the target; `/orders/7#top` ran as `/orders/7`, and `/#/orders/7` as `/`; `ftp://a.example/orders/7` ran; `http://a.example?x=1` was rejected (400) though it is `/?x=1`; an absolute target without `Host` ran.

Cause: the target was read from the URI that hyper makes of it. A URI of authority form has no path, which was taken for `/`; a fragment is dropped before the product sees it. A second copy of the same cause: the target was parsed again for the upstream, with `/` where that failed.

Change: http1 finds the request line in the bytes that hyper reads (`TargetTracker`) and passes the target on as an extension. It stops each read at the end of a head until hyper has parsed it and the body is known, so it never decides by itself how a request is framed. `RequestTarget` reads the forms of RFC 9112, 3.2; the path is kept as a parsed path, so nothing is parsed twice.

--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`wire`]: calls, responses and errors as HTTP/1.1 messages.
 
 pub mod listener;
+mod target;
 pub mod wire;
 
 pub use listener::{CallerLimits, CallerListener, CallerSettings};
--- a/crates/caller/src/wire.rs
+++ b/crates/caller/src/wire.rs
@@ -5,9 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{
-    HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Version, header,
-};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use http1::header as http1_header;
 use http1::server::RequestBody;
@@ -16,6 +14,8 @@
 use model::error::{ErrorKind, FleetError, Outcome};
 use model::sizes;
 
+use crate::target::RequestTarget;
+
 /// Request header: the caller's workspace.
 pub const WORKSPACE: &str = "workspace";
 /// Request header: the key under which a once-only request runs at most once.
@@ -80,8 +80,7 @@
     let (parts, incoming) = request.into_parts();
     check_method(&parts.method)?;
     check_body_size(&parts.headers, body_limit)?;
-    let host = read_host(&parts)?;
-    let target = read_target(&parts)?;
+    let target = RequestTarget::read(&parts)?;
     let mut headers = parts.headers;
     let workspace = read_header(&headers, names.workspace.as_ref())?
         .map(|text| {
@@ -107,8 +106,8 @@
     let body = limit_body(incoming, body_limit);
     let head = CallHead {
         method: parts.method,
-        target,
-        host,
+        target: target.path,
+        host: target.host,
         headers,
         workspace,
         idempotency_key,
@@ -175,34 +174,6 @@
     Ok(())
 }
 
-fn read_host(parts: &http::request::Parts) -> Result<Arc<str>, FleetError> {
-    let mut hosts = parts.headers.get_all(header::HOST).iter();
-    let first = hosts.next();
-    if hosts.next().is_some() {
-        return Err(bad_request("more than one Host header"));
-    }
-    if let Some(authority) = parts.uri.authority() {
-        return Ok(authority.as_str().into());
-    }
-    match first.map(HeaderValue::to_str) {
-        Some(Ok(host)) => Ok(host.into()),
-        Some(Err(_)) => Err(bad_request("the Host header is not visible ASCII")),
-        None if parts.version == Version::HTTP_10 => Ok("".into()),
-        None => Err(bad_request("the Host header is missing")),
-    }
-}
-
-fn read_target(parts: &http::request::Parts) -> Result<Arc<str>, FleetError> {
-    let target = parts
-        .uri
-        .path_and_query()
-        .map_or("/", http::uri::PathAndQuery::as_str);
-    if target.starts_with('/') || target == "*" {
-        return Ok(target.into());
-    }
-    Err(bad_request("the request target is not a path"))
-}
-
 fn read_key(headers: &HeaderMap, names: &CallerHeaders) -> Result<Option<Arc<str>>, FleetError> {
     let Some(key) = read_header(headers, names.idempotency_key.as_ref())? else {
         return Ok(None);
--- a/crates/http1/src/server/mod.rs
+++ b/crates/http1/src/server/mod.rs
@@ -1,6 +1,7 @@
 //! Accepted connections: size limits, timeouts and graceful shutdown.
 
 mod phase;
+mod target;
 
 use std::convert::Infallible;
 use std::error::Error;
@@ -26,9 +27,12 @@
     StateSender,
 };
 
+use target::{BodyFraming, TargetTracker};
+
 use crate::header;
 
 pub use phase::RequestBody;
+pub use target::RawTarget;
 
 /// How long to wait before the next accept when the system could not provide a
 /// connection.
@@ -73,7 +77,7 @@
     }
 }
 
-/// Handles one request and returns its response.
+/// Handles one request, which has its [`RawTarget`] as an extension, and returns its response.
 pub type Handler<B> = Arc<
     dyn Fn(
             http::Request<RequestBody>,
@@ -100,10 +104,14 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let (state, mut states) = StateSender::new();
+    let (tracker, targets) = TargetTracker::new();
     let service_state = state.clone();
-    let mut service = service_fn(move |request: http::Request<_>| {
+    let mut service = service_fn(move |mut request: http::Request<_>| {
         let state = service_state.clone();
-        state.start_request(&request);
+        let framing = body_framing(request.body());
+        let target = targets.start_request(framing);
+        request.extensions_mut().insert(target);
+        state.start_request(&request, framing);
         let request = request.map(|incoming| RequestBody::new(incoming, state.clone()));
         let response = handler(request);
         async move {
@@ -125,11 +133,7 @@
         .header_read_timeout(None)
         .max_buf_size(initial_limits.head_bytes.max(MIN_BUFFER_BYTES))
         .max_headers(initial_limits.headers);
-    let mut stream = PhaseTrackingStream {
-        stream,
-        unread: Bytes::new(),
-        state: state.clone(),
-    };
+    let mut stream = PhaseTrackingStream::new(stream, tracker, state.clone());
     loop {
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         let mut driver = ConnectionDriver::new(connection, state.clone());
@@ -171,11 +175,19 @@
         if !resumes {
             return close(&mut stream.stream).await;
         }
-        stream.unread = parts.read_buf;
+        stream.returned = parts.read_buf;
         service = parts.service;
     }
 }
 
+fn body_framing(body: &Incoming) -> BodyFraming {
+    match body.size_hint().exact() {
+        _ if body.is_end_stream() => BodyFraming::None,
+        Some(size) => BodyFraming::Sized(size),
+        None => BodyFraming::Chunked,
+    }
+}
+
 /// Drives hyper's side of a connection.
 ///
 /// hyper does not end a body with trailers once its response has been sent, unless the
--- a/crates/http1/src/server/phase.rs
+++ b/crates/http1/src/server/phase.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use super::target::{BodyFraming, TargetTracker};
 use crate::header;
 
 /// What a connection is doing, and since when.
@@ -137,12 +138,11 @@
     }
 
     /// Records the start of a request.
-    pub(super) fn start_request(&self, request: &http::Request<Incoming>) {
-        let body = request.body();
-        let body = match body.size_hint().exact() {
-            _ if body.is_end_stream() => BodyState::Ended,
-            Some(_) => BodyState::Sized,
-            None => BodyState::Chunked,
+    pub(super) fn start_request(&self, request: &http::Request<Incoming>, framing: BodyFraming) {
+        let body = match framing {
+            BodyFraming::None => BodyState::Ended,
+            BodyFraming::Sized(_) => BodyState::Sized,
+            BodyFraming::Chunked => BodyState::Chunked,
         };
         let closes = header::announces_close(request.headers());
         self.0
@@ -163,22 +163,47 @@
 /// response.
 pub(super) struct PhaseTrackingStream {
     pub(super) stream: TcpStream,
-    /// Bytes that have been read and come before those of the stream.
-    pub(super) unread: Bytes,
-    pub(super) state: StateSender,
+    /// Bytes that hyper has read and given back; they come before all others.
+    pub(super) returned: Bytes,
+    /// Bytes that have been read from the stream and come before the rest of it.
+    unread: Bytes,
+    targets: TargetTracker,
+    state: StateSender,
 }
 
 impl PhaseTrackingStream {
+    pub(super) fn new(stream: TcpStream, targets: TargetTracker, state: StateSender) -> Self {
+        Self {
+            stream,
+            returned: Bytes::new(),
+            unread: Bytes::new(),
+            targets,
+            state,
+        }
+    }
+
     fn poll_read_bytes(
         &mut self,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.unread.is_empty() {
-            return Pin::new(&mut self.stream).poll_read(context, buffer);
+        if !self.returned.is_empty() {
+            let size = self.returned.len().min(buffer.remaining());
+            buffer.put_slice(&self.returned.split_to(size));
+            return Poll::Ready(Ok(()));
+        }
+        ready!(self.targets.poll_ready(context));
+        if !self.unread.is_empty() {
+            let size = self.unread.len().min(buffer.remaining());
+            let used = self.targets.advance(&self.unread[..size]);
+            buffer.put_slice(&self.unread.split_to(used));
+            return Poll::Ready(Ok(()));
         }
-        let size = self.unread.len().min(buffer.remaining());
-        buffer.put_slice(&self.unread.split_to(size));
+        let start = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        let end = start + self.targets.advance(&buffer.filled()[start..]);
+        self.unread = Bytes::copy_from_slice(&buffer.filled()[end..]);
+        buffer.set_filled(end);
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/model/src/call/mod.rs
+++ b/crates/model/src/call/mod.rs
@@ -23,8 +23,8 @@
 pub struct CallHead {
     /// The request method.
     pub method: http::Method,
-    /// Path and query.
-    pub target: Arc<str>,
+    /// Path and query as they were sent.
+    pub target: http::uri::PathAndQuery,
     /// The host from the request target or the `Host` header.
     pub host: Arc<str>,
     /// End-to-end headers.
@@ -42,7 +42,7 @@
 impl CallHead {
     /// The path without the query.
     pub fn path(&self) -> &str {
-        self.target.split('?').next().unwrap_or_default()
+        self.target.path()
     }
 }
 
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -19,7 +19,7 @@
 fn head(method: &str, host: &str, target: &str) -> CallHead {
     CallHead {
         method: method.parse().unwrap(),
-        target: target.into(),
+        target: target.parse().unwrap(),
         host: host.into(),
         headers: http::HeaderMap::new(),
         workspace: None,
--- a/crates/upstream/src/attempt.rs
+++ b/crates/upstream/src/attempt.rs
@@ -172,7 +172,7 @@
 ) -> http::Request<BodyStream> {
     let mut request = http::Request::new(body);
     *request.method_mut() = context.head.method.clone();
-    *request.uri_mut() = context.head.target.parse().unwrap_or_default();
+    *request.uri_mut() = context.head.target.clone().into();
     let headers = request.headers_mut();
     headers.clone_from(&context.head.headers);
     let host = context
--- a/crates/upstream/src/dispatch/dispatcher.rs
+++ b/crates/upstream/src/dispatch/dispatcher.rs
@@ -560,7 +560,11 @@
         RequestBody::Streaming(_) => b"streamed",
     };
     let method: &Method = &head.method;
-    digest::stable_hash(&[method.as_str().as_bytes(), head.target.as_bytes(), bytes])
+    digest::stable_hash(&[
+        method.as_str().as_bytes(),
+        head.target.as_str().as_bytes(),
+        bytes,
+    ])
 }
 
 /// What makes this request the same one as an earlier attempt of its caller.
