fix(caller): an invalid Host is rejected as malformed, an empty port is none

What callers saw: `Host: a.example, b.example`, `joe@a.example` or `a.example/` got 404, as if a route were missing, and were passed on where a route has no host; `Host: a.example:` got 404 although an empty port is the default one (RFC 3986, 3.2.3).

Cause: any visible text was taken for a host, and a port needed a digit.

Valid hosts reach the backend as they were sent, case and port included.

--- a/crates/caller/src/target.rs
+++ b/crates/caller/src/target.rs
@@ -73,12 +73,17 @@
     if hosts.next().is_some() {
         return Err(bad_request("more than one Host header"));
     }
-    match host.map(HeaderValue::to_str) {
-        Some(Ok(host)) => Ok(host.into()),
-        Some(Err(_)) => Err(bad_request("the Host header is not visible ASCII")),
-        None if parts.version == Version::HTTP_10 => Ok("".into()),
-        None => Err(bad_request("the Host header is missing")),
-    }
+    let Some(host) = host else {
+        let may_lack_host = parts.version == Version::HTTP_10;
+        return if may_lack_host {
+            Ok("".into())
+        } else {
+            Err(bad_request("the Host header is missing"))
+        };
+    };
+    let host = HeaderValue::to_str(host).ok().filter(|host| is_host(host));
+    host.map(Arc::from)
+        .ok_or_else(|| bad_request("the Host header is invalid"))
 }
 
 /// Whether a text is a host, with or without a port, or empty.
--- a/crates/policy/src/routing/table.rs
+++ b/crates/policy/src/routing/table.rs
@@ -155,8 +155,9 @@
         .unwrap_or_default()
 }
 
+/// Whether a text is a port, which may be empty (RFC 3986, 3.2.3).
 fn is_port(text: &str) -> bool {
-    !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit())
+    text.bytes().all(|byte| byte.is_ascii_digit())
 }
 
 fn to_lower(host: &str) -> Arc<str> {
