fix(client): a streamed body in chunks is sent whatever the method

Cause: hyper sends no body of unknown length with `GET` and `HEAD` unless the head declares it. Smaller bodies are buffered and have a known length, so they were sent.

Change: the exchange declares the chunks itself, for each attempt.

--- a/crates/http1/src/client/connection.rs
+++ b/crates/http1/src/client/connection.rs
@@ -5,6 +5,8 @@
 use std::pin::{Pin, pin};
 use std::time::Duration;
 
+use http::{HeaderValue, header};
+use hyper::body::Body as _;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use model::call::BodyStream;
@@ -120,7 +122,7 @@
     /// [`ExchangeError`] states whether part of the request may have been sent.
     pub async fn exchange(
         mut self,
-        request: http::Request<BodyStream>,
+        mut request: http::Request<BodyStream>,
     ) -> Result<
         (
             http::Response<ResponseBody>,
@@ -130,6 +132,7 @@
     > {
         let (reply, receiver) = oneshot::channel();
         let (finished, exchange_end) = oneshot::channel();
+        declare_chunks(&mut request);
         let command = ExchangeCommand {
             request,
             reply,
@@ -150,6 +153,16 @@
     }
 }
 
+/// Declares that a body of unknown length is sent in chunks. Without the header, hyper assumes
+/// that `GET` and `HEAD` have no body, and sends none.
+fn declare_chunks(request: &mut http::Request<BodyStream>) {
+    if request.body().size_hint().exact().is_none() {
+        let chunked = HeaderValue::from_static("chunked");
+        let headers = request.headers_mut();
+        headers.insert(header::TRANSFER_ENCODING, chunked);
+    }
+}
+
 type Sender = http1::SendRequest<BodyStream>;
 type Driver = http1::Connection<TokioIo<HeadLimitedStream>, BodyStream>;
 
