fix(caller): a body with another transfer coding than chunks is rejected

What callers saw: a request with `Transfer-Encoding: gzip, chunked` ran with a compressed body that nothing declared as such any more (UNASKED: the body is forwarded unchanged).

Cause: hyper removes the chunks and the header concerns one connection, so the other coding was lost. Change: such a body, and any transfer coding of HTTP/1.0, gets 400 before it is read; a `Transfer-Encoding` in several lines or empty likewise.

--- a/crates/caller/src/wire.rs
+++ b/crates/caller/src/wire.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Version, header,
+};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use http1::header as http1_header;
 use http1::server::RequestBody;
@@ -79,6 +81,7 @@
 ) -> Result<Call, FleetError> {
     let (parts, incoming) = request.into_parts();
     check_method(&parts.method)?;
+    check_transfer_coding(&parts)?;
     check_body_size(&parts.headers, body_limit)?;
     let target = RequestTarget::read(&parts)?;
     let mut headers = parts.headers;
@@ -174,6 +177,19 @@
     Ok(())
 }
 
+/// Rejects a body that would be passed on without one of its transfer codings, and chunks in a
+/// version that has none (RFC 9112, 6.1).
+fn check_transfer_coding(parts: &http::request::Parts) -> Result<(), FleetError> {
+    let has_chunks = parts.headers.contains_key(header::TRANSFER_ENCODING);
+    if has_chunks && parts.version == Version::HTTP_10 {
+        return Err(bad_request("HTTP/1.0 has no transfer codings"));
+    }
+    if http1_header::has_other_transfer_coding(&parts.headers) {
+        return Err(bad_request("the only supported transfer coding is chunked"));
+    }
+    Ok(())
+}
+
 fn read_key(headers: &HeaderMap, names: &CallerHeaders) -> Result<Option<Arc<str>>, FleetError> {
     let Some(key) = read_header(headers, names.idempotency_key.as_ref())? else {
         return Ok(None);
--- a/crates/http1/src/header.rs
+++ b/crates/http1/src/header.rs
@@ -37,6 +37,19 @@
         .any(|option| option.trim().eq_ignore_ascii_case("close"))
 }
 
+/// Whether a body has a transfer coding other than chunks. hyper removes the chunks alone, so
+/// what is left would be taken for the body itself.
+pub fn has_other_transfer_coding(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(header::TRANSFER_ENCODING).iter();
+    let mut codings = values.flat_map(|value| value.as_bytes().split(|byte| *byte == b','));
+    let is_chunked = |coding: &[u8]| coding.trim_ascii().eq_ignore_ascii_case(b"chunked");
+    match (codings.next(), codings.next()) {
+        (None, _) => false,
+        (Some(coding), None) => !is_chunked(coding),
+        (Some(_), Some(_)) => true,
+    }
+}
+
 /// The first value of a header as text; none when it is missing or not visible ASCII.
 pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
