fix(attempt): a signature that Connection lists is returned

Cause: every listed header was removed as one of the connection. Change: the headers that say whose response it is stay; the id of a request always did, as it is set anew.

Result: a_signature_that_connection_lists_is_returned failed on the code before (no signature).

--- a/crates/caller/src/wire.rs
+++ b/crates/caller/src/wire.rs
@@ -96,7 +96,7 @@
         .filter(|id| !id.is_empty())
         .cloned();
     let timeout = read_timeout(&headers, names)?;
-    http1_header::strip_hop_by_hop(&mut headers);
+    http1_header::strip_hop_by_hop(&mut headers, |_| false);
     let consumed = [
         names.workspace.as_ref(),
         Some(&names.deadline_millis),
--- a/crates/http1/src/header.rs
+++ b/crates/http1/src/header.rs
@@ -14,14 +14,16 @@
     header::UPGRADE,
 ];
 
-/// Removes the hop-by-hop headers, including those that `Connection` lists.
-pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
+/// Removes the hop-by-hop headers, including those that `Connection` lists, except for the ones
+/// that are always `end_to_end`.
+pub fn strip_hop_by_hop(headers: &mut HeaderMap, end_to_end: impl Fn(&HeaderName) -> bool) {
     let listed: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
         .iter()
         .filter_map(|value| value.to_str().ok())
         .flat_map(|value| value.split(','))
         .filter_map(|name| name.trim().parse().ok())
+        .filter(|name| !end_to_end(name))
         .collect();
     for name in listed.iter().chain(&HOP_BY_HOP) {
         headers.remove(name);
--- a/crates/upstream/src/attempt.rs
+++ b/crates/upstream/src/attempt.rs
@@ -207,7 +207,7 @@
     response: &http::Response<ResponseBody>,
 ) -> Option<UpstreamSignals> {
     let signals = names.read_signals(response.status(), response.headers());
-    let rejection = rejection_reason(names, context, lease, response.headers(), signals);
+    let rejection = rejection_reason(names, context, lease, response, signals);
     lease.record_limit(trusted_limit(context, lease, signals, rejection.is_some()));
     let Some(reason) = rejection else {
         return Some(signals);
@@ -233,7 +233,7 @@
     let names = handle.headers();
     report_signals(handle, &lease, context, signals).await;
     let mut headers = parts.headers;
-    http1::header::strip_hop_by_hop(&mut headers);
+    http1::header::strip_hop_by_hop(&mut headers, |name| names.identifies(name));
     names.strip_signals(&mut headers);
     if context.head.request_id.is_none() {
         headers.remove(&names.request_id);
@@ -355,9 +355,10 @@
     names: &UpstreamHeaders,
     context: &AttemptContext,
     lease: &AttemptLease,
-    headers: &http::HeaderMap,
+    response: &http::Response<ResponseBody>,
     signals: UpstreamSignals,
 ) -> Option<&'static str> {
+    let headers = response.headers();
     if !names.names_request(headers, &context.sent_id) {
         return Some("it does not carry the id of the request, or carries another one");
     }
--- a/crates/upstream/src/wire.rs
+++ b/crates/upstream/src/wire.rs
@@ -150,6 +150,12 @@
         is_named && echoed.all(|id| id == sent_id)
     }
 
+    /// Whether a header says whose response it is. An upstream that lists it in `Connection` does
+    /// not mean that callers may do without it.
+    pub fn identifies(&self, name: &HeaderName) -> bool {
+        *name == self.request_id || self.signature.as_ref() == Some(name)
+    }
+
     /// Reads the rate limit that an upstream names. Of several, the lowest one counts.
     fn read_limit(&self, headers: &HeaderMap) -> LimitSignal {
         let mut signal = LimitSignal::Absent;
