fix(attempt): a response that cannot be passed on as it is is rejected

What callers saw: status 101 of a backend, on a connection that goes on in HTTP/1.1 (no answer in the protocol); and a compressed body that nothing declared as such, of a response with `Transfer-Encoding: gzip, chunked` (MIXED).

Cause: the library ends its work at a change of protocol, and removes the chunks alone from a body; neither was looked at. Change: both are rejected like other broken responses: 502, or another attempt where the request may be repeated. They are one rule in one function.

Result: a_change_of_protocol_is_no_response and a_response_with_another_transfer_coding_is_rejected failed on the code before (101; 200).

--- a/crates/upstream/src/attempt.rs
+++ b/crates/upstream/src/attempt.rs
@@ -359,6 +359,12 @@
     signals: UpstreamSignals,
 ) -> Option<&'static str> {
     let headers = response.headers();
+    if response.status().is_informational() {
+        return Some("it is informational, and no response of its own follows it");
+    }
+    if http1::header::has_other_transfer_coding(headers) {
+        return Some("it has a transfer coding other than chunks");
+    }
     if !names.names_request(headers, &context.sent_id) {
         return Some("it does not carry the id of the request, or carries another one");
     }
