fix(server): a response that breaks off does not look complete over HTTP/1.0

Cause: such a response has neither chunks nor a length towards HTTP/1.0, so the end of the connection is its end, and every end was an orderly one.

Change: while such a response is on its way, the socket is set to be reset when it is closed, for whatever reason (also by the system, when the process is killed); the setting is taken back once the response has been written whole. Weighed: resetting where the body fails, which leaves out kills and the end of a stop. socket2, which tokio uses, sets the option.

--- a/crates/http1/src/server/mod.rs
+++ b/crates/http1/src/server/mod.rs
@@ -111,6 +111,7 @@
         let framing = body_framing(request.body());
         let target = targets.start_request(framing);
         request.extensions_mut().insert(target);
+        let version = request.version();
         state.start_request(&request, framing);
         let request = request.map(|incoming| RequestBody::new(incoming, state.clone()));
         let response = handler(request);
@@ -124,6 +125,9 @@
             if header::announces_close(response.headers()) {
                 state.close_after_response();
             }
+            if version == http::Version::HTTP_10 && response.body().size_hint().exact().is_none() {
+                state.start_unframed_response();
+            }
             Ok::<_, Infallible>(response.map(|body| PhaseTrackingBody::new(body, state)))
         }
     });
@@ -163,6 +167,13 @@
         log_end(result);
         let parts = driver.connection.into_parts();
         stream = parts.io.into_inner();
+        if has_failed && states.borrow().is_unframed {
+            // The caller must not take the end of the connection for that of the response.
+            return;
+        }
+        if let Err(error) = stream.end_response() {
+            log::warn!(target: "http", "A whole response may end with a reset: {error}.");
+        }
         let resumes = driver.is_interrupted && !has_failed && !*stopping.borrow();
         if resumes {
             // Without a sender the body has ended as well.
--- a/crates/http1/src/server/phase.rs
+++ b/crates/http1/src/server/phase.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -42,6 +43,9 @@
     /// Whether the connection closes after the current response, as its request or the
     /// response says.
     pub(super) closes: bool,
+    /// Whether the end of the connection is the end of the current response, which has neither a
+    /// length nor chunks.
+    pub(super) is_unframed: bool,
 }
 
 /// What has become of the body of a request.
@@ -71,6 +75,7 @@
             requests: 0,
             body: BodyState::Ended,
             closes: false,
+            is_unframed: false,
         }
     }
 
@@ -80,6 +85,7 @@
         self.requests += 1;
         self.body = body;
         self.closes = closes;
+        self.is_unframed = false;
     }
 
     fn end_request_body(&mut self, end: BodyState) {
@@ -154,6 +160,11 @@
         self.0.send_modify(|state| state.closes = true);
     }
 
+    /// Records that the current response ends where its connection does.
+    pub(super) fn start_unframed_response(&self) {
+        self.0.send_modify(|state| state.is_unframed = true);
+    }
+
     pub(super) fn current(&self) -> ConnectionState {
         *self.0.borrow()
     }
@@ -169,6 +180,8 @@
     unread: Bytes,
     targets: TargetTracker,
     state: StateSender,
+    /// Whether the system resets the connection when it is closed, for whatever reason.
+    resets_when_closed: bool,
 }
 
 impl PhaseTrackingStream {
@@ -179,7 +192,26 @@
             unread: Bytes::new(),
             targets,
             state,
+            resets_when_closed: false,
+        }
+    }
+
+    /// Lets a response that ends where its connection does look incomplete until it is whole: the
+    /// process may be killed before.
+    fn guard_unframed_response(&mut self) -> io::Result<()> {
+        if self.state.current().is_unframed && !self.resets_when_closed {
+            self.stream.set_zero_linger()?;
+            self.resets_when_closed = true;
+        }
+        Ok(())
+    }
+
+    /// Records that the last response has been written whole.
+    pub(super) fn end_response(&mut self) -> io::Result<()> {
+        if std::mem::take(&mut self.resets_when_closed) {
+            SockRef::from(&self.stream).set_linger(None)?;
         }
+        Ok(())
     }
 
     fn poll_read_bytes(
@@ -229,6 +261,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.guard_unframed_response()?;
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
@@ -237,6 +270,7 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.guard_unframed_response()?;
         Pin::new(&mut self.stream).poll_write_vectored(context, slices)
     }
 
