fix(caller): a request without an id is rejected where callers send ids

What callers saw: a request without `X-Request-Id`, or with an empty one, ran under an id such as front-1-99df7f…-0.

Cause: ids that the product assigns for its own interface were used as well where callers bring theirs. Weighed: passing the request on without an id; the backend rejects it, and its answer without an id could not be told from a stray one. So the node gives the same 400 at once.

The product's own interface, which has no header for ids, assigns them as before.

--- a/crates/caller/src/wire.rs
+++ b/crates/caller/src/wire.rs
@@ -92,9 +92,7 @@
         })
         .transpose()?;
     let idempotency_key = read_key(&headers, names)?;
-    let request_id = read_value(&headers, names.request_id.as_ref())?
-        .filter(|id| !id.is_empty())
-        .cloned();
+    let request_id = read_request_id(&headers, names)?;
     let timeout = read_timeout(&headers, names)?;
     http1_header::strip_hop_by_hop(&mut headers, |_| false);
     let consumed = [
@@ -190,6 +188,22 @@
     Ok(())
 }
 
+/// Reads the caller's id for the request; none if the deployment has no header for it.
+///
+/// An upstream would reject a request without an id, and one that the fleet assigns is one that
+/// no caller sent.
+fn read_request_id(
+    headers: &HeaderMap,
+    names: &CallerHeaders,
+) -> Result<Option<HeaderValue>, FleetError> {
+    let Some(name) = &names.request_id else {
+        return Ok(None);
+    };
+    let id = read_value(headers, Some(name))?.filter(|id| !id.is_empty());
+    let id = id.ok_or_else(|| bad_request(&format!("the {name} header is missing or empty")))?;
+    Ok(Some(id.clone()))
+}
+
 fn read_key(headers: &HeaderMap, names: &CallerHeaders) -> Result<Option<Arc<str>>, FleetError> {
     let Some(key) = read_header(headers, names.idempotency_key.as_ref())? else {
         return Ok(None);
--- a/crates/model/src/call/mod.rs
+++ b/crates/model/src/call/mod.rs
@@ -33,7 +33,7 @@
     pub workspace: Option<ids::WorkspaceId>,
     /// The key under which the request runs at most once.
     pub idempotency_key: Option<Arc<str>>,
-    /// The caller's id for the request as it was sent, if there is one.
+    /// The caller's id for the request as it was sent; none where callers send no ids.
     pub request_id: Option<http::HeaderValue>,
     /// How long the caller waits for the response, if it sent a deadline.
     pub timeout: Option<Duration>,
