fix(balancer): a pause around the restart of an instance holds for the next start

Cause, from the gateway's log: the response came 0.14 s before the node knew the entry of the next start; a response names its instance, not its start, and the pause was kept for the start before. The other order is the same fault: a request that was sent before the entry changed.

Change: a pause holds for every configured start of its instance, and for one that becomes known within 2 s. Weighed: comparing the time of the pause with `born`, which hangs on two machines' clocks; and keeping it for any later start, although that "holds and knows nothing of before".

The test the_next_instance_at_an_address_starts_clean asserted a clean start for a pause of the same moment, which cannot be told from one of the next start. It now lets the 2 s pass; what it checks is unchanged, and the new test checks the times in between and both orders.

--- a/crates/policy/src/service/balancer/mod.rs
+++ b/crates/policy/src/service/balancer/mod.rs
@@ -2,6 +2,7 @@
 //! collects evidence of failing upstreams.
 
 mod admission;
+mod instance_pauses;
 pub(super) mod loads;
 pub(super) mod offers;
 pub(super) mod permits;
@@ -22,6 +23,7 @@
 pub use loads::{LoadReport, UpstreamLoad};
 pub use offers::OfferCount;
 
+use self::instance_pauses::InstancePauses;
 use self::remembered::RememberedUpstreams;
 use super::entry::{UpstreamEntry, UpstreamView};
 use crate::detection::{self, DetectionThresholds};
@@ -147,6 +149,8 @@
     upstreams: SlotMap<UpstreamKey, UpstreamEntry>,
     by_id: HashMap<ids::UpstreamId, UpstreamKey>,
     remembered: RememberedUpstreams,
+    /// Pauses that may be those of starts which are not known yet.
+    instance_pauses: InstancePauses,
     attempts: SlotMap<AttemptKey, InFlightAttempt>,
     budget: retry::RetryBudget,
     estimate: detection::LatencyEstimate,
@@ -186,6 +190,7 @@
             upstreams: SlotMap::with_key(),
             by_id: HashMap::new(),
             remembered: RememberedUpstreams::default(),
+            instance_pauses: InstancePauses::default(),
             attempts: SlotMap::with_key(),
             budget: retry::RetryBudget::new(service.retry_allowance),
             estimate: detection::LatencyEstimate::default(),
--- a/crates/policy/src/service/balancer/updates.rs
+++ b/crates/policy/src/service/balancer/updates.rs
@@ -8,6 +8,7 @@
 use model::{config, ids};
 use tokio::time::Instant;
 
+use super::instance_pauses::AskedPause;
 use super::{FLEET_TRIAL_RATE, ServiceBalancer, TRIAL_INTERVAL_MIN};
 
 use crate::detection::{self, DetectionThresholds};
@@ -49,6 +50,11 @@
         if let Some(stated) = self.remembered.take(&id) {
             entry.restore(now, stated, self.draw_return_turn());
         }
+        let instance = entry.upstream.instance.as_deref();
+        let pause = instance.and_then(|name| self.instance_pauses.of_new_start(now, name));
+        if let Some(pause) = pause {
+            entry.pause_until(pause.asked_at, pause.until, self.draw_return_turn());
+        }
         let key = self.upstreams.insert(entry);
         self.by_id.insert(id, key);
     }
@@ -176,12 +182,26 @@
         is_new
     }
 
-    /// Records that an upstream asks this node for a pause.
+    /// Records that an upstream asks this node for a pause. It holds for every start of the same
+    /// instance that is known by now, or soon will be: any of them may have asked.
     pub fn record_pause(&mut self, now: Instant, upstream: &ids::UpstreamId, pause: PauseTime) {
-        if let Some(key) = self.by_id.get(upstream).copied() {
-            let turn = self.draw_return_turn();
-            self.upstreams[key].pause(now, pause, turn);
+        let Some(key) = self.by_id.get(upstream).copied() else {
+            return;
+        };
+        let pause = AskedPause {
+            asked_at: now,
+            until: now + pause.get(),
+        };
+        let turn = self.draw_return_turn();
+        let Some(instance) = self.upstreams[key].upstream.instance.clone() else {
+            return self.upstreams[key].pause_until(pause.asked_at, pause.until, turn);
+        };
+        for entry in self.upstreams.values_mut() {
+            if entry.upstream.instance.as_ref() == Some(&instance) {
+                entry.pause_until(pause.asked_at, pause.until, turn);
+            }
         }
+        self.instance_pauses.record(&instance, pause);
     }
 
     /// Records the load that an upstream reports, clamped to 0 to 1.
--- a/crates/policy/src/service/entry.rs
+++ b/crates/policy/src/service/entry.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use model::pause::PauseTime;
 use model::{config, ids, sizes};
 use tokio::time::Instant;
 
@@ -292,13 +291,9 @@
         });
     }
 
-    /// Records a pause that the upstream asks for. After it, the load returns gradually.
+    /// Records a pause that the upstream asked for. After it, the load returns gradually.
     /// `turn` is the place of this node, from 0 to 1, in the order in which the nodes return.
-    pub(super) fn pause(&mut self, now: Instant, pause: PauseTime, turn: f64) {
-        self.pause_until(now, now + pause.get(), turn);
-    }
-
-    fn pause_until(&mut self, asked_at: Instant, until: Instant, turn: f64) {
+    pub(super) fn pause_until(&mut self, asked_at: Instant, until: Instant, turn: f64) {
         if self.paused_until.is_none_or(|current| current < until) {
             self.paused_until = Some(until);
             self.pause_asked_at = asked_at;
--- a/crates/policy/tests/balancer.rs
+++ b/crates/policy/tests/balancer.rs
@@ -784,15 +784,50 @@
     assert!(run_requests(&mut balancer, 50, true).contains(&misdirected));
 }
 
+/// Replaces an instance by its next start, which has the same name and another id.
+fn restart_instance(balancer: &mut ServiceBalancer, next: &UpstreamId) {
+    let mut configured = balancer.service().as_ref().clone();
+    configured.upstreams[0].id = next.clone();
+    balancer.configure(Instant::now(), Arc::new(configured));
+}
+
 // The next instance of a backend has another id, and nothing of the former one holds for it.
 #[tokio::test(start_paused = true)]
 async fn the_next_instance_at_an_address_starts_clean() {
     let mut balancer = instance_balancer();
     let (former, next): (UpstreamId, UpstreamId) = (name("up-0"), name("up-0:2"));
-    balancer.record_drain(Instant::now(), &former);
     balancer.record_pause(Instant::now(), &former, "50".parse().unwrap());
-    let mut configured = balancer.service().as_ref().clone();
-    configured.upstreams[0].id = next.clone();
-    balancer.configure(Instant::now(), Arc::new(configured));
+    time::advance(Duration::from_secs(2)).await;
+    balancer.record_drain(Instant::now(), &former);
+    restart_instance(&mut balancer, &next);
     assert!(run_requests(&mut balancer, 50, true).contains(&next));
 }
+
+// A response names its instance, not its start: a pause that was asked for just before a node
+// learns of the next start, or on a request that was sent before, may be that of the next one.
+#[tokio::test(start_paused = true)]
+async fn a_pause_around_the_next_start_of_an_instance_holds_for_that_one() {
+    let (former, next): (UpstreamId, UpstreamId) = (name("up-0"), name("up-0:2"));
+    for millis in [0, 140, 1_900] {
+        let mut balancer = instance_balancer();
+        balancer.record_pause(Instant::now(), &former, "4".parse().unwrap());
+        time::advance(Duration::from_millis(millis)).await;
+        restart_instance(&mut balancer, &next);
+        time::advance(Duration::from_millis(3_900 - millis)).await;
+        let used = run_requests(&mut balancer, 50, true);
+        assert!(!used.contains(&next), "{millis} ms");
+        time::advance(Duration::from_secs(5)).await;
+        assert!(run_requests(&mut balancer, 50, true).contains(&next));
+    }
+    let mut balancer = instance_balancer();
+    let mut sent_before = Vec::new();
+    while sent_before
+        .iter()
+        .all(|grant: &AttemptGrant| grant.upstream.id != former)
+    {
+        sent_before.push(admit(&mut balancer, true));
+    }
+    restart_instance(&mut balancer, &next);
+    balancer.record_pause(Instant::now(), &former, "4".parse().unwrap());
+    assert!(!run_requests(&mut balancer, 6, true).contains(&next));
+}
