fix(caller): a burst of connections fits the queue of the system

Cause, traced before: the listener's queue held 128 connections, the library's default; a connection that does not fit is opened only when its first packet is sent again, a second later.

Change: the queue holds 4,096 (the system may allow fewer), and a stop takes as many from it.

--- a/bins/entry/src/gateway.rs
+++ b/bins/entry/src/gateway.rs
@@ -141,8 +141,7 @@
                 dispatch: dispatch_to(dispatcher),
             },
             leaving_watch.clone(),
-        )
-        .await?;
+        )?;
         let endpoint = OpsEndpoint {
             directory,
             members: fleet.members.clone(),
--- a/bins/entry/src/server.rs
+++ b/bins/entry/src/server.rs
@@ -113,8 +113,7 @@
                 dispatch: dispatch_to(dispatcher),
             },
             leaving_watch.clone(),
-        )
-        .await?;
+        )?;
         let caller_address = listener.address()?;
         let endpoint = OpsEndpoint {
             directory: directory.clone(),
--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -11,7 +11,7 @@
 use model::call::{BodyStream, Call, CallResponse};
 use model::error::FleetError;
 use model::sizes;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::{self, Instant};
@@ -23,9 +23,9 @@
 
 /// How long connections are accepted after the stop has begun.
 const STOP_LINGER: Duration = Duration::from_millis(50);
-/// Connections that are accepted after the stop has begun: as many as usually fit the
-/// queue of the system.
-const BACKLOG_MAX: usize = 1_024;
+/// Connections that wait in the queue of the system until they are accepted; the system may
+/// allow fewer. A connection that does not fit is opened a second later.
+const BACKLOG_MAX: u32 = 4_096;
 
 /// The pending response to a call.
 pub type CallFuture = Pin<Box<dyn Future<Output = Result<CallResponse, FleetError>> + Send>>;
@@ -78,12 +78,20 @@
     ///
     /// # Errors
     /// When the address cannot be bound.
-    pub async fn bind(
+    pub fn bind(
         address: SocketAddr,
         settings: CallerSettings,
         draining: watch::Receiver<bool>,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
+        let socket = if address.is_ipv4() {
+            TcpSocket::new_v4()?
+        } else {
+            TcpSocket::new_v6()?
+        };
+        // As `TcpListener::bind` does, so that a restarted process gets its address back.
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        let listener = socket.listen(BACKLOG_MAX)?;
         Ok(Self {
             listener,
             settings,
