fix(log): a malformed request is rejected with a line that names it

Cause: a request that is rejected before it is routed left no line, so that its caller's complaint could not be explained from its id. Change: part `rejected`, with the id, the kind and the reason.

--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -10,7 +10,7 @@
 use http1::server::{self, RequestBody, ServeLimits};
 use model::call::{BodyStream, Call, CallResponse};
 use model::error::FleetError;
-use model::sizes;
+use model::{ids, sizes};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -184,12 +184,30 @@
 async fn respond(settings: &CallerSettings, request: Request<RequestBody>) -> Response<BodyStream> {
     let names = &settings.headers;
     let body_limit = settings.limits.borrow().body;
+    let id_name = names.request_id.as_ref();
+    let id = id_name
+        .and_then(|name| request.headers().get(name))
+        .cloned();
     let call = match wire::read_call(names, body_limit, request) {
         Ok(call) => call,
-        Err(error) => return wire::write_error(names, &error),
+        Err(error) => {
+            log_rejection(id.as_ref(), &error);
+            return wire::write_error(names, &error);
+        }
     };
     match (settings.dispatch)(call).await {
         Ok(response) => wire::write_response(response),
         Err(error) => wire::write_error(names, &error),
     }
 }
+
+/// Logs that a request was rejected before it was routed.
+fn log_rejection(id: Option<&HeaderValue>, error: &FleetError) {
+    let id = id.map(|id| ids::RequestId::of_bytes(id.as_bytes()));
+    let request = id.as_ref().map_or("none", ids::RequestId::as_str);
+    log::info!(
+        target: "rejected",
+        request, kind:% = error.kind();
+        "A request was rejected: {}.", error.detail()
+    );
+}
