--- a/crates/caller/src/wire.rs
+++ b/crates/caller/src/wire.rs
@@ -178,8 +178,8 @@
 /// Rejects a body that would be passed on without one of its transfer codings, and chunks in a
 /// version that has none (RFC 9112, 6.1).
 fn check_transfer_coding(parts: &http::request::Parts) -> Result<(), FleetError> {
-    let has_chunks = parts.headers.contains_key(header::TRANSFER_ENCODING);
-    if has_chunks && parts.version == Version::HTTP_10 {
+    let has_codings = parts.headers.contains_key(header::TRANSFER_ENCODING);
+    if has_codings && parts.version == Version::HTTP_10 {
         return Err(bad_request("HTTP/1.0 has no transfer codings"));
     }
     if http1_header::has_other_transfer_coding(&parts.headers) {
--- a/crates/http1/src/server/mod.rs
+++ b/crates/http1/src/server/mod.rs
@@ -26,7 +26,6 @@
     BodyState, ConnectionPhase, ConnectionState, PhaseTrackingBody, PhaseTrackingStream,
     StateSender,
 };
-
 use target::{BodyFraming, TargetTracker};
 
 use crate::header;
