feat(http1): log lines for the end of a caller's connection

Whether a caller lost a response at the close of its connection could not be told from a log: the node wrote nothing about it. Now a close before the caller's own, a response that breaks off, and a connection that the process's end cuts each have a line with the request's id, the requests before it and the bytes that were unread.

--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -185,26 +185,27 @@
     let names = &settings.headers;
     let body_limit = settings.limits.borrow().body;
     let id_name = names.request_id.as_ref();
-    let id = id_name
-        .and_then(|name| request.headers().get(name))
-        .cloned();
-    let call = match wire::read_call(names, body_limit, request) {
-        Ok(call) => call,
+    let id = id_name.and_then(|name| request.headers().get(name));
+    let id = id.map(|id| ids::RequestId::of_bytes(id.as_bytes()));
+    let mut response = match wire::read_call(names, body_limit, request) {
+        Ok(call) => match (settings.dispatch)(call).await {
+            Ok(response) => wire::write_response(response),
+            Err(error) => wire::write_error(names, &error),
+        },
         Err(error) => {
             log_rejection(id.as_ref(), &error);
-            return wire::write_error(names, &error);
+            wire::write_error(names, &error)
         }
     };
-    match (settings.dispatch)(call).await {
-        Ok(response) => wire::write_response(response),
-        Err(error) => wire::write_error(names, &error),
+    if let Some(id) = id {
+        response.extensions_mut().insert(id);
     }
+    response
 }
 
 /// Logs that a request was rejected before it was routed.
-fn log_rejection(id: Option<&HeaderValue>, error: &FleetError) {
-    let id = id.map(|id| ids::RequestId::of_bytes(id.as_bytes()));
-    let request = id.as_ref().map_or("none", ids::RequestId::as_str);
+fn log_rejection(id: Option<&ids::RequestId>, error: &FleetError) {
+    let request = id.map_or("none", ids::RequestId::as_str);
     log::info!(
         target: "rejected",
         request, kind:% = error.kind();
--- a/crates/http1/src/server/mod.rs
+++ b/crates/http1/src/server/mod.rs
@@ -1,5 +1,6 @@
 //! Accepted connections: size limits, timeouts and graceful shutdown.
 
+mod close;
 mod phase;
 mod target;
 
@@ -22,6 +23,7 @@
 use tokio::task;
 use tokio::time::{self, Instant};
 
+use close::{CloseReason, ConnectionLog};
 use phase::{
     BodyState, ConnectionPhase, ConnectionState, PhaseTrackingBody, PhaseTrackingStream,
     StateSender,
@@ -76,7 +78,8 @@
     }
 }
 
-/// Handles one request, which has its [`RawTarget`] as an extension, and returns its response.
+/// Handles one request, which has its [`RawTarget`] as an extension, and returns its response,
+/// with a [`RequestId`](model::ids::RequestId) as an extension if log lines are to name the request.
 pub type Handler<B> = Arc<
     dyn Fn(
             http::Request<RequestBody>,
@@ -115,7 +118,8 @@
         let request = request.map(|incoming| RequestBody::new(incoming, state.clone()));
         let response = handler(request);
         async move {
-            let response = response.await;
+            let mut response = response.await;
+            state.set_label(response.extensions_mut().remove());
             if state.current().body == BodyState::Abandoned {
                 // hyper has to notice it first, so that the response says that the connection
                 // closes, unless the rest of the body has arrived already.
@@ -136,6 +140,7 @@
         .header_read_timeout(None)
         .max_buf_size(initial_limits.head_bytes.max(MIN_BUFFER_BYTES))
         .max_headers(initial_limits.headers);
+    let mut log = ConnectionLog::new(&stream, states.clone());
     let mut stream = PhaseTrackingStream::new(stream, tracker, state.clone());
     loop {
         let connection = builder.serve_connection(TokioIo::new(stream), service);
@@ -145,6 +150,11 @@
             _ = stopping.wait_for(|stopping| *stopping) => Err(None),
             exceeded = wait_for_timeout(&mut states, &limits) => Err(Some(exceeded)),
         };
+        let reason = match exceeded {
+            Err(None) => CloseReason::Stop,
+            Err(Some(_)) => CloseReason::Idle,
+            Ok(_) => CloseReason::Finished,
+        };
         let result = match exceeded {
             Ok(result) => result,
             Err(None) => tokio::select! {
@@ -155,17 +165,26 @@
             Err(Some(TimeoutKind::Head)) => {
                 let stream = driver.connection.into_parts().io.into_inner().stream;
                 let requests = states.borrow().requests;
+                log.end();
                 return respond_head_timeout(stream, requests).await;
             }
             Err(Some(TimeoutKind::Flush)) => {
-                log::info!(target: "http", "Connection closed: the caller did not read its response in time.");
+                log.end();
+                log::info!(
+                    target: "http", request = states.borrow().label();
+                    "Connection closed: the caller did not read its response in time."
+                );
                 return;
             }
         };
         let has_failed = result.is_err();
-        log_end(result);
+        log_end(result, states.borrow().label());
         let parts = driver.connection.into_parts();
         stream = parts.io.into_inner();
+        let resumes = driver.is_interrupted && !has_failed && !*stopping.borrow();
+        if !resumes {
+            log.end();
+        }
         if has_failed && states.borrow().is_unframed {
             // The caller must not take the end of the connection for that of the response.
             return;
@@ -173,7 +192,6 @@
         if let Err(error) = stream.end_response() {
             log::warn!(target: "http", "A whole response may end with a reset: {error}.");
         }
-        let resumes = driver.is_interrupted && !has_failed && !*stopping.borrow();
         if resumes {
             // Without a sender the body has ended as well.
             let _ = states.wait_for(|state| !state.body.is_open()).await;
@@ -183,7 +201,7 @@
             return close_lingering(stream.stream).await;
         }
         if !resumes {
-            return close(&mut stream.stream).await;
+            return close::close(stream.stream, &log, reason).await;
         }
         stream.returned = parts.read_buf;
         service = parts.service;
@@ -256,17 +274,10 @@
     }
 }
 
-/// Sends the end of a connection.
-async fn close(stream: &mut TcpStream) {
-    if let Err(error) = stream.shutdown().await {
-        log::debug!(target: "http", "Closing a connection failed: {error}.");
-    }
-}
-
 /// Closes a connection on which the peer may still be sending: reads and discards until the
 /// peer closes as well, within limits.
 async fn close_lingering(mut stream: TcpStream) {
-    close(&mut stream).await;
+    close::send_end(&mut stream).await;
     match time::timeout(LINGER_TIMEOUT, discard(&mut stream)).await {
         Ok(Ok(0)) => {}
         Ok(Ok(size)) => {
@@ -365,8 +376,7 @@
 /// Sends status 408 for a head that did not arrive in time; no request was handled since the
 /// last of the `requests` before it.
 async fn respond_head_timeout(mut stream: TcpStream, requests: u64) {
-    let peer = stream.peer_addr().map(|peer| peer.to_string());
-    let peer = peer.unwrap_or_default();
+    let peer = close::peer_name(&stream);
     match stream.write_all(HEAD_TIMEOUT_RESPONSE).await {
         Ok(()) => {
             log::info!(
@@ -416,8 +426,12 @@
     }
 }
 
-fn log_end(result: Result<(), hyper::Error>) {
-    if let Err(error) = result {
-        log::debug!(target: "http", "Connection ended with an error: {error}.");
+fn log_end(result: Result<(), hyper::Error>, request: &str) {
+    let Err(error) = result else { return };
+    // Of all others the caller is the cause, and they are as many as callers that leave.
+    if error.is_user() {
+        log::info!(target: "http", request; "Connection closed: its response broke off: {error}.");
+    } else {
+        log::debug!(target: "http", request; "Connection ended with an error: {error}.");
     }
 }
--- a/crates/http1/src/server/phase.rs
+++ b/crates/http1/src/server/phase.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use model::ids;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -33,11 +34,13 @@
 }
 
 /// The phase of a connection, and what decides which one comes next.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(super) struct ConnectionState {
     pub(super) phase: ConnectionPhase,
     /// Requests whose heads have arrived.
     pub(super) requests: u64,
+    /// Names the last request whose response has begun.
+    label: Option<ids::RequestId>,
     /// The body of the current request.
     pub(super) body: BodyState,
     /// Whether the connection closes after the current response, as its request or the
@@ -73,6 +76,7 @@
         Self {
             phase: ConnectionPhase::Idle(Instant::now()),
             requests: 0,
+            label: None,
             body: BodyState::Ended,
             closes: false,
             is_unframed: false,
@@ -83,6 +87,7 @@
     fn start_request(&mut self, body: BodyState, closes: bool) {
         self.phase = ConnectionPhase::Busy;
         self.requests += 1;
+        self.label = None;
         self.body = body;
         self.closes = closes;
         self.is_unframed = false;
@@ -121,6 +126,11 @@
         is_flushing
     }
 
+    /// The request in progress, or the last one; `none` without a name.
+    pub(super) fn label(&self) -> &str {
+        self.label.as_ref().map_or("none", ids::RequestId::as_str)
+    }
+
     /// Whether the response has ended while its request's body still arrives in chunks, on a
     /// connection that stays open.
     pub(super) fn is_receiving_chunks(&self) -> bool {
@@ -165,8 +175,17 @@
         self.0.send_modify(|state| state.is_unframed = true);
     }
 
-    pub(super) fn current(&self) -> ConnectionState {
-        *self.0.borrow()
+    /// Records the name of the current request.
+    pub(super) fn set_label(&self, label: Option<ids::RequestId>) {
+        self.0.send_if_modified(|state| {
+            state.label = label;
+            // No timeout depends on it.
+            false
+        });
+    }
+
+    pub(super) fn current(&self) -> watch::Ref<'_, ConnectionState> {
+        self.0.borrow()
     }
 }
 
