fix(http1): a connection stays open until its caller has read the last response

Callers saw: a reset in place of the rest of a response, around a stop, but also after a request with Connection: close and after the idle timeout, whenever they had sent something behind that response.

Cause: the node closed a connection as soon as the system had taken the last byte of a response. The system resets a connection that is closed with unread bytes or gets some after the close, and then discards what it has not delivered. The process also exited before responses were delivered.

Change: the node sends the end of the connection and waits until the peer closes it, up to 5 s from the last response. It does not read meanwhile, so requests behind stay what they are: not read and not run. A stop waits for these connections within its grace period, since they count as open.

--- a/crates/http1/src/server/close.rs
+++ b/crates/http1/src/server/close.rs
@@ -3,16 +3,18 @@
 use std::fmt;
 use std::io;
 use std::mem::MaybeUninit;
+use std::time::Duration;
 
 use socket2::SockRef;
-use tokio::io::AsyncWriteExt as _;
+use tokio::io::{AsyncWriteExt as _, Interest};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::time::{self, Instant};
 
 use super::phase::{ConnectionPhase, ConnectionState};
 
-/// How far unread bytes are counted.
-const UNREAD_BYTES_MAX: usize = 4 * 1024;
+/// How long the peer of a connection has for reading the last response on it.
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Why a connection is closed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,8 +41,16 @@
 pub(super) struct ConnectionLog {
     peer: String,
     states: watch::Receiver<ConnectionState>,
-    /// Whether the connection was closed on purpose.
-    has_ended: bool,
+    end: ConnectionEnd,
+}
+
+/// How far a connection has come towards its end.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum ConnectionEnd {
+    Open,
+    /// Its end has been sent, and its peer may still be reading.
+    Closing(CloseReason),
+    Ended,
 }
 
 impl ConnectionLog {
@@ -48,35 +58,38 @@
         Self {
             peer: peer_name(stream),
             states,
-            has_ended: false,
+            end: ConnectionEnd::Open,
         }
     }
 
     /// Records that the connection ends on purpose.
     pub(super) fn end(&mut self) {
-        self.has_ended = true;
+        self.end = ConnectionEnd::Ended;
+    }
+
+    /// Until when the peer of a closed connection has time to read the last response; none if
+    /// there was no response.
+    fn read_until(&self) -> Option<Instant> {
+        let state = self.states.borrow();
+        let written = match state.phase {
+            ConnectionPhase::Idle(since) => since,
+            _ => Instant::now(),
+        };
+        (state.requests > 0).then_some(written + READ_TIMEOUT)
     }
 
-    /// Logs that a connection is closed before its peer has closed it.
-    fn log_open(&self, reason: CloseReason, unread: usize) {
+    fn log_open(&self, reason: CloseReason) {
         let state = self.states.borrow();
         log::info!(
             target: "http",
-            request = state.label(), peer = self.peer, requests = state.requests,
-            reason:% = reason, unread;
-            "Connection closed before its caller closed it; what the caller sends on it now resets it."
+            request = state.label(), peer = self.peer, requests = state.requests, reason:%;
+            "Connection closed before its caller closed it; what the caller has sent behind the last response resets it."
         );
     }
-}
 
-impl Drop for ConnectionLog {
-    fn drop(&mut self) {
+    fn log_cut(&self) {
         let state = self.states.borrow();
-        let is_cut = matches!(
-            state.phase,
-            ConnectionPhase::Busy | ConnectionPhase::Flushing(_)
-        );
-        if !self.has_ended && is_cut {
+        if let ConnectionPhase::Busy | ConnectionPhase::Flushing(_) = state.phase {
             log::info!(
                 target: "http",
                 request = state.label(), peer = self.peer, requests = state.requests;
@@ -86,6 +99,16 @@
     }
 }
 
+impl Drop for ConnectionLog {
+    fn drop(&mut self) {
+        match self.end {
+            ConnectionEnd::Open => self.log_cut(),
+            ConnectionEnd::Closing(reason) => self.log_open(reason),
+            ConnectionEnd::Ended => {}
+        }
+    }
+}
+
 /// The address of a connection's peer, empty if the system does not tell it.
 pub(super) fn peer_name(stream: &TcpStream) -> String {
     let peer = stream.peer_addr().map(|peer| peer.to_string());
@@ -99,34 +122,46 @@
     }
 }
 
-/// Closes a connection after its last response.
-pub(super) async fn close(mut stream: TcpStream, log: &ConnectionLog, reason: CloseReason) {
+/// Closes a connection after its last response, once its peer has closed it or has had time to
+/// read that.
+///
+/// The system resets a connection that is closed with unread bytes, or that gets some after it was
+/// closed, and discards what the peer has not acknowledged. Such bytes are requests behind
+/// the last response. They stay unread, so that they are known not to have been handled.
+pub(super) async fn close(mut stream: TcpStream, log: &mut ConnectionLog, reason: CloseReason) {
     send_end(&mut stream).await;
-    match peer_state(&stream) {
-        Ok(PeerState::Closed) => {}
-        Ok(PeerState::Open { unread }) => log.log_open(reason, unread),
-        Err(error) => log::debug!(target: "http", "Connection broke at its end: {error}."),
+    if let Some(end) = log.read_until() {
+        log.end = ConnectionEnd::Closing(reason);
+        let Ok(closed) = time::timeout_at(end, wait_closed(&stream)).await else {
+            return;
+        };
+        if let Err(error) = closed {
+            log::debug!(target: "http", "Connection broke at its end: {error}.");
+        }
     }
+    log.end();
 }
 
-/// What the peer of a connection has done since its last request.
-enum PeerState {
-    Closed,
-    /// It may send on.
-    Open {
-        /// Its bytes that are unread, counted up to [`UNREAD_BYTES_MAX`].
-        unread: usize,
-    },
+/// Waits until the peer has closed a connection, without reading from it.
+async fn wait_closed(stream: &TcpStream) -> io::Result<()> {
+    loop {
+        let readiness = stream.ready(Interest::READABLE).await?;
+        if readiness.is_read_closed() {
+            return Ok(());
+        }
+        // While the peer is open this returns `WouldBlock`, so that the next wait lasts until more
+        // arrives.
+        match stream.try_io(Interest::READABLE, || peek_end(stream)) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            ended => return ended,
+        }
+    }
 }
 
-fn peer_state(stream: &TcpStream) -> io::Result<PeerState> {
-    let mut buffer = [MaybeUninit::uninit(); UNREAD_BYTES_MAX];
-    match SockRef::from(stream).peek(&mut buffer) {
-        Ok(0) => Ok(PeerState::Closed),
-        Ok(unread) => Ok(PeerState::Open { unread }),
-        Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-            Ok(PeerState::Open { unread: 0 })
-        }
-        Err(error) => Err(error),
+/// Returns if the peer has closed a connection and nothing of it is unread.
+fn peek_end(stream: &TcpStream) -> io::Result<()> {
+    match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()])? {
+        0 => Ok(()),
+        _ => Err(io::ErrorKind::WouldBlock.into()),
     }
 }
--- a/crates/http1/src/server/mod.rs
+++ b/crates/http1/src/server/mod.rs
@@ -201,7 +201,7 @@
             return close_lingering(stream.stream).await;
         }
         if !resumes {
-            return close::close(stream.stream, &log, reason).await;
+            return close::close(stream.stream, &mut log, reason).await;
         }
         stream.returned = parts.read_buf;
         service = parts.service;
