--- a/crates/http1/src/server/close.rs
+++ b/crates/http1/src/server/close.rs
@@ -82,7 +82,7 @@
         let state = self.states.borrow();
         log::info!(
             target: "http",
-            request = state.label(), peer = self.peer, requests = state.requests, reason:%;
+            request = state.label(), peer = self.peer.as_str(), requests = state.requests, reason:%;
             "Connection closed before its caller closed it; what the caller has sent behind the last response resets it."
         );
     }
@@ -92,7 +92,7 @@
         if let ConnectionPhase::Busy | ConnectionPhase::Flushing(_) = state.phase {
             log::info!(
                 target: "http",
-                request = state.label(), peer = self.peer, requests = state.requests;
+                request = state.label(), peer = self.peer.as_str(), requests = state.requests;
                 "Connection cut before its response was sent: the process ends."
             );
         }
