fix(http1): the idle timeout of a response counts from its last progress

Callers saw: a large response that they read slowly, but steadily, was cut when its connection's idle timeout had passed since the last byte came from the handler.

Cause: the phase Flushing kept the time at which the end of the response was buffered, while up to the whole response could still wait to be sent.

Change: each write to the system counts as progress. A response that is not read at all is given up as before.

--- a/crates/http1/src/server/phase.rs
+++ b/crates/http1/src/server/phase.rs
@@ -26,7 +26,7 @@
     Head(Instant),
     /// A request is being handled, up to the end of its response body.
     Busy,
-    /// The end of a response is buffered and waits to be sent.
+    /// The end of a response is buffered and waits to be sent; since the last progress.
     Flushing(Instant),
     /// The response has been sent, and the rest of the request's body is still arriving. How
     /// long that may take is up to the handler that reads it.
@@ -113,6 +113,15 @@
         is_idle
     }
 
+    /// Buffered bytes have been sent; returns whether that changed the phase.
+    fn progress(&mut self) -> bool {
+        let is_flushing = matches!(self.phase, ConnectionPhase::Flushing(_));
+        if is_flushing {
+            self.phase = ConnectionPhase::Flushing(Instant::now());
+        }
+        is_flushing
+    }
+
     /// All buffered bytes have been sent; returns whether that changed the phase.
     fn flush(&mut self) -> bool {
         let is_flushing = matches!(self.phase, ConnectionPhase::Flushing(_));
@@ -233,6 +242,13 @@
         Ok(())
     }
 
+    /// A caller that reads slowly has time for all of its response.
+    fn record_progress(&self, written: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(_)) = written {
+            self.state.0.send_if_modified(ConnectionState::progress);
+        }
+    }
+
     fn poll_read_bytes(
         &mut self,
         context: &mut Context<'_>,
@@ -281,7 +297,9 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.guard_unframed_response()?;
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let polled = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.record_progress(&polled);
+        polled
     }
 
     fn poll_write_vectored(
@@ -290,7 +308,9 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.guard_unframed_response()?;
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.record_progress(&polled);
+        polled
     }
 
     fn is_write_vectored(&self) -> bool {
