--- a/crates/http1/src/server/close.rs
+++ b/crates/http1/src/server/close.rs
@@ -83,7 +83,7 @@
         log::info!(
             target: "http",
             request = state.label(), peer = self.peer.as_str(), requests = state.requests, reason:%;
-            "Connection closed before its caller closed it; what the caller has sent behind the last response resets it."
+            "Connection closed before its caller closed it; what the caller sent behind the last response resets it."
         );
     }
 
@@ -132,11 +132,13 @@
     send_end(&mut stream).await;
     if let Some(end) = log.read_until() {
         log.end = ConnectionEnd::Closing(reason);
-        let Ok(closed) = time::timeout_at(end, wait_closed(&stream)).await else {
-            return;
-        };
-        if let Err(error) = closed {
-            log::debug!(target: "http", "Connection broke at its end: {error}.");
+        match time::timeout_at(end, wait_closed(&stream)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => {
+                log::debug!(target: "http", "Connection broke at its end: {error}.");
+            }
+            Err(_) if has_unread(&stream) => log.log_open(reason),
+            Err(_) => {}
         }
     }
     log.end();
@@ -160,8 +162,17 @@
 
 /// Returns if the peer has closed a connection and nothing of it is unread.
 fn peek_end(stream: &TcpStream) -> io::Result<()> {
-    match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()])? {
+    match peek(stream)? {
         0 => Ok(()),
         _ => Err(io::ErrorKind::WouldBlock.into()),
     }
 }
+
+fn has_unread(stream: &TcpStream) -> bool {
+    peek(stream).is_ok_and(|size| size > 0)
+}
+
+/// Looks for one byte that is unread; returns 0 if the peer has closed the connection.
+fn peek(stream: &TcpStream) -> io::Result<usize> {
+    SockRef::from(stream).peek(&mut [MaybeUninit::uninit()])
+}
