--- a/crates/http1/src/server/close.rs
+++ b/crates/http1/src/server/close.rs
@@ -133,12 +133,11 @@
     if let Some(end) = log.read_until() {
         log.end = ConnectionEnd::Closing(reason);
         match time::timeout_at(end, wait_closed(&stream)).await {
-            Ok(Ok(())) => {}
             Ok(Err(error)) => {
                 log::debug!(target: "http", "Connection broke at its end: {error}.");
             }
             Err(_) if has_unread(&stream) => log.log_open(reason),
-            Err(_) => {}
+            Ok(Ok(())) | Err(_) => {}
         }
     }
     log.end();
