fix(http1): what a caller sent before its own end does not reset the connection

Callers saw: a reset in place of the rest of a response, if they had sent requests behind it and then ended their sending.

Cause: a node that waits for the end of its caller closed the connection when that came, with the requests unread. Change: what is unread is discarded then; nothing can follow it. The log line of a connection that is closed late no longer says that something was sent behind its response: at the end of the process that is not known.

--- a/crates/http1/src/server/close.rs
+++ b/crates/http1/src/server/close.rs
@@ -16,6 +16,9 @@
 /// How long the peer of a connection has for reading the last response on it.
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The size of one read while discarding.
+const DISCARD_BUFFER_BYTES: usize = 4 * 1024;
+
 /// Why a connection is closed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum CloseReason {
@@ -83,7 +86,7 @@
         log::info!(
             target: "http",
             request = state.label(), peer = self.peer.as_str(), requests = state.requests, reason:%;
-            "Connection closed before its caller closed it; what the caller sent behind the last response resets it."
+            "Connection closed before its caller closed it; if that sends on, what it has not read is lost."
         );
     }
 
@@ -127,17 +130,19 @@
 ///
 /// The system resets a connection that is closed with unread bytes, or that gets some after it was
 /// closed, and discards what the peer has not acknowledged. Such bytes are requests behind
-/// the last response. They stay unread, so that they are known not to have been handled.
+/// the last response. They stay unread until their peer has closed, so that it can know them not to
+/// have been handled.
 pub(super) async fn close(mut stream: TcpStream, log: &mut ConnectionLog, reason: CloseReason) {
     send_end(&mut stream).await;
     if let Some(end) = log.read_until() {
         log.end = ConnectionEnd::Closing(reason);
         match time::timeout_at(end, wait_closed(&stream)).await {
+            Ok(Ok(())) => discard_unread(&stream),
             Ok(Err(error)) => {
                 log::debug!(target: "http", "Connection broke at its end: {error}.");
             }
             Err(_) if has_unread(&stream) => log.log_open(reason),
-            Ok(Ok(())) | Err(_) => {}
+            Err(_) => {}
         }
     }
     log.end();
@@ -167,6 +172,13 @@
     }
 }
 
+/// Discards what is unread on a connection whose peer sends nothing more, but may still be reading.
+fn discard_unread(stream: &TcpStream) {
+    let mut buffer = [0; DISCARD_BUFFER_BYTES];
+    // Nothing is left at an error, either.
+    while stream.try_read(&mut buffer).is_ok_and(|size| size > 0) {}
+}
+
 fn has_unread(stream: &TcpStream) -> bool {
     peek(stream).is_ok_and(|size| size > 0)
 }
