--- a/crates/http1/src/server/close.rs
+++ b/crates/http1/src/server/close.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use socket2::SockRef;
-use tokio::io::{AsyncWriteExt as _, Interest};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _, Interest};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{self, Instant};
@@ -16,8 +16,12 @@
 /// How long the peer of a connection has for reading the last response on it.
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Limits on what is read and discarded after the last response: a connection that is closed
+/// with unread bytes is reset, and the reset may overtake the response.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(5);
+const LINGER_BYTES_MAX: usize = 8 * 1024 * 1024;
 /// The size of one read while discarding.
-const DISCARD_BUFFER_BYTES: usize = 4 * 1024;
+const DISCARD_BUFFER_BYTES: usize = 16 * 1024;
 
 /// Why a connection is closed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -132,7 +136,11 @@
 /// closed, and discards what the peer has not acknowledged. Such bytes are requests behind
 /// the last response. They stay unread until their peer has closed, so that it can know them not to
 /// have been handled.
-pub(super) async fn close(mut stream: TcpStream, log: &mut ConnectionLog, reason: CloseReason) {
+pub(super) async fn close_delivered(
+    mut stream: TcpStream,
+    log: &mut ConnectionLog,
+    reason: CloseReason,
+) {
     send_end(&mut stream).await;
     if let Some(end) = log.read_until() {
         log.end = ConnectionEnd::Closing(reason);
@@ -148,6 +156,34 @@
     log.end();
 }
 
+/// Closes a connection on which the peer may still be sending: reads and discards until the
+/// peer closes as well, within limits.
+pub(super) async fn close_lingering(mut stream: TcpStream) {
+    send_end(&mut stream).await;
+    match time::timeout(LINGER_TIMEOUT, discard(&mut stream)).await {
+        Ok(Ok(0)) => {}
+        Ok(Ok(size)) => {
+            log::debug!(target: "http", "Discarded {size} bytes after the last response.");
+        }
+        Ok(Err(error)) => log::debug!(target: "http", "Connection broke at its end: {error}."),
+        Err(_) => log::debug!(target: "http", "The peer did not close its connection in time."),
+    }
+}
+
+/// Reads up to [`LINGER_BYTES_MAX`], or until the peer closes; returns the bytes read.
+async fn discard(stream: &mut TcpStream) -> io::Result<usize> {
+    let mut buffer = vec![0; DISCARD_BUFFER_BYTES];
+    let mut discarded = 0;
+    while discarded < LINGER_BYTES_MAX {
+        let size = stream.read(&mut buffer).await?;
+        if size == 0 {
+            break;
+        }
+        discarded += size;
+    }
+    Ok(discarded)
+}
+
 /// Waits until the peer has closed a connection, without reading from it.
 async fn wait_closed(stream: &TcpStream) -> io::Result<()> {
     loop {
--- a/crates/http1/src/server/mod.rs
+++ b/crates/http1/src/server/mod.rs
@@ -7,7 +7,6 @@
 use std::convert::Infallible;
 use std::error::Error;
 use std::future;
-use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,7 +16,7 @@
 use hyper::server::conn::http1;
 use hyper::service::{HttpService, service_fn};
 use hyper_util::rt::TokioIo;
-use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::io::AsyncWriteExt as _;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task;
@@ -41,12 +40,6 @@
 /// How long an idle connection stays open after a stop has begun. A caller that has just
 /// received a response may have sent its next request already.
 const STOP_LINGER: Duration = Duration::from_millis(250);
-/// Limits on what is read and discarded after the last response: a connection that is closed
-/// with unread bytes is reset, and the reset may overtake the response.
-const LINGER_TIMEOUT: Duration = Duration::from_secs(5);
-const LINGER_BYTES_MAX: usize = 8 * 1024 * 1024;
-/// The size of one read while discarding.
-const DISCARD_BUFFER_BYTES: usize = 16 * 1024;
 /// The smallest buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// The response to a request head that does not arrive within the head timeout.
@@ -198,10 +191,10 @@
         }
         let has_unread_body = states.borrow().body == BodyState::Abandoned;
         if has_failed || has_unread_body {
-            return close_lingering(stream.stream).await;
+            return close::close_lingering(stream.stream).await;
         }
         if !resumes {
-            return close::close(stream.stream, &mut log, reason).await;
+            return close::close_delivered(stream.stream, &mut log, reason).await;
         }
         stream.returned = parts.read_buf;
         service = parts.service;
@@ -274,34 +267,6 @@
     }
 }
 
-/// Closes a connection on which the peer may still be sending: reads and discards until the
-/// peer closes as well, within limits.
-async fn close_lingering(mut stream: TcpStream) {
-    close::send_end(&mut stream).await;
-    match time::timeout(LINGER_TIMEOUT, discard(&mut stream)).await {
-        Ok(Ok(0)) => {}
-        Ok(Ok(size)) => {
-            log::debug!(target: "http", "Discarded {size} bytes after the last response.");
-        }
-        Ok(Err(error)) => log::debug!(target: "http", "Connection broke at its end: {error}."),
-        Err(_) => log::debug!(target: "http", "The peer did not close its connection in time."),
-    }
-}
-
-/// Reads up to [`LINGER_BYTES_MAX`], or until the peer closes; returns the bytes read.
-async fn discard(stream: &mut TcpStream) -> io::Result<usize> {
-    let mut buffer = vec![0; DISCARD_BUFFER_BYTES];
-    let mut discarded = 0;
-    while discarded < LINGER_BYTES_MAX {
-        let size = stream.read(&mut buffer).await?;
-        if size == 0 {
-            break;
-        }
-        discarded += size;
-    }
-    Ok(discarded)
-}
-
 /// Which timeout a connection has exceeded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum TimeoutKind {
@@ -383,7 +348,7 @@
                 target: "http", peer:%, requests;
                 "Request head timed out; responded with 408."
             );
-            close_lingering(stream).await;
+            close::close_lingering(stream).await;
         }
         Err(error) => {
             log::debug!(target: "http", peer:%, requests; "Sending the 408 failed: {error}.");
