--- a/crates/http1/src/server/mod.rs
+++ b/crates/http1/src/server/mod.rs
@@ -85,7 +85,8 @@
 /// turns true it closes once the request in progress is complete, and an idle one once no
 /// further request has arrived for a short time. A head that does not
 /// arrive within the head timeout gets a response with status 408. A request is in progress
-/// until its response has been sent and its body has been read.
+/// until its response has been sent and its body has been read. A connection that closes waits
+/// some seconds at most for its peer to close it, too, so that the peer can read the last response.
 ///
 /// `limits` is called again whenever the connection changes its phase, so timeouts may
 /// change while it is open; size limits are read once.
