feat(model): access of callers by key, and quotas of workspaces

Two deployments need workspaces that are found by an API key, with a priority and a quota over the fleet. The types come first, so that the parts that use them can be built side by side: AccessTable, KeyDigest, WorkspaceTerms, WorkspaceQuota and QuotaBound.

--- a/crates/model/src/config/fleet.rs
+++ b/crates/model/src/config/fleet.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use super::{cache, chunk, root, route, service, workspace};
+use super::{access, cache, chunk, root, route, service, workspace};
 use crate::{digest, ids, sizes};
 
 /// The complete configuration of one generation.
@@ -17,6 +17,9 @@
     pub routes: BTreeMap<ids::RouteId, Arc<route::Route>>,
     /// Workspaces by id.
     pub workspaces: BTreeMap<ids::WorkspaceId, workspace::Workspace>,
+    /// Which callers may use the fleet by key; they need no key if none. Set by snapshots only,
+    /// not stored in chunks.
+    pub access: Option<Arc<access::AccessTable>>,
 }
 
 impl FleetConfig {
@@ -27,6 +30,7 @@
             services: BTreeMap::new(),
             routes: BTreeMap::new(),
             workspaces: BTreeMap::new(),
+            access: None,
         }
     }
 
--- a/crates/model/src/config/mod.rs
+++ b/crates/model/src/config/mod.rs
@@ -1,5 +1,6 @@
 //! The configuration: its objects, the chunks and root that store them, and snapshots.
 
+mod access;
 mod audit;
 mod cache;
 mod chunk;
@@ -10,6 +11,7 @@
 mod snapshots;
 mod workspace;
 
+pub use access::{AccessTable, KeyDigest, QuotaBound, WorkspaceQuota, WorkspaceTerms};
 pub use audit::{AuditEntry, ChangeSummary};
 pub use cache::ChunkCache;
 pub use chunk::{Chunk, ChunkError, EncodedChunk};
--- a/crates/model/src/config/snapshots.rs
+++ b/crates/model/src/config/snapshots.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use super::{fleet, route, service};
+use super::{access, fleet, route, service};
 use crate::position::SourcePosition;
 use crate::{ids, sizes, span};
 
@@ -34,6 +34,10 @@
         /// Limits on callers.
         #[serde(rename = "bounds")]
         pub request_limits: RequestLimits,
+        /// Which callers may use the fleet; all of them, without a key, if none. Nodes of earlier
+        /// releases cannot decode it, so it is sent beside the snapshot.
+        #[serde(skip)]
+        pub access: Option<Arc<access::AccessTable>>,
     }
 
     /// An upstream as registered, with its service.
@@ -118,6 +122,7 @@
                 .collect(),
             routes: self.routes.clone(),
             workspaces: BTreeMap::new(),
+            access: self.access.clone(),
         }
     }
 }
--- a/crates/model/src/sizes.rs
+++ b/crates/model/src/sizes.rs
@@ -13,6 +13,10 @@
     /// A number of requests in flight or queued.
     RequestCount, u32, 1, 1_000_000, "a whole number from 1 to 1000000"
 }
+crate::quantity! {
+    /// Requests that may be sent at once on top of a rate.
+    BurstSize, u32, 0, 1_000_000, "a whole number from 0 to 1000000"
+}
 crate::quantity! {
     /// A size in bytes.
     ByteSize, u64, 1, 1_099_511_627_776, "a whole number of bytes from 1 to 1099511627776"
--- a/crates/node/src/replica/task.rs
+++ b/crates/node/src/replica/task.rs
@@ -180,6 +180,14 @@
                 let routes = self.snapshot().routes;
                 NodeReply::Replica(ReplicaReply::Routes(routes.map(Arc::unwrap_or_clone)))
             }
+            ReplicaRequest::RoutesWithAccess => {
+                let routes = self.snapshot().routes.map(Arc::unwrap_or_clone);
+                let routes = routes.map(|mut routes| {
+                    let access = routes.access.take().map(Arc::unwrap_or_clone);
+                    (routes, access)
+                });
+                NodeReply::Replica(ReplicaReply::RoutesWithAccess(routes))
+            }
             ReplicaRequest::Upstreams => {
                 let upstreams = self.snapshot().upstreams;
                 NodeReply::Replica(ReplicaReply::Upstreams(upstreams.map(Arc::unwrap_or_clone)))
@@ -379,7 +387,7 @@
         self.update_lag();
         if summary.generation > own.generation && may_fetch(self.routes_fetch.as_ref(), from) {
             self.routes_fetch = Some((from.node.clone(), Instant::now()));
-            self.fetch(from, ReplicaRequest::Routes);
+            self.fetch(from, ReplicaRequest::RoutesWithAccess);
         }
         if summary.upstreams > own.upstreams && may_fetch(self.upstreams_fetch.as_ref(), from) {
             self.upstreams_fetch = Some((from.node.clone(), Instant::now()));
@@ -406,11 +414,15 @@
         let commands = self.commands.clone();
         let from = Arc::clone(from);
         tokio::spawn(async move {
-            let is_routes = matches!(request, ReplicaRequest::Routes);
+            let is_routes = matches!(request, ReplicaRequest::RoutesWithAccess);
             let request = NodeRequest::Replica(request);
             let reply = peers.request(&from, &request, FETCH_TIMEOUT).await;
             let command = match reply {
-                Ok(NodeReply::Replica(ReplicaReply::Routes(routes))) => {
+                Ok(NodeReply::Replica(ReplicaReply::RoutesWithAccess(routes))) => {
+                    let routes = routes.map(|(mut routes, access)| {
+                        routes.access = access.map(Arc::new);
+                        routes
+                    });
                     ReplicaCommand::RoutesFetched(routes)
                 }
                 Ok(NodeReply::Replica(ReplicaReply::Upstreams(upstreams))) => {
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use model::config::{RouteSnapshot, SnapshotVersion, UpstreamSnapshot};
+use model::config::{AccessTable, RouteSnapshot, SnapshotVersion, UpstreamSnapshot};
 use model::fingerprint::RequestFingerprint;
 use model::{digest, ids, sizes};
 use policy::claim::{ClaimAttempt, ClaimKey, ClaimVerdict, Settlement};
@@ -82,6 +82,8 @@
         Routes,
         /// Return the upstreams.
         Upstreams,
+        /// Return the routes with the access of callers.
+        RoutesWithAccess,
     }
 
     /// A reply about snapshots.
@@ -102,6 +104,8 @@
         Routes(Option<RouteSnapshot>),
         /// The node's upstreams; `None` when it has none.
         Upstreams(Option<UpstreamSnapshot>),
+        /// The node's routes with the access of callers; `None` when it has none.
+        RoutesWithAccess(Option<(RouteSnapshot, Option<AccessTable>)>),
     }
 
     /// A request about rate limits from one node to another.
