feat(upstream): the dispatcher finds the workspace of a request by its key

A configuration with an access table names the workspaces that may send requests. The caller front end reads the key as a digest and does not keep it; the dispatcher looks it up after the route was found, rejects a request without a valid key (401, `unauthenticated`) and removes the credential, and each attempt sets the workspace header. CallTarget and AttemptContext carry CallerAccess, the workspace with its terms, for quotas and the order of the queue. Without an access table nothing is read or removed.

--- a/crates/caller/src/wire.rs
+++ b/crates/caller/src/wire.rs
@@ -16,6 +16,7 @@
 use model::error::{ErrorKind, FleetError, Outcome};
 use model::sizes;
 
+use crate::credential::CredentialHeader;
 use crate::target::RequestTarget;
 
 /// Request header: the caller's workspace.
@@ -40,6 +41,8 @@
     pub request_id: Option<HeaderName>,
     /// Request header: the caller's workspace.
     pub workspace: Option<HeaderName>,
+    /// Request header: the caller's API key.
+    pub credential: Option<CredentialHeader>,
     /// Request header: the key under which a once-only request runs at most once.
     pub idempotency_key: Option<HeaderName>,
     /// Request header: milliseconds that the caller waits for the response.
@@ -57,6 +60,7 @@
         Self {
             request_id: None,
             workspace: Some(HeaderName::from_static(WORKSPACE)),
+            credential: None,
             idempotency_key: Some(HeaderName::from_static(IDEMPOTENCY_KEY)),
             deadline_millis: HeaderName::from_static(DEADLINE_MILLIS),
             outcome: Some(HeaderName::from_static(OUTCOME)),
@@ -94,6 +98,9 @@
     let idempotency_key = read_key(&headers, names)?;
     let request_id = read_request_id(&headers, names)?;
     let timeout = read_timeout(&headers, names)?;
+    // Read before the hop-by-hop headers are removed: a caller may list the header as one.
+    let credential = names.credential.as_ref();
+    let credential = credential.map(|header| header.read(&mut headers));
     http1_header::strip_hop_by_hop(&mut headers, |_| false);
     let consumed = [
         names.workspace.as_ref(),
@@ -111,6 +118,7 @@
         host: target.host,
         headers,
         workspace,
+        credential,
         idempotency_key,
         request_id,
         timeout,
--- a/crates/model/src/call/mod.rs
+++ b/crates/model/src/call/mod.rs
@@ -1,11 +1,13 @@
 //! A request and its response, independent of their encoding.
 
 mod body;
+mod credential;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 pub use body::{BodyError, BodyStream, empty_body, full_body};
+pub use credential::{CallerCredential, CallerKey};
 
 use crate::ids;
 
@@ -29,8 +31,10 @@
     pub host: Arc<str>,
     /// End-to-end headers.
     pub headers: http::HeaderMap,
-    /// The workspace, if the caller sent one.
+    /// The workspace: the one that the caller names, or the one that its key belongs to.
     pub workspace: Option<ids::WorkspaceId>,
+    /// The credential; none where callers send no credentials.
+    pub credential: Option<CallerCredential>,
     /// The key under which the request runs at most once.
     pub idempotency_key: Option<Arc<str>>,
     /// The caller's id for the request as it was sent; none where callers send no ids.
--- a/crates/model/src/config/access.rs
+++ b/crates/model/src/config/access.rs
@@ -19,6 +19,11 @@
     pub fn of(key: &[u8]) -> Self {
         Self(sha2::Sha256::digest(key).into())
     }
+
+    /// The bytes of the digest.
+    pub const fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
 }
 
 impl fmt::Debug for KeyDigest {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each part is a plain struct that is given an event and the current time and returns
 //! what to do. The tasks that own the sockets call it.
 //!
+//! - [`access`]: which callers may send a request, and for which workspace.
 //! - [`routing`]: which service handles a request.
 //! - [`service`]: which upstream of a service handles a request.
 //! - [`detection`]: which upstreams are failing, from pooled evidence.
@@ -22,6 +23,7 @@
 //! - [`rendezvous`]: which node does a shared job, by rendezvous hashing.
 //! - [`invariant`]: run-time checks of invariants, with a count of the violations.
 
+pub mod access;
 pub mod claim;
 pub mod detection;
 pub mod ejection;
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -23,6 +23,7 @@
         host: host.into(),
         headers: http::HeaderMap::new(),
         workspace: None,
+        credential: None,
         idempotency_key: None,
         request_id: None,
         timeout: None,
--- a/crates/upstream/src/attempt.rs
+++ b/crates/upstream/src/attempt.rs
@@ -11,6 +11,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use model::call::{self, BodyError, BodyStream, CallHead, CallResponse};
 use model::ids;
+use policy::access::CallerAccess;
 use policy::exchange::CarriedId;
 use policy::permit::LimitSignal;
 use policy::retry::AttemptEnd;
@@ -32,6 +33,8 @@
 pub struct AttemptContext {
     /// The request head as the caller sent it.
     pub head: CallHead,
+    /// For whom the request is sent; `None` if callers need no keys.
+    pub access: Option<CallerAccess>,
     /// The id of the request in logs.
     pub request: ids::RequestId,
     /// The id that the upstream receives with the request and returns with its response.
@@ -192,6 +195,9 @@
     {
         headers.insert(name.clone(), instance);
     }
+    if let Some(access) = &context.access {
+        names.set_workspace(headers, access.workspace.as_ref());
+    }
     names.insert_deadline(
         headers,
         context.deadline.saturating_duration_since(Instant::now()),
--- a/crates/upstream/src/dispatch/dispatcher.rs
+++ b/crates/upstream/src/dispatch/dispatcher.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use http::{HeaderValue, Method, header};
-use model::call::{BodyError, Call, CallHead, CallResponse};
+use model::call::{BodyError, Call, CallHead, CallResponse, CallerCredential, CallerKey};
 use model::error::{ErrorKind, FleetError, Outcome};
 use model::fingerprint::RequestFingerprint;
 use model::{clock, config, digest, ids};
+use policy::access::CallerAccess;
 use policy::claim::{ClaimAttempt, ClaimKey, ClaimState, ClaimToken};
 use policy::invariant::{self, Invariant};
 use policy::retry::{self, AttemptEnd, RetryCharge, RetryContext};
@@ -18,6 +19,7 @@
 use tokio::sync::watch;
 use tokio::time::{self, Instant};
 
+use super::access;
 use super::body::RequestBody;
 use super::claim::{self, ClaimCallbacks, ClaimGuard};
 use super::trace::CallTrace;
@@ -60,6 +62,8 @@
     request: ids::RequestId,
     route: Arc<config::Route>,
     service: Arc<config::Service>,
+    /// For whom the request is sent; `None` if callers need no keys.
+    access: Option<CallerAccess>,
 }
 
 /// The state of one request across its attempts.
@@ -156,7 +160,7 @@
         &self,
         directory: &ServiceDirectory,
         trace: &mut CallTrace,
-        call: Call,
+        mut call: Call,
     ) -> Result<CallResponse, FleetError> {
         if !is_configured(directory) {
             return Err(FleetError::new(
@@ -169,6 +173,8 @@
             return Err(FleetError::new(ErrorKind::NoRoute, detail));
         };
         trace.route = Some(matched.route.id.clone());
+        let fleet = &directory.config;
+        let access = access::authenticate(fleet, &matched.route.id, &mut call.head)?;
         let Some(service) = matched.service_for(rand::random()) else {
             let detail = format!("route {} leads to no service", matched.route.id);
             return Err(FleetError::new(ErrorKind::NoUpstream, detail));
@@ -181,8 +187,11 @@
             );
             return Err(FleetError::new(ErrorKind::NoUpstream, detail));
         };
-        let workspace = find_workspace(&directory.config, &call.head)?;
-        let _permit = match workspace {
+        let limited = match access {
+            Some(_) => None,
+            None => find_workspace(fleet, &call.head)?,
+        };
+        let _permit = match limited {
             Some(workspace) => Some(handle.enter_workspace(workspace).await?),
             None => None,
         };
@@ -191,6 +200,7 @@
             request: trace.request.clone(),
             route: Arc::clone(&matched.route),
             service: Arc::clone(service),
+            access,
         };
         self.serve_at(trace.started, target, call).await
     }
@@ -221,6 +231,7 @@
             sent_id: sent_id(&call.head, &target.request)?,
             request: target.request,
             head: call.head,
+            access: target.access,
             head_deadline: deadline,
             deadline,
             body_fault,
@@ -569,14 +580,24 @@
 
 /// What makes this request the same one as an earlier attempt of its caller.
 fn fingerprint(head: &CallHead, body: &RequestBody) -> RequestFingerprint {
-    let credentials = head.headers.get(header::AUTHORIZATION);
+    // The header is gone where the key counts, and the digest tells callers apart as well.
+    let credentials = match head.headers.get(header::AUTHORIZATION) {
+        Some(header) => header.as_bytes(),
+        None => match &head.credential {
+            Some(CallerCredential {
+                key: CallerKey::Digest(digest),
+                ..
+            }) => digest.as_bytes(),
+            _ => b"",
+        },
+    };
     RequestFingerprint::of(&[
         head.host.as_bytes(),
         head.workspace
             .as_ref()
             .map_or("", ids::WorkspaceId::as_str)
             .as_bytes(),
-        credentials.map_or(&b""[..], http::HeaderValue::as_bytes),
+        credentials,
         &request_hash(head, body).to_le_bytes(),
     ])
 }
--- a/crates/upstream/src/dispatch/mod.rs
+++ b/crates/upstream/src/dispatch/mod.rs
@@ -1,5 +1,6 @@
 //! One request from routing and claim to its response, over one or more attempts.
 
+mod access;
 mod body;
 mod claim;
 mod dispatcher;
--- a/crates/upstream/src/wire.rs
+++ b/crates/upstream/src/wire.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use http1::header;
 use model::pause::PauseTime;
-use model::sizes;
+use model::{ids, sizes};
 use policy::permit::LimitSignal;
 
 /// The id of the request; an upstream may echo it in the response.
@@ -37,6 +37,9 @@
     pub deadline_millis: HeaderName,
     /// The only instance that may run the request.
     pub instance: Option<HeaderName>,
+    /// The workspace of the request, where callers are known by key. A caller's own header of
+    /// this name is then not forwarded.
+    pub workspace: Option<HeaderName>,
     /// Present when the upstream did not run the request.
     pub shed: HeaderName,
     /// Present on every response that an upstream itself created.
@@ -64,6 +67,7 @@
             echoes_request_id: false,
             deadline_millis: HeaderName::from_static(DEADLINE_MILLIS),
             instance: None,
+            workspace: None,
             shed: HeaderName::from_static(SHED),
             signature: None,
             state: HeaderName::from_static(STATE),
@@ -187,6 +191,17 @@
         headers.remove(&self.shed);
     }
 
+    /// Sets the workspace header, regardless of what the caller sent; removes it without a
+    /// workspace.
+    pub fn set_workspace(&self, headers: &mut HeaderMap, workspace: Option<&ids::WorkspaceId>) {
+        let Some(name) = &self.workspace else { return };
+        headers.remove(name);
+        let value = workspace.and_then(|id| HeaderValue::from_str(id.as_str()).ok());
+        if let Some(value) = value {
+            headers.insert(name.clone(), value);
+        }
+    }
+
     /// Sets the deadline header to the time left.
     pub fn insert_deadline(&self, headers: &mut HeaderMap, left: Duration) {
         let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
