--- a/crates/upstream/src/dispatch/body.rs
+++ b/crates/upstream/src/dispatch/body.rs
@@ -2,6 +2,7 @@
 
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
@@ -17,6 +18,18 @@
 /// The largest body that is buffered for further attempts.
 const BUFFERED_BYTES_MAX: u64 = 64 * 1024;
 
+/// Longest time for which the body of a rejected request is read.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Reads and discards the body of a rejected request, beside its response. The connection would
+/// close after a response to a request whose body is not read, and the requests that wait behind
+/// it would be lost.
+pub(super) fn discard_rejected(body: BodyStream) {
+    if !body.is_end_stream() {
+        tokio::spawn(time::timeout(DISCARD_TIMEOUT, discard(body)));
+    }
+}
+
 /// A request's body across its attempts.
 pub(super) enum RequestBody {
     /// The whole body is in memory.
--- a/crates/upstream/src/dispatch/dispatcher.rs
+++ b/crates/upstream/src/dispatch/dispatcher.rs
@@ -20,7 +20,7 @@
 use tokio::time::{self, Instant};
 
 use super::access;
-use super::body::RequestBody;
+use super::body::{self, RequestBody};
 use super::claim::{self, ClaimCallbacks, ClaimGuard};
 use super::trace::CallTrace;
 use super::{race, resume};
@@ -174,7 +174,13 @@
         };
         trace.route = Some(matched.route.id.clone());
         let fleet = &directory.config;
-        let access = access::authenticate(fleet, &matched.route.id, &mut call.head)?;
+        let access = match access::authenticate(fleet, &matched.route.id, &mut call.head) {
+            Ok(access) => access,
+            Err(error) => {
+                body::discard_rejected(call.body);
+                return Err(error);
+            }
+        };
         let Some(service) = matched.service_for(rand::random()) else {
             let detail = format!("route {} leads to no service", matched.route.id);
             return Err(FleetError::new(ErrorKind::NoUpstream, detail));
