--- a/crates/caller/src/wire.rs
+++ b/crates/caller/src/wire.rs
@@ -321,6 +321,13 @@
             headers.insert(header::RETRY_AFTER, seconds);
         }
     }
+    // RFC 9110, 15.5.2: a response with status 401 names the scheme.
+    if kind == ErrorKind::Unauthenticated
+        && let Some(credential) = &names.credential
+        && let Ok(scheme) = HeaderValue::from_str(&credential.scheme)
+    {
+        headers.insert(header::WWW_AUTHENTICATE, scheme);
+    }
     let closes_connection = matches!(
         kind,
         ErrorKind::BadRequest
