feat(policy): queue by priority, fair share and deadline

Where callers have workspaces, requests that find no capacity are to wait in an order in which a hot workspace cannot displace the others. Adds the queue, the counter of requests in service by flow, the service rate, the share of a data centre's capacity that a node may use, and the admission that rejects on arrival what cannot run in time. Nothing calls it yet.

--- a/crates/policy/src/limit/mod.rs
+++ b/crates/policy/src/limit/mod.rs
@@ -2,8 +2,14 @@
 
 mod adaptive;
 mod counter;
+mod fair_queue;
+mod flow;
 mod queue;
+mod service_rate;
 
 pub use adaptive::AdaptiveLimit;
 pub use counter::WorkspaceCounter;
+pub use fair_queue::{FairQueue, WaiterRank};
+pub use flow::{FlowCounter, FlowKey, RequestClass};
 pub use queue::{DequeueResult, RequestQueue};
+pub use service_rate::ServiceRate;
--- a/crates/policy/src/service/balancer/admission.rs
+++ b/crates/policy/src/service/balancer/admission.rs
@@ -20,10 +20,7 @@
     /// Decides whether an attempt may be sent now, and to which upstream.
     pub fn admit(&mut self, now: Instant, request: &AttemptRequest) -> Admission {
         if request.purpose == AttemptPurpose::First {
-            self.budget.deposit();
-            self.late_share
-                .count_request(now, f64::from(self.fleet_nodes));
-            self.add_offer_credit();
+            self.count_arrival(now);
         }
         self.place(now, request, LimitedUse::WithPermit)
     }
@@ -117,7 +114,7 @@
         )
     }
 
-    fn wait_or_refuse(
+    pub(super) fn wait_or_refuse(
         &self,
         now: Instant,
         request: &AttemptRequest,
@@ -169,7 +166,11 @@
             in_flight_before,
             overdue_after,
             permit,
+            flow: request.class.as_ref().map(|class| class.flow.clone()),
         };
+        if let Some(flow) = &attempt.flow {
+            self.flows.enter(flow);
+        }
         let trial = status == UpstreamStatus::Avoided;
         AttemptGrant {
             attempt: self.attempts.insert(attempt),
--- a/crates/policy/src/service/balancer/mod.rs
+++ b/crates/policy/src/service/balancer/mod.rs
@@ -7,6 +7,7 @@
 pub(super) mod offers;
 pub(super) mod permits;
 pub(super) mod remembered;
+mod shared_room;
 mod signals;
 mod updates;
 
@@ -79,6 +80,9 @@
     pub charge: retry::RetryCharge,
     /// Target latency of the route, if it sets one.
     pub target_latency: Option<Duration>,
+    /// The flow and priority of the request; `None` if callers have no workspaces, so that
+    /// capacity is not shared by flow.
+    pub class: Option<limit::RequestClass>,
 }
 
 /// Permission to send one attempt.
@@ -131,6 +135,8 @@
     overdue_after: Duration,
     /// The version of the permit with which it is sent; `None` if it needs none.
     permit: Option<LimitVersion>,
+    /// The flow that it belongs to; `None` if capacity is not shared by flow.
+    flow: Option<limit::FlowKey>,
 }
 
 impl InFlightAttempt {
@@ -160,6 +166,9 @@
     latency_sample: Option<Duration>,
     evidence: detection::EvidenceBuffer,
     workspaces: limit::WorkspaceCounter,
+    /// Attempts in flight by flow.
+    flows: limit::FlowCounter,
+    service_rate: limit::ServiceRate,
     trial_interval: Duration,
     /// Suspicion signals not yet sent to the other nodes.
     signals: Vec<SuspicionSignal>,
@@ -198,6 +207,8 @@
             latency_sample: None,
             evidence: detection::EvidenceBuffer::new(now),
             workspaces: limit::WorkspaceCounter::default(),
+            flows: limit::FlowCounter::default(),
+            service_rate: limit::ServiceRate::default(),
             trial_interval: TRIAL_INTERVAL_MIN,
             signals: Vec::new(),
             late_share: LateShare::new(now),
@@ -275,6 +286,10 @@
             return;
         };
         let elapsed = now.saturating_duration_since(attempt.started);
+        if let Some(flow) = &attempt.flow {
+            self.flows.leave(flow);
+            self.service_rate.observe(elapsed);
+        }
         let latency = attempt.latency.unwrap_or(elapsed);
         let overdue = latency > attempt.overdue_after;
         let Some(entry) = self.upstreams.get_mut(attempt.upstream) else {
--- /dev/null
+++ b/crates/policy/src/service/fair_admission.rs
@@ -0,0 +1,215 @@
+//! Admission of attempts by priority and fair share, with rejection on arrival of those that
+//! could not run in time.
+
+use std::time::Duration;
+
+use model::{error, sizes};
+use rand::rngs::SmallRng;
+use rand::{Rng as _, SeedableRng as _};
+use tokio::time::Instant;
+
+use super::{Admission, AttemptPurpose, AttemptRequest, ServiceBalancer};
+use crate::limit::{FairQueue, RequestClass, WaiterRank};
+
+/// Maximum factor on the `Retry-After` of a rejection. The factors are spread evenly from 1, so
+/// that callers which are rejected together do not return together.
+const RETRY_JITTER_MAX: f64 = 1.5;
+/// Waiters whose untried upstreams have no room that are passed over for the next ones.
+const BLOCKED_MAX: usize = 4;
+
+/// An attempt that asks for a grant.
+#[derive(Debug)]
+pub struct QueuedAttempt<T> {
+    /// The request for an upstream.
+    pub request: AttemptRequest,
+    /// The deadline of the caller's request.
+    pub deadline: Instant,
+    /// What the decision is to be sent to.
+    pub waiter: T,
+}
+
+/// How long a request would have waited, and how long it could have.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WaitOutlook {
+    /// The time after which the request would have been sent.
+    pub expected: Duration,
+    /// The time until it had to be sent to end before its deadline.
+    pub left: Duration,
+}
+
+/// Why an attempt is rejected without having been sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WaitRefusal {
+    /// The kind of the error.
+    pub kind: error::ErrorKind,
+    /// Time after which capacity is expected for another request like it, with jitter.
+    pub retry_after: Option<Duration>,
+    /// The wait that led to the rejection, if it did.
+    pub outlook: Option<WaitOutlook>,
+}
+
+/// A decision on one attempt.
+#[derive(Debug)]
+pub enum FairDecision<T> {
+    /// The balancer's decision, which is not `Admission::Wait`.
+    Decided(QueuedAttempt<T>, Admission),
+    /// The attempt is rejected.
+    Rejected(T, WaitRefusal),
+}
+
+/// The attempts of one service that wait at a node whose callers have workspaces.
+#[derive(Debug)]
+pub struct FairAdmission<T> {
+    queue: FairQueue<QueuedAttempt<T>>,
+    rng: SmallRng,
+}
+
+impl<T> FairAdmission<T> {
+    /// Creates an empty queue for at most `capacity` waiters; `seed` drives the jitter.
+    pub fn new(capacity: sizes::RequestCount, seed: u64) -> Self {
+        Self {
+            queue: FairQueue::new(capacity),
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Changes the maximum number of waiters.
+    pub fn set_capacity(&mut self, capacity: sizes::RequestCount) {
+        self.queue.set_capacity(capacity);
+    }
+
+    /// Decides on an attempt of `class` that arrives, and on those whose turn it is now. An
+    /// attempt without a decision waits. `is_gone` tells whether a waiter no longer needs one.
+    pub fn arrive(
+        &mut self,
+        now: Instant,
+        balancer: &mut ServiceBalancer,
+        class: RequestClass,
+        attempt: QueuedAttempt<T>,
+        is_gone: impl Fn(&T) -> bool,
+    ) -> Vec<FairDecision<T>> {
+        if attempt.request.purpose == AttemptPurpose::First {
+            balancer.count_arrival(now);
+        }
+        if attempt.request.purpose == AttemptPurpose::Hedge {
+            // A second attempt never takes the turn of a first one.
+            let admission = if self.queue.is_empty() {
+                balancer.place_in_share(now, &attempt.request)
+            } else {
+                Admission::Refuse(error::ErrorKind::NoUpstream)
+            };
+            return vec![FairDecision::Decided(attempt, admission)];
+        }
+        if self.queue.is_empty() {
+            let admission = balancer.place_in_share(now, &attempt.request);
+            if !matches!(admission, Admission::Wait) {
+                return vec![FairDecision::Decided(attempt, admission)];
+            }
+        }
+        let mut decisions = Vec::new();
+        self.queue.retain(|queued| !is_gone(&queued.waiter));
+        let rejected = self.enqueue(now, balancer, class, attempt);
+        decisions.extend(rejected);
+        decisions.extend(self.admit_waiters(now, balancer, is_gone));
+        decisions
+    }
+
+    /// Adds an attempt to the queue; returns the rejection of that one or of another, if the
+    /// attempt cannot be sent in time or the queue is full.
+    fn enqueue(
+        &mut self,
+        now: Instant,
+        balancer: &ServiceBalancer,
+        class: RequestClass,
+        attempt: QueuedAttempt<T>,
+    ) -> Option<FairDecision<T>> {
+        let rank = WaiterRank {
+            class,
+            is_retry: attempt.request.purpose == AttemptPurpose::Retry,
+            deadline: attempt.deadline,
+        };
+        let ahead = self.queue.count_ahead(&rank, balancer.flows());
+        let send_by = now + balancer.min_time_left();
+        let left = attempt.deadline.saturating_duration_since(send_by);
+        let expected = balancer.expected_wait(ahead);
+        if let Some(expected) = expected.filter(|expected| *expected >= left) {
+            let refusal = WaitRefusal {
+                kind: error::ErrorKind::ExpectedWait,
+                retry_after: Some(self.jitter(expected)),
+                outlook: Some(WaitOutlook { expected, left }),
+            };
+            return Some(FairDecision::Rejected(attempt.waiter, refusal));
+        }
+        let (_, dropped) = self.queue.push(rank, attempt, balancer.flows())?;
+        let drained = balancer.expected_wait(self.queue.len());
+        let refusal = WaitRefusal {
+            kind: error::ErrorKind::Overload,
+            retry_after: drained.map(|drained| self.jitter(drained)),
+            outlook: None,
+        };
+        Some(FairDecision::Rejected(dropped.waiter, refusal))
+    }
+
+    /// Decides on the waiters whose turn it is, while there is capacity.
+    pub fn admit_waiters(
+        &mut self,
+        now: Instant,
+        balancer: &mut ServiceBalancer,
+        is_gone: impl Fn(&T) -> bool,
+    ) -> Vec<FairDecision<T>> {
+        let mut decisions = Vec::new();
+        let mut blocked = Vec::new();
+        while let Some((rank, attempt)) = self.queue.pop(balancer.flows()) {
+            if is_gone(&attempt.waiter) {
+                continue;
+            }
+            if attempt.deadline <= now + balancer.min_time_left() {
+                decisions.push(expired(attempt));
+                continue;
+            }
+            let admission = balancer.place_in_share(now, &attempt.request);
+            if !matches!(admission, Admission::Wait) {
+                decisions.push(FairDecision::Decided(attempt, admission));
+                continue;
+            }
+            let blocks_others = attempt.request.exclude.is_empty();
+            blocked.push((rank, attempt));
+            if blocks_others || blocked.len() >= BLOCKED_MAX {
+                break;
+            }
+        }
+        for (rank, attempt) in blocked {
+            self.queue.restore(rank, attempt);
+        }
+        decisions
+    }
+
+    /// Rejects the waiters that could no longer end before their deadlines.
+    pub fn expire(&mut self, now: Instant, balancer: &ServiceBalancer) -> Vec<FairDecision<T>> {
+        let waiters = self.queue.expire(now + balancer.min_time_left());
+        waiters.into_iter().map(expired).collect()
+    }
+
+    /// Number of waiters.
+    pub const fn len(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Whether there are no waiters.
+    pub const fn is_empty(&self) -> bool {
+        self.queue.is_empty()
+    }
+
+    fn jitter(&mut self, wait: Duration) -> Duration {
+        wait.mul_f64(self.rng.random_range(1.0..RETRY_JITTER_MAX))
+    }
+}
+
+fn expired<T>(attempt: QueuedAttempt<T>) -> FairDecision<T> {
+    let refusal = WaitRefusal {
+        kind: error::ErrorKind::DeadlineBeforeSend,
+        retry_after: None,
+        outlook: None,
+    };
+    FairDecision::Rejected(attempt.waiter, refusal)
+}
--- a/crates/policy/src/service/mod.rs
+++ b/crates/policy/src/service/mod.rs
@@ -3,6 +3,7 @@
 mod balancer;
 mod choose;
 mod entry;
+mod fair_admission;
 mod load_totals;
 mod subset;
 
@@ -11,5 +12,8 @@
     ServiceBalancer, UpstreamLoad,
 };
 pub use entry::{UpstreamPause, UpstreamStatus, UpstreamView};
+pub use fair_admission::{
+    FairAdmission, FairDecision, QueuedAttempt, WaitOutlook, WaitRefusal,
+};
 pub use load_totals::LoadTotals;
 pub use subset::{choose_subset, subset_size};
--- a/crates/policy/tests/balancer.rs
+++ b/crates/policy/tests/balancer.rs
@@ -41,6 +41,7 @@
         purpose: AttemptPurpose::First,
         charge: RetryCharge::Budget,
         target_latency: None,
+        class: None,
     }
 }
 
--- a/crates/policy/tests/offer_floor/fleet.rs
+++ b/crates/policy/tests/offer_floor/fleet.rs
@@ -267,6 +267,7 @@
             purpose: AttemptPurpose::First,
             charge: RetryCharge::Budget,
             target_latency: Some(Duration::from_millis(1_500)),
+            class: None,
         };
         self.requests += 1;
         let admission = self.balancers[node].admit(Instant::now(), &request);
--- a/crates/policy/tests/rate_limits/fleet.rs
+++ b/crates/policy/tests/rate_limits/fleet.rs
@@ -240,6 +240,7 @@
             purpose: AttemptPurpose::First,
             charge: RetryCharge::Budget,
             target_latency: Some(Duration::from_millis(1_500)),
+            class: None,
         };
         let mut admission = self.balancers[node].admit(Instant::now(), &request);
         for drawn in 1..=PERMIT_DRAWS_MAX {
--- a/crates/policy/tests/suspicion.rs
+++ b/crates/policy/tests/suspicion.rs
@@ -38,6 +38,7 @@
         purpose: AttemptPurpose::First,
         charge: RetryCharge::Budget,
         target_latency: Some(TARGET_LATENCY),
+        class: None,
     }
 }
 
--- a/testing/lab/src/detect/fleet.rs
+++ b/testing/lab/src/detect/fleet.rs
@@ -141,6 +141,7 @@
         let request = AttemptRequest {
             request_id: crate::control::parse_id("request"),
             target_latency: None,
+            class: None,
             repeatable,
             exclude: Vec::new(),
             purpose: AttemptPurpose::First,
