--- a/crates/policy/src/limit/fair_queue.rs
+++ b/crates/policy/src/limit/fair_queue.rs
@@ -5,7 +5,7 @@
 use model::sizes;
 use tokio::time::Instant;
 
-use super::flow::{FlowCounter, FlowKey, RequestClass};
+use super::flow::{FlowKey, FlowTable, RequestClass};
 
 /// The place of a waiter among the others.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -62,7 +62,7 @@
         &mut self,
         rank: WaiterRank,
         waiter: T,
-        flows: &FlowCounter,
+        flows: &FlowTable,
     ) -> Option<(WaiterRank, T)> {
         self.restore(rank, waiter);
         if self.waiters.len() <= self.capacity {
@@ -81,11 +81,17 @@
         self.waiters.insert(index, QueuedWaiter { rank, waiter });
     }
 
-    /// Removes the next waiter: of the highest priority, of the flow with the fewest requests in
-    /// service, the one with the earliest deadline.
-    pub fn pop(&mut self, flows: &FlowCounter) -> Option<(WaiterRank, T)> {
+    /// Removes the next waiter among those whose flow `may_leave`: of the highest priority, of the
+    /// flow with the fewest requests in service, the one with the earliest deadline.
+    pub fn pop(
+        &mut self,
+        flows: &FlowTable,
+        may_leave: impl Fn(&FlowKey) -> bool,
+    ) -> Option<(WaiterRank, T)> {
+        let waiters = self.waiters.iter().enumerate();
+        let waiters = waiters.filter(|(_, queued)| may_leave(&queued.rank.class.flow));
         // Of several minima, the first one has the earliest deadline.
-        let next = self.waiters.iter().enumerate().min_by_key(|(_, queued)| {
+        let next = waiters.min_by_key(|(_, queued)| {
             let rank = &queued.rank;
             let in_service = flows.in_service(&rank.class.flow);
             (rank.class.priority, rank.contended_use(in_service))
@@ -97,7 +103,7 @@
 
     /// Number of waiters that would leave the queue before a new one if each that leaves goes
     /// into service.
-    pub fn count_ahead(&self, rank: &WaiterRank, flows: &FlowCounter) -> usize {
+    pub fn count_ahead(&self, rank: &WaiterRank, flows: &FlowTable) -> usize {
         let is_peer =
             |queued: &&QueuedWaiter<T>| queued.rank.class.priority == rank.class.priority;
         let own_ahead = self.waiters.iter().filter(is_peer).filter(|queued| {
@@ -148,7 +154,7 @@
         self.waiters.is_empty()
     }
 
-    fn find_heaviest(&self, flows: &FlowCounter) -> Option<usize> {
+    fn find_heaviest(&self, flows: &FlowTable) -> Option<usize> {
         let priorities = self.waiters.iter().map(|queued| queued.rank.class.priority);
         let lowest = priorities.max()?;
         let is_lowest = |queued: &&QueuedWaiter<T>| queued.rank.class.priority == lowest;
--- a/crates/policy/src/service/balancer/admission.rs
+++ b/crates/policy/src/service/balancer/admission.rs
@@ -20,7 +20,7 @@
     /// Decides whether an attempt may be sent now, and to which upstream.
     pub fn admit(&mut self, now: Instant, request: &AttemptRequest) -> Admission {
         if request.purpose == AttemptPurpose::First {
-            self.count_arrival(now);
+            self.count_arrival(now, request);
         }
         self.place(now, request, LimitedUse::WithPermit)
     }
@@ -169,7 +169,7 @@
             flow: request.class.as_ref().map(|class| class.flow.clone()),
         };
         if let Some(flow) = &attempt.flow {
-            self.flows.enter(flow);
+            self.flows.enter(now, flow);
         }
         let trial = status == UpstreamStatus::Avoided;
         AttemptGrant {
--- a/crates/policy/src/service/balancer/mod.rs
+++ b/crates/policy/src/service/balancer/mod.rs
@@ -166,8 +166,8 @@
     latency_sample: Option<Duration>,
     evidence: detection::EvidenceBuffer,
     workspaces: limit::WorkspaceCounter,
-    /// Attempts in flight by flow.
-    flows: limit::FlowCounter,
+    /// What each flow uses.
+    flows: limit::FlowTable,
     service_rate: limit::ServiceRate,
     trial_interval: Duration,
     /// Suspicion signals not yet sent to the other nodes.
@@ -207,7 +207,7 @@
             latency_sample: None,
             evidence: detection::EvidenceBuffer::new(now),
             workspaces: limit::WorkspaceCounter::default(),
-            flows: limit::FlowCounter::default(),
+            flows: limit::FlowTable::new(now),
             service_rate: limit::ServiceRate::default(),
             trial_interval: TRIAL_INTERVAL_MIN,
             signals: Vec::new(),
--- a/crates/policy/src/service/balancer/shared_room.rs
+++ b/crates/policy/src/service/balancer/shared_room.rs
@@ -12,14 +12,19 @@
 use crate::service::entry::{UpstreamEntry, UpstreamStatus};
 use crate::service::balancer::permits::LimitedUse;
 
-/// Requests in flight that the nodes of a data centre allow for each slot. Beyond one, requests
-/// wait at upstreams, which keeps slots busy although the nodes know each other's load late and
-/// load the upstreams unevenly.
-const REQUESTS_PER_SLOT: f64 = 1.5;
+/// Requests in flight that the nodes of a data centre allow for each slot, to flows that use more
+/// than their fair share and to those that do not.
+const EXCESS_PER_SLOT: f64 = 1.2;
+const FAIR_PER_SLOT: f64 = 3.0;
+fn excess_per_slot() -> f64 { std::env::var("T1").map_or(EXCESS_PER_SLOT, |v| v.parse().unwrap()) }
+fn fair_per_slot() -> f64 { std::env::var("T2").map_or(FAIR_PER_SLOT, |v| v.parse().unwrap()) }
 
 impl ServiceBalancer {
     /// Counts the arrival of a request.
-    pub(in crate::service) fn count_arrival(&mut self, now: Instant) {
+    pub(in crate::service) fn count_arrival(&mut self, now: Instant, request: &AttemptRequest) {
+        if let Some(class) = &request.class {
+            self.flows.arrive(now, &class.flow);
+        }
         self.budget.deposit();
         self.late_share
             .count_request(now, f64::from(self.fleet_nodes));
@@ -33,26 +38,26 @@
         now: Instant,
         request: &AttemptRequest,
     ) -> Admission {
-        if !self.has_shared_room(now) {
+        if !self.has_shared_room(now, request) {
             return self.wait_or_refuse(now, request, LimitedUse::WithPermit);
         }
         self.place(now, request, LimitedUse::WithPermit)
     }
 
-    /// Whether this node may send one more request: it has fewer in flight than its part of the
-    /// data centre's share, or the nodes of the data centre together have fewer than the whole
-    /// share. The part needs no knowledge of other nodes, so that a node whose news of them is
-    /// late or missing neither starves nor takes more.
-    fn has_shared_room(&self, now: Instant) -> bool {
-        let (local, all) = self.usable_slots(now);
-        let share = local.max(all * self.local_node_share) * REQUESTS_PER_SLOT;
-        if share <= 0.0 {
+    /// Whether the capacity of the data centre has room for one more request of this flow and
+    /// priority.
+    fn has_shared_room(&self, now: Instant, request: &AttemptRequest) -> bool {
+        let Some(class) = &request.class else {
             return true;
-        }
-        let local_nodes = (f64::from(self.fleet_nodes) * self.local_node_share).max(1.0);
-        let own = f64::from(u32::try_from(self.in_flight()).unwrap_or(u32::MAX));
-        let own_part = (share / local_nodes).max(1.0);
-        own + 1.0 <= own_part || self.data_centre_in_flight(now) + 1.0 <= share
+        };
+        let (local, all) = self.usable_slots(now);
+        let slots = local.max(all * self.local_node_share);
+        let per_slot = if self.flows.is_excessive(now, &class.flow) {
+            excess_per_slot()
+        } else {
+            excess_per_slot() + (fair_per_slot() - excess_per_slot()) / f64::from(class.priority + 1)
+        };
+        slots <= 0.0 || self.data_centre_in_flight(now) + 1.0 <= slots * per_slot
     }
 
     /// Slots of the upstreams that take requests: of those in this data centre, and of all.
@@ -80,7 +85,7 @@
     }
 
     /// Requests in service from this node, by flow.
-    pub const fn flows(&self) -> &limit::FlowCounter {
+    pub const fn flows(&self) -> &limit::FlowTable {
         &self.flows
     }
 
--- a/crates/policy/src/service/fair_admission.rs
+++ b/crates/policy/src/service/fair_admission.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use super::{Admission, AttemptPurpose, AttemptRequest, ServiceBalancer};
-use crate::limit::{FairQueue, RequestClass, WaiterRank};
+use crate::limit::{DepartureRate, FairQueue, RequestClass, WaiterRank};
 
 /// Maximum factor on the `Retry-After` of a rejection. The factors are spread evenly from 1, so
 /// that callers which are rejected together do not return together.
@@ -61,6 +61,7 @@
 #[derive(Debug)]
 pub struct FairAdmission<T> {
     queue: FairQueue<QueuedAttempt<T>>,
+    departures: DepartureRate,
     rng: SmallRng,
 }
 
@@ -69,6 +70,7 @@
     pub fn new(capacity: sizes::RequestCount, seed: u64) -> Self {
         Self {
             queue: FairQueue::new(capacity),
+            departures: DepartureRate::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -89,7 +91,7 @@
         is_gone: impl Fn(&T) -> bool,
     ) -> Vec<FairDecision<T>> {
         if attempt.request.purpose == AttemptPurpose::First {
-            balancer.count_arrival(now);
+            balancer.count_arrival(now, &attempt.request);
         }
         if attempt.request.purpose == AttemptPurpose::Hedge {
             // A second attempt never takes the turn of a first one.
@@ -131,7 +133,7 @@
         let ahead = self.queue.count_ahead(&rank, balancer.flows());
         let send_by = now + balancer.min_time_left();
         let left = attempt.deadline.saturating_duration_since(send_by);
-        let expected = balancer.expected_wait(ahead);
+        let expected = self.expected_wait(now, balancer, ahead);
         if let Some(expected) = expected.filter(|expected| *expected >= left) {
             let refusal = WaitRefusal {
                 kind: error::ErrorKind::ExpectedWait,
@@ -140,8 +142,11 @@
             };
             return Some(FairDecision::Rejected(attempt.waiter, refusal));
         }
+        if self.queue.is_empty() {
+            self.departures.restart(now);
+        }
         let (_, dropped) = self.queue.push(rank, attempt, balancer.flows())?;
-        let drained = balancer.expected_wait(self.queue.len());
+        let drained = self.expected_wait(now, balancer, self.queue.len());
         let refusal = WaitRefusal {
             kind: error::ErrorKind::Overload,
             retry_after: drained.map(|drained| self.jitter(drained)),
@@ -159,7 +164,14 @@
     ) -> Vec<FairDecision<T>> {
         let mut decisions = Vec::new();
         let mut blocked = Vec::new();
-        while let Some((rank, attempt)) = self.queue.pop(balancer.flows()) {
+        // Flows with excessive use have less room than others, which pass them then.
+        let mut skips_excess = false;
+        while blocked.len() < BLOCKED_MAX {
+            let flows = balancer.flows();
+            let may_leave = |flow: &_| !(skips_excess && flows.is_excessive(now, flow));
+            let Some((rank, attempt)) = self.queue.pop(flows, may_leave) else {
+                break;
+            };
             if is_gone(&attempt.waiter) {
                 continue;
             }
@@ -169,12 +181,15 @@
             }
             let admission = balancer.place_in_share(now, &attempt.request);
             if !matches!(admission, Admission::Wait) {
+                self.departures.record(now);
                 decisions.push(FairDecision::Decided(attempt, admission));
                 continue;
             }
-            let blocks_others = attempt.request.exclude.is_empty();
+            let is_excessive = balancer.flows().is_excessive(now, &rank.class.flow);
+            let blocks_others = attempt.request.exclude.is_empty() && !is_excessive;
+            skips_excess |= is_excessive;
             blocked.push((rank, attempt));
-            if blocks_others || blocked.len() >= BLOCKED_MAX {
+            if blocks_others {
                 break;
             }
         }
@@ -200,6 +215,22 @@
         self.queue.is_empty()
     }
 
+    /// Time until a waiter with `ahead` others before it gets its turn; `None` while nothing is
+    /// known. It is derived from how the waiters left lately, and at least from how attempts end.
+    fn expected_wait(
+        &self,
+        now: Instant,
+        balancer: &ServiceBalancer,
+        ahead: usize,
+    ) -> Option<Duration> {
+        let observed = if self.queue.is_empty() {
+            None
+        } else {
+            self.departures.time_to_leave(now, ahead)
+        };
+        observed.max(balancer.expected_wait(ahead))
+    }
+
     fn jitter(&mut self, wait: Duration) -> Duration {
         wait.mul_f64(self.rng.random_range(1.0..RETRY_JITTER_MAX))
     }
