--- a/crates/policy/src/limit/fair_queue.rs
+++ b/crates/policy/src/limit/fair_queue.rs
@@ -102,18 +102,27 @@
     }
 
     /// Number of waiters that would leave the queue before a new one if each that leaves goes
-    /// into service.
-    pub fn count_ahead(&self, rank: &WaiterRank, flows: &FlowTable) -> usize {
+    /// into service; of those whose flow `counts`.
+    pub fn count_ahead(
+        &self,
+        rank: &WaiterRank,
+        flows: &FlowTable,
+        counts: impl Fn(&FlowKey) -> bool,
+    ) -> usize {
+        let waiters = || {
+            let waiters = self.waiters.iter();
+            waiters.filter(|queued| counts(&queued.rank.class.flow))
+        };
         let is_peer =
             |queued: &&QueuedWaiter<T>| queued.rank.class.priority == rank.class.priority;
-        let own_ahead = self.waiters.iter().filter(is_peer).filter(|queued| {
+        let own_ahead = waiters().filter(is_peer).filter(|queued| {
             queued.rank.class.flow == rank.class.flow && queued.rank.deadline <= rank.deadline
         });
         let own_ahead = u32::try_from(own_ahead.count()).unwrap_or(u32::MAX);
         let in_service = flows.in_service(&rank.class.flow);
         let own_turn = rank.contended_use(in_service.saturating_add(own_ahead));
         let mut next_use: HashMap<&FlowKey, u32> = HashMap::new();
-        let peers_ahead = self.waiters.iter().filter(is_peer).filter(|queued| {
+        let peers_ahead = waiters().filter(is_peer).filter(|queued| {
             let other = &queued.rank;
             let uses = next_use
                 .entry(&other.class.flow)
@@ -123,10 +132,8 @@
             (turn, other.deadline) <= (own_turn, rank.deadline)
         });
         let peers_ahead = peers_ahead.count();
-        let higher = self
-            .waiters
-            .iter()
-            .filter(|queued| queued.rank.class.priority < rank.class.priority);
+        let higher =
+            waiters().filter(|queued| queued.rank.class.priority < rank.class.priority);
         peers_ahead + higher.count()
     }
 
@@ -144,6 +151,13 @@
         self.waiters.retain(|queued| is_kept(&queued.waiter));
     }
 
+    /// Number of waiters whose flow `counts`.
+    pub fn count(&self, counts: impl Fn(&FlowKey) -> bool) -> usize {
+        let waiters = self.waiters.iter();
+        let counted = waiters.filter(|queued| counts(&queued.rank.class.flow));
+        counted.count()
+    }
+
     /// Number of waiters.
     pub const fn len(&self) -> usize {
         self.waiters.len()
--- a/crates/policy/src/service/balancer/shared_room.rs
+++ b/crates/policy/src/service/balancer/shared_room.rs
@@ -22,6 +22,15 @@
 /// With 2, slots idled while nodes held requests back for lack of recent totals.
 const REQUESTS_PER_SLOT: f64 = 3.0;
 
+/// The capacity that the nodes of a data centre share, and the requests that they have in flight
+/// there.
+#[derive(Debug, Clone, Copy)]
+struct SharedLoad {
+    /// Slots in the data centre, or its share of all slots if that is more.
+    slots: f64,
+    in_flight: f64,
+}
+
 impl ServiceBalancer {
     /// Counts the arrival of a request.
     pub(in crate::service) fn count_arrival(&mut self, now: Instant, request: &AttemptRequest) {
@@ -53,39 +62,42 @@
         let Some(class) = &request.class else {
             return true;
         };
-        let (local, all) = self.usable_slots(now);
-        let slots = local.max(all * self.local_node_share);
-        let per_slot = if self.flows.is_excessive(now, &class.flow) {
+        let is_excessive = self.flows.is_excessive(now, &class.flow);
+        let load = self.shared_load(now);
+        // A node with nothing in flight has no other way to learn that there is room again.
+        if load.slots <= 0.0 || (self.attempts.is_empty() && !is_excessive) {
+            return true;
+        }
+        let per_slot = if is_excessive {
             EXCESS_REQUESTS_PER_SLOT
         } else {
             let span = REQUESTS_PER_SLOT - EXCESS_REQUESTS_PER_SLOT;
             EXCESS_REQUESTS_PER_SLOT + span / (f64::from(class.priority) + 1.0)
         };
-        slots <= 0.0 || self.data_centre_in_flight(now) + 1.0 <= slots * per_slot
+        load.in_flight + 1.0 <= load.slots * per_slot
     }
 
-    /// Slots of the upstreams that take requests: of those in this data centre, and of all.
-    fn usable_slots(&self, now: Instant) -> (f64, f64) {
+    /// Sums up the upstreams that take requests.
+    fn shared_load(&self, now: Instant) -> SharedLoad {
         let is_usable = |entry: &&UpstreamEntry| {
             entry.status() == UpstreamStatus::Healthy && entry.pause_left(now).is_none()
         };
-        let (mut local, mut all) = (0.0, 0.0);
+        let (mut local_slots, mut slots, mut in_flight) = (0.0, 0.0, 0.0);
         for entry in self.upstreams.values().filter(is_usable) {
-            let slots = f64::from(entry.upstream.slots.get());
-            all += slots;
+            let own_slots = f64::from(entry.upstream.slots.get());
+            slots += own_slots;
             if entry.upstream.data_centre == self.local_data_centre {
-                local += slots;
+                local_slots += own_slots;
             }
+            let there = entry.in_flight + entry.in_flight_of_other_nodes(now);
+            // Requests that an upstream holds beyond this number say that it hangs, and nothing
+            // of the others.
+            in_flight += f64::from(there).min(own_slots * REQUESTS_PER_SLOT);
+        }
+        SharedLoad {
+            slots: f64::max(local_slots, slots * self.local_node_share),
+            in_flight,
         }
-        (local, all)
-    }
-
-    fn data_centre_in_flight(&self, now: Instant) -> f64 {
-        let counts = self.upstreams.values().map(|entry| {
-            let of_others = entry.in_flight_of_other_nodes(now);
-            f64::from(entry.in_flight) + f64::from(of_others)
-        });
-        counts.sum()
     }
 
     /// What each flow uses.
--- a/crates/policy/src/service/fair_admission.rs
+++ b/crates/policy/src/service/fair_admission.rs
@@ -61,7 +61,8 @@
 #[derive(Debug)]
 pub struct FairAdmission<T> {
     queue: FairQueue<QueuedAttempt<T>>,
-    departures: DepartureRate,
+    /// Of the waiters whose flows do not use too much, and of those whose flows do.
+    departures: [DepartureRate; 2],
     rng: SmallRng,
 }
 
@@ -70,7 +71,7 @@
     pub fn new(capacity: sizes::RequestCount, seed: u64) -> Self {
         Self {
             queue: FairQueue::new(capacity),
-            departures: DepartureRate::default(),
+            departures: Default::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -108,20 +109,19 @@
                 return vec![FairDecision::Decided(attempt, admission)];
             }
         }
-        let mut decisions = Vec::new();
         self.queue.retain(|queued| !is_gone(&queued.waiter));
-        let rejected = self.enqueue(now, balancer, class, attempt);
-        decisions.extend(rejected);
+        let decision = self.enqueue(now, balancer, class, attempt);
+        let mut decisions: Vec<_> = decision.into_iter().collect();
         decisions.extend(self.admit_waiters(now, balancer, is_gone));
         decisions
     }
 
-    /// Adds an attempt to the queue; returns the rejection of that one or of another, if the
-    /// attempt cannot be sent in time or the queue is full.
+    /// Adds an attempt to the queue unless it need not wait or would wait too long; returns the
+    /// decision on it, or the rejection of another one if the queue is full.
     fn enqueue(
         &mut self,
         now: Instant,
-        balancer: &ServiceBalancer,
+        balancer: &mut ServiceBalancer,
         class: RequestClass,
         attempt: QueuedAttempt<T>,
     ) -> Option<FairDecision<T>> {
@@ -130,10 +130,29 @@
             is_retry: attempt.request.purpose == AttemptPurpose::Retry,
             deadline: attempt.deadline,
         };
-        let ahead = self.queue.count_ahead(&rank, balancer.flows());
+        let flows = balancer.flows();
+        let is_excessive = flows.is_excessive(now, &rank.class.flow);
+        // Flows with excessive use and others pass each other, so they wait for different events.
+        let is_alike = |flow: &_| flows.is_excessive(now, flow) == is_excessive;
+        let ahead = self.queue.count_ahead(&rank, flows, is_alike);
+        if ahead == 0 && !is_excessive {
+            let admission = balancer.place_in_share(now, &attempt.request);
+            if !matches!(admission, Admission::Wait) {
+                return Some(FairDecision::Decided(attempt, admission));
+            }
+        }
+        let flows = balancer.flows();
+        let is_alike = |flow: &_| flows.is_excessive(now, flow) == is_excessive;
+        let waiting = self.queue.count(is_alike);
+        let departures = &mut self.departures[usize::from(is_excessive)];
+        if waiting == 0 {
+            departures.restart(now);
+        }
+        let observed = |ahead| departures.time_to_leave(now, ahead);
+        let expected = observed(ahead).max(balancer.expected_wait(ahead));
+        let drained = observed(waiting).max(balancer.expected_wait(waiting));
         let send_by = now + balancer.min_time_left();
         let left = attempt.deadline.saturating_duration_since(send_by);
-        let expected = self.expected_wait(now, balancer, ahead);
         if let Some(expected) = expected.filter(|expected| *expected >= left) {
             let refusal = WaitRefusal {
                 kind: error::ErrorKind::ExpectedWait,
@@ -142,11 +161,7 @@
             };
             return Some(FairDecision::Rejected(attempt.waiter, refusal));
         }
-        if self.queue.is_empty() {
-            self.departures.restart(now);
-        }
-        let (_, dropped) = self.queue.push(rank, attempt, balancer.flows())?;
-        let drained = self.expected_wait(now, balancer, self.queue.len());
+        let (_, dropped) = self.queue.push(rank, attempt, flows)?;
         let refusal = WaitRefusal {
             kind: error::ErrorKind::Overload,
             retry_after: drained.map(|drained| self.jitter(drained)),
@@ -179,13 +194,13 @@
                 decisions.push(expired(attempt));
                 continue;
             }
+            let is_excessive = balancer.flows().is_excessive(now, &rank.class.flow);
             let admission = balancer.place_in_share(now, &attempt.request);
             if !matches!(admission, Admission::Wait) {
-                self.departures.record(now);
+                self.departures[usize::from(is_excessive)].record(now);
                 decisions.push(FairDecision::Decided(attempt, admission));
                 continue;
             }
-            let is_excessive = balancer.flows().is_excessive(now, &rank.class.flow);
             let blocks_others = attempt.request.exclude.is_empty() && !is_excessive;
             skips_excess |= is_excessive;
             blocked.push((rank, attempt));
@@ -215,22 +230,6 @@
         self.queue.is_empty()
     }
 
-    /// Time until a waiter with `ahead` others before it gets its turn; `None` while nothing is
-    /// known. It is derived from how the waiters left lately, and at least from how attempts end.
-    fn expected_wait(
-        &self,
-        now: Instant,
-        balancer: &ServiceBalancer,
-        ahead: usize,
-    ) -> Option<Duration> {
-        let observed = if self.queue.is_empty() {
-            None
-        } else {
-            self.departures.time_to_leave(now, ahead)
-        };
-        observed.max(balancer.expected_wait(ahead))
-    }
-
     fn jitter(&mut self, wait: Duration) -> Duration {
         wait.mul_f64(self.rng.random_range(1.0..RETRY_JITTER_MAX))
     }
