feat(upstream): the service task admits requests by priority and fair share

With an access table, each request carries its flow (workspace, else route) and priority. The task decides on those by FairAdmission; requests without a class keep the queue as it was. A rejection by expected wait is a kind of its own (expected-wait, 503), its detail says the wait and what was left, and its Retry-After is when room is expected. Metrics: upstream.queue.length, upstream.queue.wait.

--- a/bins/entry/src/ops.rs
+++ b/bins/entry/src/ops.rs
@@ -112,6 +112,8 @@
             let views = handle.views().await;
             let in_flight = views.values().map(|view| u64::from(view.in_flight)).sum();
             self.metrics.set_in_flight(service, in_flight);
+            let waiting = handle.queue_length() as u64;
+            self.metrics.set_queue_length(service, waiting);
             let unoffered = views.values().filter(|view| view.unoffered).count();
             self.metrics.set_unoffered_count(service, unoffered as u64);
             let limited = views.values().filter(|view| view.rate_limit.is_some());
--- a/crates/caller/src/wire.rs
+++ b/crates/caller/src/wire.rs
@@ -310,11 +310,12 @@
         }
     }
     if error_response.retryable && error_response.outcome == Outcome::NotRun {
-        let known = error.retry_after().unwrap_or_default();
-        let retry_after = match kind {
+        let retry_after = match (kind, error.retry_after()) {
             // Another node can serve the request at once.
-            ErrorKind::Stopping => known,
-            _ => known.max(names.retry_after),
+            (ErrorKind::Stopping, known) => known.unwrap_or_default(),
+            // The time at which capacity is expected, for callers who cannot wait much longer.
+            (ErrorKind::ExpectedWait | ErrorKind::Overload, Some(known)) => known,
+            (_, known) => known.unwrap_or_default().max(names.retry_after),
         };
         let seconds = retry_after.as_secs_f64().to_string();
         if let Ok(seconds) = HeaderValue::from_str(&seconds) {
--- a/crates/policy/src/service/balancer/shared_room.rs
+++ b/crates/policy/src/service/balancer/shared_room.rs
@@ -16,8 +16,9 @@
 use crate::service::entry::{UpstreamEntry, UpstreamStatus};
 
 /// Requests in flight of a data centre, for each slot, up to which flows with excessive use get
-/// room. More than one keeps slots busy although the nodes load the upstreams unevenly.
-const EXCESS_REQUESTS_PER_SLOT: f64 = 1.2;
+/// room. With 1.5, one hot workspace took more from the others; with less, more slots idle while
+/// it waits, since the totals are late and the nodes load the upstreams unevenly.
+const EXCESS_REQUESTS_PER_SLOT: f64 = 1.3;
 /// The same for other flows at the highest priority. What exceeds one waits at the upstreams.
 /// With 2, slots idled while nodes held requests back for lack of recent totals.
 const REQUESTS_PER_SLOT: f64 = 3.0;
--- a/crates/upstream/src/dispatch/dispatcher.rs
+++ b/crates/upstream/src/dispatch/dispatcher.rs
@@ -12,6 +12,7 @@
 use policy::access::CallerAccess;
 use policy::claim::{ClaimAttempt, ClaimKey, ClaimState, ClaimToken};
 use policy::invariant::{self, Invariant};
+use policy::limit::RequestClass;
 use policy::retry::{self, AttemptEnd, RetryCharge, RetryContext};
 use policy::service::{AttemptPurpose, AttemptRequest};
 use policy::stop::StopSchedule;
@@ -19,7 +20,7 @@
 use tokio::sync::watch;
 use tokio::time::{self, Instant};
 
-use super::access;
+use super::{access, admission};
 use super::body::RequestBody;
 use super::claim::{self, ClaimCallbacks, ClaimGuard};
 use super::trace::CallTrace;
@@ -76,6 +77,8 @@
     /// The target latency of the route.
     pub(super) target_latency: Option<Duration>,
     pub(super) attempts_max: usize,
+    /// The flow and priority of the request; `None` if callers need no keys.
+    pub(super) class: Option<RequestClass>,
     /// Whether the request may have run in an earlier attempt.
     pub(super) may_have_run: bool,
 }
@@ -226,6 +229,8 @@
         let guard = self
             .claim(&call.head, &target, request_hash, deadline)
             .await?;
+        let access = target.access.as_ref();
+        let class = access.map(|access| admission::classify(access, &target.route));
         let context = AttemptContext {
             repeatable: target.route.retry_rule.allows(&call.head.method),
             sent_id: sent_id(&call.head, &target.request)?,
@@ -249,6 +254,7 @@
             handle: target.handle,
             service: target.service,
             attempts_max,
+            class,
             target_latency: options.target_latency.map(model::span::TimeSpan::get),
             context,
             tried: Vec::new(),
@@ -346,15 +352,18 @@
             } else {
                 AttemptPurpose::Retry
             };
-            let lease = match self
+            let asked_at = Instant::now();
+            let admitted = self
                 .handle
                 .admit(self.attempt_request(purpose), self.context.deadline)
-                .await
-            {
+                .await;
+            let wait = asked_at.elapsed();
+            self.context.metrics.record_wait(&self.service.id, wait);
+            let lease = match admitted {
                 Ok(lease) => lease,
                 Err(error) => {
                     let ended = self.give_up(last, error.kind);
-                    return ended.map_err(|failure| failure.with_retry_after(error.retry_after));
+                    return ended.map_err(|failure| admission::explain(failure, &error));
                 }
             };
             let may_send = self.context.repeatable || !self.may_have_run;
@@ -416,6 +425,7 @@
             purpose,
             charge: RetryCharge::Budget,
             target_latency: self.target_latency,
+            class: self.class.clone(),
         }
     }
 
--- a/crates/upstream/src/dispatch/mod.rs
+++ b/crates/upstream/src/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! One request from routing and claim to its response, over one or more attempts.
 
 mod access;
+mod admission;
 mod body;
 mod claim;
 mod dispatcher;
--- a/crates/upstream/src/service/handle.rs
+++ b/crates/upstream/src/service/handle.rs
@@ -14,7 +14,10 @@
 use policy::office::OfficeGrant;
 use policy::permit::{LimitSignal, LimitState, PermitDraw, PermitRequest};
 use policy::retry::{AttemptEnd, RetryCharge, RetryContext, RetryRefusal};
-use policy::service::{AttemptGrant, AttemptPurpose, AttemptRequest, UpstreamLoad, UpstreamView};
+use policy::service::{
+    AttemptGrant, AttemptPurpose, AttemptRequest, UpstreamLoad, UpstreamView, WaitOutlook,
+    WaitRefusal,
+};
 use policy::suspicion::SuspicionSignal;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
@@ -35,6 +38,8 @@
     pub kind: ErrorKind,
     /// Time after which the request should be sent again, if it is known.
     pub retry_after: Option<Duration>,
+    /// The wait that led to the rejection, if it did.
+    pub outlook: Option<WaitOutlook>,
 }
 
 impl From<ErrorKind> for AdmissionError {
@@ -42,6 +47,17 @@
         Self {
             kind,
             retry_after: None,
+            outlook: None,
+        }
+    }
+}
+
+impl From<WaitRefusal> for AdmissionError {
+    fn from(refusal: WaitRefusal) -> Self {
+        Self {
+            kind: refusal.kind,
+            retry_after: refusal.retry_after,
+            outlook: refusal.outlook,
         }
     }
 }
@@ -142,6 +158,7 @@
     pub(super) retry_tokens: Option<RetryTokenSource>,
     pub(super) permits: PermitSource,
     pub(super) slow_latency: watch::Receiver<Option<Duration>>,
+    pub(super) queue_length: watch::Receiver<usize>,
 }
 
 impl ServiceHandle {
@@ -155,6 +172,11 @@
         *self.slow_latency.borrow()
     }
 
+    /// Number of requests of this node that wait for an upstream of the service.
+    pub fn queue_length(&self) -> usize {
+        *self.queue_length.borrow()
+    }
+
     /// Requests a lease on an upstream; waits in the queue of the service while all
     /// upstreams are at their limit.
     ///
--- a/crates/upstream/src/service/task.rs
+++ b/crates/upstream/src/service/task.rs
@@ -12,7 +12,8 @@
 use policy::permit::{LimitReport, LimitSignal, PermitDraw};
 use policy::retry::RetryRefusal;
 use policy::service::{
-    self, Admission, AttemptGrant, AttemptKey, AttemptRequest, LoadReport, ServiceBalancer,
+    self, Admission, AttemptGrant, AttemptKey, AttemptRequest, FairAdmission, FairDecision,
+    LoadReport, QueuedAttempt, ServiceBalancer,
 };
 use policy::suspicion::SuspicionSignal;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -98,7 +99,12 @@
 struct ServiceTask {
     settings: ServiceSettings,
     balancer: ServiceBalancer,
+    /// Requests without a class, which wait in order of arrival.
     queue: RequestQueue<PendingRequest>,
+    /// Requests with a class, which callers with workspaces have.
+    fair_queue: FairAdmission<LeaseReply>,
+    /// The length of both queues, for the metrics.
+    queue_length: watch::Sender<usize>,
     pools: HashMap<SocketAddr, ConnectionPool>,
     events: mpsc::UnboundedSender<RequestEvent>,
     size: FleetSize,
@@ -115,6 +121,8 @@
     let (commands, inbox) = mpsc::channel(COMMANDS_MAX);
     let (events, event_inbox) = mpsc::unbounded_channel();
     let queue = RequestQueue::new(service.queue);
+    let fair_queue = FairAdmission::new(service.queue, settings.seed);
+    let (length_sender, queue_length) = watch::channel(0);
     let now = Instant::now();
     let balancer = ServiceBalancer::new(now, service, settings.data_centre.clone(), settings.seed);
     let pools = HashMap::new();
@@ -126,6 +134,8 @@
         settings,
         balancer,
         queue,
+        fair_queue,
+        queue_length: length_sender,
         pools,
         events: events.clone(),
         size: FleetSize { nodes: 1, local: 1 },
@@ -141,6 +151,7 @@
         retry_tokens,
         permits,
         slow_latency,
+        queue_length,
     }
 }
 
@@ -173,6 +184,7 @@
                     last_tick = Instant::now();
                 }
             }
+            self.publish_queue_length();
             let signals = self.balancer.take_signals();
             if !signals.is_empty() {
                 (self.settings.signals)(signals);
@@ -189,9 +201,22 @@
         });
     }
 
+    fn publish_queue_length(&self) {
+        let length = self.queue.len() + self.fair_queue.len();
+        self.queue_length.send_if_modified(|current| {
+            let is_modified = *current != length;
+            *current = length;
+            is_modified
+        });
+    }
+
+    fn has_waiters(&self) -> bool {
+        !self.queue.is_empty() || !self.fair_queue.is_empty()
+    }
+
     /// Whether a tick has work to do; an idle service causes no wake-ups.
     fn needs_tick(&self) -> bool {
-        !self.queue.is_empty() || self.balancer.needs_tick()
+        self.has_waiters() || self.balancer.needs_tick()
     }
 
     fn load_report_interval(&self) -> Duration {
@@ -206,10 +231,10 @@
             return periodic;
         }
         let slow = last + TICK_INTERVAL * SLOW_TICK_FACTOR;
-        let periodic = if self.queue.is_empty() {
-            slow
-        } else {
+        let periodic = if self.has_waiters() {
             periodic
+        } else {
+            slow
         };
         self.balancer
             .next_overdue_at()
@@ -221,6 +246,8 @@
         for pending in self.queue.expire(now + self.balancer.min_time_left()) {
             pending.refuse(ErrorKind::DeadlineBeforeSend);
         }
+        let expired = self.fair_queue.expire(now, &self.balancer);
+        self.answer_fairly(now, expired);
         if let Some(report) = self.balancer.tick(now) {
             (self.settings.evidence)(report);
         }
@@ -348,6 +375,7 @@
     }
 
     fn configure(&mut self, now: Instant, service: Arc<config::Service>) {
+        self.fair_queue.set_capacity(service.queue);
         self.balancer.configure(now, service);
         self.sync_pools();
         self.subset_size = None;
@@ -398,6 +426,22 @@
     }
 
     fn admit(&mut self, now: Instant, pending: PendingRequest, draw: Option<&PermitDraw>) {
+        if let (Some(class), None) = (&pending.request.class, draw) {
+            let class = class.clone();
+            let attempt = QueuedAttempt {
+                request: pending.request,
+                deadline: pending.deadline,
+                waiter: pending.reply,
+            };
+            let decisions = self.fair_queue.arrive(
+                now,
+                &mut self.balancer,
+                class,
+                attempt,
+                LeaseReply::is_closed,
+            );
+            return self.answer_fairly(now, decisions);
+        }
         let admission = match draw {
             Some(draw) => self.balancer.admit_with_draw(now, &pending.request, draw),
             None => self.balancer.admit(now, &pending.request),
@@ -410,6 +454,27 @@
         }
     }
 
+    /// Answers the requests on which the admission by fair share decided.
+    fn answer_fairly(&mut self, now: Instant, decisions: Vec<FairDecision<LeaseReply>>) {
+        for decision in decisions {
+            match decision {
+                FairDecision::Decided(attempt, admission) => {
+                    let pending = PendingRequest {
+                        request: attempt.request,
+                        deadline: attempt.deadline,
+                        reply: attempt.waiter,
+                    };
+                    if let Some(pending) = self.answer(now, pending, admission) {
+                        pending.refuse(ErrorKind::Overload);
+                    }
+                }
+                FairDecision::Rejected(reply, refusal) => {
+                    let _ = reply.send(Err(LeaseRefusal::Refused(refusal.into())));
+                }
+            }
+        }
+    }
+
     /// Answers a request for a lease; returns the request if it has to wait.
     fn answer(
         &mut self,
@@ -423,6 +488,7 @@
             Admission::RateLimited(wait) => pending.refuse(LeaseRefusal::Refused(AdmissionError {
                 kind: ErrorKind::RateLimited,
                 retry_after: Some(wait),
+                outlook: None,
             })),
             Admission::Refuse(kind) => pending.refuse(kind),
             Admission::NoBudget => {
@@ -490,6 +556,15 @@
     /// Grants leases to queued requests while upstreams have capacity.
     fn admit_queued(&mut self) {
         let now = Instant::now();
+        self.admit_unclassified(now);
+        let is_gone = LeaseReply::is_closed;
+        let decisions = self
+            .fair_queue
+            .admit_waiters(now, &mut self.balancer, is_gone);
+        self.answer_fairly(now, decisions);
+    }
+
+    fn admit_unclassified(&mut self, now: Instant) {
         while !self.queue.is_empty() {
             let released = self.queue.pop(now + self.balancer.min_time_left());
             for pending in released.expired {
