--- a/crates/policy/src/limit/fair_queue.rs
+++ b/crates/policy/src/limit/fair_queue.rs
@@ -113,8 +113,7 @@
             let waiters = self.waiters.iter();
             waiters.filter(|queued| counts(&queued.rank.class.flow))
         };
-        let is_peer =
-            |queued: &&QueuedWaiter<T>| queued.rank.class.priority == rank.class.priority;
+        let is_peer = |queued: &&QueuedWaiter<T>| queued.rank.class.priority == rank.class.priority;
         let own_ahead = waiters().filter(is_peer).filter(|queued| {
             queued.rank.class.flow == rank.class.flow && queued.rank.deadline <= rank.deadline
         });
@@ -132,8 +131,7 @@
             (turn, other.deadline) <= (own_turn, rank.deadline)
         });
         let peers_ahead = peers_ahead.count();
-        let higher =
-            waiters().filter(|queued| queued.rank.class.priority < rank.class.priority);
+        let higher = waiters().filter(|queued| queued.rank.class.priority < rank.class.priority);
         peers_ahead + higher.count()
     }
 
--- a/crates/policy/src/limit/mod.rs
+++ b/crates/policy/src/limit/mod.rs
@@ -10,6 +10,6 @@
 pub use adaptive::AdaptiveLimit;
 pub use counter::WorkspaceCounter;
 pub use fair_queue::{FairQueue, WaiterRank};
-pub use flow::{FlowTable, FlowKey, RequestClass};
+pub use flow::{FlowKey, FlowTable, RequestClass};
 pub use queue::{DequeueResult, RequestQueue};
 pub use service_rate::{DepartureRate, ServiceRate};
--- a/crates/policy/src/service/fair_admission.rs
+++ b/crates/policy/src/service/fair_admission.rs
@@ -116,6 +116,44 @@
         decisions
     }
 
+    /// Adds an attempt that was not admitted with the permit drawn for it; returns the rejection
+    /// of the one that is dropped if the queue is full.
+    pub fn wait(
+        &mut self,
+        now: Instant,
+        balancer: &ServiceBalancer,
+        class: RequestClass,
+        attempt: QueuedAttempt<T>,
+    ) -> Option<FairDecision<T>> {
+        self.push(now, balancer, rank_of(class, &attempt), attempt)
+    }
+
+    fn push(
+        &mut self,
+        now: Instant,
+        balancer: &ServiceBalancer,
+        rank: WaiterRank,
+        attempt: QueuedAttempt<T>,
+    ) -> Option<FairDecision<T>> {
+        let flows = balancer.flows();
+        let is_excessive = flows.is_excessive(now, &rank.class.flow);
+        let is_alike = |flow: &_| flows.is_excessive(now, flow) == is_excessive;
+        let waiting = self.queue.count(is_alike);
+        let departures = &mut self.departures[usize::from(is_excessive)];
+        if waiting == 0 {
+            departures.restart(now);
+        }
+        let (_, dropped) = self.queue.push(rank, attempt, flows)?;
+        let drained = departures.time_to_leave(now, waiting);
+        let drained = drained.max(balancer.expected_wait(waiting));
+        let refusal = WaitRefusal {
+            kind: error::ErrorKind::Overload,
+            retry_after: drained.map(|drained| self.jitter(drained)),
+            outlook: None,
+        };
+        Some(FairDecision::Rejected(dropped.waiter, refusal))
+    }
+
     /// Adds an attempt to the queue unless it need not wait or would wait too long; returns the
     /// decision on it, or the rejection of another one if the queue is full.
     fn enqueue(
@@ -125,11 +163,7 @@
         class: RequestClass,
         attempt: QueuedAttempt<T>,
     ) -> Option<FairDecision<T>> {
-        let rank = WaiterRank {
-            class,
-            is_retry: attempt.request.purpose == AttemptPurpose::Retry,
-            deadline: attempt.deadline,
-        };
+        let rank = rank_of(class, &attempt);
         let flows = balancer.flows();
         let is_excessive = flows.is_excessive(now, &rank.class.flow);
         // Flows with excessive use and others pass each other, so they wait for different events.
@@ -141,16 +175,10 @@
                 return Some(FairDecision::Decided(attempt, admission));
             }
         }
-        let flows = balancer.flows();
-        let is_alike = |flow: &_| flows.is_excessive(now, flow) == is_excessive;
-        let waiting = self.queue.count(is_alike);
-        let departures = &mut self.departures[usize::from(is_excessive)];
-        if waiting == 0 {
-            departures.restart(now);
-        }
-        let observed = |ahead| departures.time_to_leave(now, ahead);
-        let expected = observed(ahead).max(balancer.expected_wait(ahead));
-        let drained = observed(waiting).max(balancer.expected_wait(waiting));
+        // Without waiters like this one, its turn depends on the attempts in service alone.
+        let departures = &self.departures[usize::from(is_excessive)];
+        let observed = (ahead > 0).then(|| departures.time_to_leave(now, ahead));
+        let expected = observed.flatten().max(balancer.expected_wait(ahead));
         let send_by = now + balancer.min_time_left();
         let left = attempt.deadline.saturating_duration_since(send_by);
         if let Some(expected) = expected.filter(|expected| *expected >= left) {
@@ -161,13 +189,7 @@
             };
             return Some(FairDecision::Rejected(attempt.waiter, refusal));
         }
-        let (_, dropped) = self.queue.push(rank, attempt, flows)?;
-        let refusal = WaitRefusal {
-            kind: error::ErrorKind::Overload,
-            retry_after: drained.map(|drained| self.jitter(drained)),
-            outlook: None,
-        };
-        Some(FairDecision::Rejected(dropped.waiter, refusal))
+        self.push(now, balancer, rank, attempt)
     }
 
     /// Decides on the waiters whose turn it is, while there is capacity.
@@ -243,3 +265,11 @@
     };
     FairDecision::Rejected(attempt.waiter, refusal)
 }
+
+fn rank_of<T>(class: RequestClass, attempt: &QueuedAttempt<T>) -> WaiterRank {
+    WaiterRank {
+        class,
+        is_retry: attempt.request.purpose == AttemptPurpose::Retry,
+        deadline: attempt.deadline,
+    }
+}
--- a/crates/policy/src/service/mod.rs
+++ b/crates/policy/src/service/mod.rs
@@ -12,8 +12,6 @@
     ServiceBalancer, UpstreamLoad,
 };
 pub use entry::{UpstreamPause, UpstreamStatus, UpstreamView};
-pub use fair_admission::{
-    FairAdmission, FairDecision, QueuedAttempt, WaitOutlook, WaitRefusal,
-};
+pub use fair_admission::{FairAdmission, FairDecision, QueuedAttempt, WaitOutlook, WaitRefusal};
 pub use load_totals::LoadTotals;
 pub use subset::{choose_subset, subset_size};
--- a/crates/policy/tests/fair_share/fleet.rs
+++ b/crates/policy/tests/fair_share/fleet.rs
@@ -210,9 +210,8 @@
         };
         let (node, deadline) = (call.node, call.sent_at + self.plan.timeout);
         let requests = &self.requests;
-        let answers = self.nodes[node].arrive(request, attempt, deadline, |waiter| {
-            requests[*waiter].ended
-        });
+        let answers =
+            self.nodes[node].arrive(request, attempt, deadline, |waiter| requests[*waiter].ended);
         self.apply(node, answers);
     }
 
--- a/crates/policy/tests/fair_share/main.rs
+++ b/crates/policy/tests/fair_share/main.rs
@@ -53,7 +53,10 @@
 /// Plays a load of 8 s with both queues; returns what the groups got, summed over the seeds.
 async fn play(load: &str, flows: &[FlowPlan], groups: &[&str]) -> [Vec<GroupCount>; 2] {
     let mut results = [const { Vec::new() }; 2];
-    for (kind, result) in [QueueKind::Present, QueueKind::Fair].into_iter().zip(&mut results) {
+    for (kind, result) in [QueueKind::Present, QueueKind::Fair]
+        .into_iter()
+        .zip(&mut results)
+    {
         *result = vec![GroupCount::default(); groups.len()];
         for seed in SEEDS {
             let mut fleet = Fleet::start(FleetPlan {
@@ -81,13 +84,28 @@
     results
 }
 
-/// A usual day must be served as before: no rejection, no longer wait.
+/// Fails unless a group is served in time with the new queue for at least this share, and for at
+/// least `gain` more than with the present one.
+fn check_gain(present: &GroupCount, fair: &GroupCount, share_min: f64, gain: f64) {
+    let (before, after) = (present.in_time_share(), fair.in_time_share());
+    assert!(
+        after >= share_min && after >= before + gain,
+        "{after:.3} were served in time, and {before:.3} before; at least {share_min} and {gain} \
+         more are required"
+    );
+}
+
+/// A usual day must be served as before: next to no rejection, and no longer wait.
 #[tokio::test(start_paused = true)]
 async fn usual_traffic() {
     let [present, fair] = play("usual traffic", &workspaces(), &["large", "small"]).await;
-    let _ = (present, fair);
+    for (present, fair) in present.iter().zip(&fair) {
+        check_gain(present, fair, 0.95, -0.015);
+        assert!(f64::from(fair.rejected) <= 0.005 * f64::from(fair.sent));
+    }
 }
 
+/// Requests without a workspace share by route: a burst on one must not take the room of others.
 #[tokio::test(start_paused = true)]
 async fn burst_on_one_route() {
     let mut flows: Vec<FlowPlan> = Vec::new();
@@ -102,9 +120,13 @@
             habit: CallerHabit::Follows,
         });
     }
-    let _ = play("burst on one route", &flows, &["burst", "others"]).await;
+    let [present, fair] = play("burst on one route", &flows, &["burst", "others"]).await;
+    check_gain(&present[1], &fair[1], 0.85, 0.15);
+    check_gain(&present[0], &fair[0], 0.4, -0.3);
 }
 
+/// A workspace at five times its usual traffic must take no room from the others, and still get
+/// what they leave.
 #[tokio::test(start_paused = true)]
 async fn one_hot_workspace() {
     let mut flows = workspaces();
@@ -113,9 +135,17 @@
     }
     flows[0].group = 0;
     flows[0].factor = 5.0;
-    let _ = play("one hot workspace", &flows, &["hot", "large", "small"]).await;
+    let groups = ["hot", "large", "small"];
+    let [present, fair] = play("one hot workspace", &flows, &groups).await;
+    for group in [1, 2] {
+        check_gain(&present[group], &fair[group], 0.88, 0.2);
+    }
+    // Its usual traffic is a fifth of what it sends.
+    assert!(f64::from(fair[0].served()) >= 0.2 * f64::from(fair[0].sent));
 }
 
+/// Three hot workspaces, of which two are small and come over few nodes, must not take room
+/// either.
 #[tokio::test(start_paused = true)]
 async fn three_hot_workspaces() {
     let mut flows = workspaces();
@@ -126,9 +156,15 @@
         flows[number].group = 0;
         flows[number].factor = 6.0;
     }
-    let _ = play("three hot workspaces", &flows, &["hot", "large", "small"]).await;
+    let groups = ["hot", "large", "small"];
+    let [present, fair] = play("three hot workspaces", &flows, &groups).await;
+    for group in [1, 2] {
+        check_gain(&present[group], &fair[group], 0.85, 0.25);
+    }
+    assert!(f64::from(fair[0].served()) >= f64::from(fair[0].sent) / 6.0);
 }
 
+/// Callers that retry at once must not be served better than those that follow `Retry-After`.
 #[tokio::test(start_paused = true)]
 async fn callers_that_retry_at_once() {
     let mut flows = workspaces();
@@ -139,9 +175,13 @@
             flow.habit = CallerHabit::RetriesAtOnce;
         }
     }
-    let _ = play("retry at once", &flows, &["at once", "follow"]).await;
+    let [present, fair] = play("retry at once", &flows, &["at once", "follow"]).await;
+    check_gain(&present[1], &fair[1], 0.55, 0.1);
+    assert!(fair[0].in_time_share() <= fair[1].in_time_share());
 }
 
+/// Callers that leave must not hold the places of those that stay, and nobody may be held until
+/// the deadline.
 #[tokio::test(start_paused = true)]
 async fn callers_that_leave() {
     let mut flows = workspaces();
@@ -152,5 +192,9 @@
             flow.habit = CallerHabit::Leaves(Duration::from_millis(800));
         }
     }
-    let _ = play("callers leave", &flows, &["leave", "stay"]).await;
+    let [present, fair] = play("callers leave", &flows, &["leave", "stay"]).await;
+    check_gain(&present[1], &fair[1], 0.6, -0.08);
+    for count in &fair {
+        assert!(f64::from(count.timed_out) <= 0.01 * f64::from(count.sent));
+    }
 }
--- a/crates/policy/tests/fair_share/node.rs
+++ b/crates/policy/tests/fair_share/node.rs
@@ -112,7 +112,9 @@
             NodeQueue::Present(queue) => {
                 let expired = queue.expire(now + self.balancer.min_time_left());
                 let answers = expired.into_iter();
-                answers.map(|it| Answer::Rejected(it.waiter, None)).collect()
+                answers
+                    .map(|it| Answer::Rejected(it.waiter, None))
+                    .collect()
             }
             NodeQueue::Fair(queue) => {
                 let decisions = queue.expire(now, &self.balancer);
--- a/crates/upstream/src/dispatch/dispatcher.rs
+++ b/crates/upstream/src/dispatch/dispatcher.rs
@@ -20,10 +20,10 @@
 use tokio::sync::watch;
 use tokio::time::{self, Instant};
 
-use super::{access, admission};
 use super::body::RequestBody;
 use super::claim::{self, ClaimCallbacks, ClaimGuard};
 use super::trace::CallTrace;
+use super::{access, admission};
 use super::{race, resume};
 use crate::attempt::{self, AttemptContext, AttemptFailure, BodyFault};
 use crate::crash::{CrashCallbacks, CrashWatch};
--- a/crates/upstream/src/service/task.rs
+++ b/crates/upstream/src/service/task.rs
@@ -91,6 +91,14 @@
 }
 
 impl PendingRequest {
+    fn into_attempt(self) -> QueuedAttempt<LeaseReply> {
+        QueuedAttempt {
+            request: self.request,
+            deadline: self.deadline,
+            waiter: self.reply,
+        }
+    }
+
     fn refuse(self, refusal: impl Into<LeaseRefusal>) {
         let _ = self.reply.send(Err(refusal.into()));
     }
@@ -231,11 +239,7 @@
             return periodic;
         }
         let slow = last + TICK_INTERVAL * SLOW_TICK_FACTOR;
-        let periodic = if self.has_waiters() {
-            periodic
-        } else {
-            slow
-        };
+        let periodic = if self.has_waiters() { periodic } else { slow };
         self.balancer
             .next_overdue_at()
             .map_or(periodic, |overdue| overdue.min(periodic))
@@ -428,11 +432,7 @@
     fn admit(&mut self, now: Instant, pending: PendingRequest, draw: Option<&PermitDraw>) {
         if let (Some(class), None) = (&pending.request.class, draw) {
             let class = class.clone();
-            let attempt = QueuedAttempt {
-                request: pending.request,
-                deadline: pending.deadline,
-                waiter: pending.reply,
-            };
+            let attempt = pending.into_attempt();
             let decisions = self.fair_queue.arrive(
                 now,
                 &mut self.balancer,
@@ -449,6 +449,11 @@
         let Some(pending) = self.answer(now, pending, admission) else {
             return;
         };
+        if let Some(class) = pending.request.class.clone() {
+            let attempt = pending.into_attempt();
+            let dropped = self.fair_queue.wait(now, &self.balancer, class, attempt);
+            return self.answer_fairly(now, dropped.into_iter().collect());
+        }
         if let Some(dropped) = self.queue.push(pending.deadline, pending) {
             dropped.refuse(ErrorKind::Overload);
         }
