--- a/crates/policy/src/limit/fair_queue.rs
+++ b/crates/policy/src/limit/fair_queue.rs
@@ -1,6 +1,7 @@
 //! Bounded queue of requests that wait for capacity that is not enough for all.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use model::sizes;
 use tokio::time::Instant;
@@ -11,7 +12,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WaiterRank {
     /// The flow and priority of the request.
-    pub class: RequestClass,
+    pub class: Arc<RequestClass>,
     /// Whether it is another attempt of a request that was in service before.
     pub is_retry: bool,
     /// The deadline of the request.
--- a/crates/policy/src/service/balancer/mod.rs
+++ b/crates/policy/src/service/balancer/mod.rs
@@ -82,7 +82,7 @@
     pub target_latency: Option<Duration>,
     /// The flow and priority of the request; `None` if callers have no workspaces, so that
     /// capacity is not shared by flow.
-    pub class: Option<limit::RequestClass>,
+    pub class: Option<Arc<limit::RequestClass>>,
 }
 
 /// Permission to send one attempt.
--- a/crates/policy/src/service/fair_admission.rs
+++ b/crates/policy/src/service/fair_admission.rs
@@ -1,6 +1,7 @@
 //! Admission of attempts by priority and fair share, with rejection on arrival of those that
 //! could not run in time.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use model::{error, sizes};
@@ -87,7 +88,7 @@
         &mut self,
         now: Instant,
         balancer: &mut ServiceBalancer,
-        class: RequestClass,
+        class: Arc<RequestClass>,
         attempt: QueuedAttempt<T>,
         is_gone: impl Fn(&T) -> bool,
     ) -> Vec<FairDecision<T>> {
@@ -122,7 +123,7 @@
         &mut self,
         now: Instant,
         balancer: &ServiceBalancer,
-        class: RequestClass,
+        class: Arc<RequestClass>,
         attempt: QueuedAttempt<T>,
     ) -> Option<FairDecision<T>> {
         self.push(now, balancer, rank_of(class, &attempt), attempt)
@@ -160,7 +161,7 @@
         &mut self,
         now: Instant,
         balancer: &mut ServiceBalancer,
-        class: RequestClass,
+        class: Arc<RequestClass>,
         attempt: QueuedAttempt<T>,
     ) -> Option<FairDecision<T>> {
         let rank = rank_of(class, &attempt);
@@ -266,7 +267,7 @@
     FairDecision::Rejected(attempt.waiter, refusal)
 }
 
-fn rank_of<T>(class: RequestClass, attempt: &QueuedAttempt<T>) -> WaiterRank {
+fn rank_of<T>(class: Arc<RequestClass>, attempt: &QueuedAttempt<T>) -> WaiterRank {
     WaiterRank {
         class,
         is_retry: attempt.request.purpose == AttemptPurpose::Retry,
--- a/crates/policy/tests/fair_queue.rs
+++ b/crates/policy/tests/fair_queue.rs
@@ -1,5 +1,6 @@
 //! The order of the queue for capacity that is not enough for all, and what it drops.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use gooseberrydyke_policy::limit::{
@@ -14,10 +15,10 @@
 
 fn rank(workspace: &str, priority: u32, millis: u64) -> WaiterRank {
     WaiterRank {
-        class: RequestClass {
+        class: Arc::new(RequestClass {
             flow: flow(workspace),
             priority,
-        },
+        }),
         is_retry: false,
         deadline: Instant::now() + Duration::from_millis(millis),
     }
--- a/crates/policy/tests/fair_share/fleet.rs
+++ b/crates/policy/tests/fair_share/fleet.rs
@@ -203,10 +203,10 @@
             purpose,
             charge: RetryCharge::Budget,
             target_latency: Some(self.plan.wanted),
-            class: Some(RequestClass {
+            class: Some(Arc::new(RequestClass {
                 flow: flow.flow.clone(),
                 priority: flow.priority,
-            }),
+            })),
         };
         let (node, deadline) = (call.node, call.sent_at + self.plan.timeout);
         let requests = &self.requests;
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -6,7 +6,7 @@
 use model::error::ErrorKind;
 use model::ids;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::Encoder as _;
 
@@ -37,12 +37,35 @@
     paused: Gauge<u64>,
     permit_draws: Counter<u64>,
     in_flight: Gauge<u64>,
-    queue_length: Gauge<u64>,
-    queue_wait: Histogram<f64>,
+    queues: QueueInstruments,
     nodes: Gauge<u64>,
     dropped_lines: Gauge<u64>,
 }
 
+/// The instruments of the requests that wait for an upstream.
+#[derive(Debug)]
+struct QueueInstruments {
+    length: Gauge<u64>,
+    wait: Histogram<f64>,
+}
+
+impl QueueInstruments {
+    fn new(meter: &Meter) -> Self {
+        Self {
+            length: meter
+                .u64_gauge("upstream.queue.length")
+                .with_description("Requests of this node that wait for an upstream, by service.")
+                .build(),
+            wait: meter
+                .f64_histogram("upstream.queue.wait")
+                .with_unit("s")
+                .with_boundaries(LATENCY_BOUNDARIES.to_vec())
+                .with_description("Time until an attempt was admitted or rejected, by service.")
+                .build(),
+        }
+    }
+}
+
 impl NodeMetrics {
     /// Creates the instruments.
     ///
@@ -131,16 +154,7 @@
                 .u64_gauge("upstream.in_flight")
                 .with_description("Requests of this node in flight, by service.")
                 .build(),
-            queue_length: meter
-                .u64_gauge("upstream.queue.length")
-                .with_description("Requests of this node that wait for an upstream, by service.")
-                .build(),
-            queue_wait: meter
-                .f64_histogram("upstream.queue.wait")
-                .with_unit("s")
-                .with_boundaries(LATENCY_BOUNDARIES.to_vec())
-                .with_description("Time until an attempt was admitted or rejected, by service.")
-                .build(),
+            queues: QueueInstruments::new(&meter),
             nodes: meter
                 .u64_gauge("fleet.nodes")
                 .with_description("Other nodes that this node knows.")
@@ -166,13 +180,13 @@
     /// Records how long an attempt waited for an upstream, or for its rejection.
     pub fn record_wait(&self, service: &ids::ServiceId, wait: Duration) {
         let service = KeyValue::new("service", service.as_str().to_owned());
-        self.queue_wait.record(wait.as_secs_f64(), &[service]);
+        self.queues.wait.record(wait.as_secs_f64(), &[service]);
     }
 
     /// Sets the number of requests that wait for an upstream of a service.
     pub fn set_queue_length(&self, service: &ids::ServiceId, length: u64) {
         let service = KeyValue::new("service", service.as_str().to_owned());
-        self.queue_length.record(length, &[service]);
+        self.queues.length.record(length, &[service]);
     }
 
     /// Counts a request that the fleet itself responded to with an error.
--- a/crates/upstream/src/dispatch/dispatcher.rs
+++ b/crates/upstream/src/dispatch/dispatcher.rs
@@ -78,7 +78,7 @@
     pub(super) target_latency: Option<Duration>,
     pub(super) attempts_max: usize,
     /// The flow and priority of the request; `None` if callers need no keys.
-    pub(super) class: Option<RequestClass>,
+    pub(super) class: Option<Arc<RequestClass>>,
     /// Whether the request may have run in an earlier attempt.
     pub(super) may_have_run: bool,
 }
@@ -230,7 +230,7 @@
             .claim(&call.head, &target, request_hash, deadline)
             .await?;
         let access = target.access.as_ref();
-        let class = access.map(|access| admission::classify(access, &target.route));
+        let class = access.map(|access| Arc::new(admission::classify(access, &target.route)));
         let context = AttemptContext {
             repeatable: target.route.retry_rule.allows(&call.head.method),
             sent_id: sent_id(&call.head, &target.request)?,
--- a/crates/upstream/tests/fair_queue.rs
+++ b/crates/upstream/tests/fair_queue.rs
@@ -76,7 +76,7 @@
         purpose: AttemptPurpose::First,
         charge: RetryCharge::Budget,
         target_latency: None,
-        class,
+        class: class.map(Arc::new),
     };
     let handle = handle.clone();
     let deadline = Instant::now() + timeout;
