--- a/crates/policy/src/service/fair_admission.rs
+++ b/crates/policy/src/service/fair_admission.rs
@@ -15,6 +15,9 @@
 /// Maximum factor on the `Retry-After` of a rejection. The factors are spread evenly from 1, so
 /// that callers which are rejected together do not return together.
 const RETRY_JITTER_MAX: f64 = 1.5;
+/// Minimum `Retry-After` of a rejection before jitter: waiters are looked at again at least every
+/// 100 ms, so that an earlier return would find nothing changed.
+const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
 /// Waiters whose untried upstreams have no room that are passed over for the next ones.
 const BLOCKED_MAX: usize = 4;
 
@@ -254,6 +257,7 @@
     }
 
     fn jitter(&mut self, wait: Duration) -> Duration {
+        let wait = wait.max(RETRY_AFTER_MIN);
         wait.mul_f64(self.rng.random_range(1.0..RETRY_JITTER_MAX))
     }
 }
--- a/crates/policy/tests/fair_share/fleet.rs
+++ b/crates/policy/tests/fair_share/fleet.rs
@@ -103,6 +103,8 @@
     totals: LoadTotals,
     upstreams: Vec<Upstream>,
     requests: Vec<CallerRequest>,
+    /// The requests that have not ended, in the order in which they were sent.
+    open: Vec<usize>,
     attempts: Vec<Attempt>,
     /// Requests that arrive at their node later.
     returning: Vec<(Instant, usize)>,
@@ -138,6 +140,7 @@
             totals: LoadTotals::default(),
             upstreams: (0..plan.upstreams).map(|_| Upstream::default()).collect(),
             requests: Vec::new(),
+            open: Vec::new(),
             attempts: Vec::new(),
             returning: Vec::new(),
             steps: 0,
@@ -187,6 +190,7 @@
             tried: Vec::new(),
             ended: false,
         });
+        self.open.push(self.requests.len() - 1);
         if counted {
             self.counts[self.plan.flows[flow].group].sent += 1;
         }
@@ -347,12 +351,15 @@
         let now = Instant::now();
         let plan = &self.plan;
         let mut overdue = Vec::new();
-        for (number, call) in self.requests.iter().enumerate() {
+        let requests = &self.requests;
+        self.open.retain(|number| !requests[*number].ended);
+        for number in self.open.iter().copied() {
+            let call = &requests[number];
             let patience = match plan.flows[call.flow].habit {
                 CallerHabit::Leaves(patience) => patience,
                 _ => plan.timeout,
             };
-            if !call.ended && call.sent_at + patience <= now {
+            if call.sent_at + patience <= now {
                 overdue.push((number, patience < plan.timeout));
             }
         }
