--- a/crates/policy/tests/fair_share/fleet.rs
+++ b/crates/policy/tests/fair_share/fleet.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use gooseberrydyke_policy::limit::{FlowKey, RequestClass};
+use gooseberrydyke_policy::limit::RequestClass;
 use gooseberrydyke_policy::retry::{AttemptEnd, RetryCharge, RetryContext};
 use gooseberrydyke_policy::service::{
     AttemptGrant, AttemptKey, AttemptPurpose, AttemptRequest, LoadTotals,
@@ -17,8 +17,9 @@
 use tokio::time::{self, Instant};
 
 use super::common::{CENTRES, name, service};
-use super::node::{Answer, Node, QueueKind};
+use super::node::{Answer, Node};
 use super::outcome::{CallEnd, GroupCount};
+use super::plan::{CallerHabit, FleetPlan, poisson};
 
 pub(crate) const STEP: Duration = Duration::from_millis(5);
 const TICK_STEPS: u32 = 20;
@@ -35,44 +36,6 @@
 /// What callers stop trying with.
 const TIME_LEFT_MIN: Duration = Duration::from_millis(50);
 
-/// What callers do after a rejection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum CallerHabit {
-    /// Follow `Retry-After` up to a third of the remaining time.
-    Follows,
-    /// Send the request again at once.
-    RetriesAtOnce,
-    /// As `Follows`, and leave after this time without a response.
-    Leaves(Duration),
-}
-
-/// The callers of one flow.
-#[derive(Debug, Clone)]
-pub(crate) struct FlowPlan {
-    pub(crate) flow: FlowKey,
-    pub(crate) group: usize,
-    pub(crate) priority: u32,
-    pub(crate) rate: f64,
-    /// Factor on the rate while the load lasts.
-    pub(crate) factor: f64,
-    pub(crate) callers: usize,
-    pub(crate) habit: CallerHabit,
-}
-
-#[derive(Debug, Clone)]
-pub(crate) struct FleetPlan {
-    pub(crate) nodes: usize,
-    pub(crate) upstreams: usize,
-    pub(crate) slots: u32,
-    pub(crate) flows: Vec<FlowPlan>,
-    pub(crate) groups: usize,
-    /// How long callers wait, and within which time they want the response.
-    pub(crate) timeout: Duration,
-    pub(crate) wanted: Duration,
-    pub(crate) queue: QueueKind,
-    pub(crate) seed: u64,
-}
-
 /// A caller's request across its rejections.
 struct CallerRequest {
     flow: usize,
@@ -416,14 +379,3 @@
         }
     }
 }
-
-fn poisson(rng: &mut SmallRng, expected: f64) -> usize {
-    let limit = (-expected).exp();
-    let mut product: f64 = rng.random();
-    let mut count = 0;
-    while product > limit {
-        product *= rng.random::<f64>();
-        count += 1;
-    }
-    count
-}
--- a/crates/policy/tests/fair_share/main.rs
+++ b/crates/policy/tests/fair_share/main.rs
@@ -6,14 +6,16 @@
 mod fleet;
 mod node;
 mod outcome;
+mod plan;
 
 use std::time::Duration;
 
 use common::name;
-use fleet::{CallerHabit, Fleet, FleetPlan, FlowPlan};
+use fleet::Fleet;
 use gooseberrydyke_policy::limit::FlowKey;
 use node::QueueKind;
 use outcome::GroupCount;
+use plan::{CallerHabit, FleetPlan, FlowPlan};
 
 const NODES: usize = 30;
 const UPSTREAMS: usize = 25;
