fix(upstream): a status from 600 to 999 is no response

Cause: the HTTP library takes every number from 100 to 999 for a status, and nothing checked it after that. Over sockets, of 17 broken statuses, callers received 600, 601, 700 and 999, as 'HTTP/1.1 600 <none>': from a first attempt of a safe and of an unsafe request, and from a retry. 000, 001, 099, 101, two and four digits and other text gave 502 before, and informational heads before a response were not forwarded.

Change: a response whose status is not one from 200 to 599 is rejected where the other checks of responses are; the attempt ends as broken, which counts for suspicion and is retried only where the route allows it. Bytes that are no response at all on a connection that was idle counted as a connection that had been closed, hence as no evidence; the client now tells them apart (ExchangeError::Malformed).

--- a/crates/http1/src/client/connection.rs
+++ b/crates/http1/src/client/connection.rs
@@ -48,6 +48,9 @@
     NotSent,
     /// The connection failed after part of the request may have been sent.
     Broken,
+    /// The peer sent something other than a response: a status that is no number of three digits,
+    /// for example.
+    Malformed,
 }
 
 /// A connection that completed an exchange and can be used for another.
@@ -225,10 +228,10 @@
         Ok(response) => response,
         Err(mut error) => {
             let not_sent = error.take_message().is_some();
-            let error = if not_sent {
-                ExchangeError::NotSent
-            } else {
-                ExchangeError::Broken
+            let error = match error.error() {
+                _ if not_sent => ExchangeError::NotSent,
+                error if error.is_parse() => ExchangeError::Malformed,
+                _ => ExchangeError::Broken,
             };
             let _ = reply.send(Err(error));
             return false;
--- a/crates/platform/src/channel.rs
+++ b/crates/platform/src/channel.rs
@@ -193,7 +193,7 @@
     let exchanged = sending.await.map_err(|_| CallError::ResponseLost)?;
     let (response, reusable) = exchanged.map_err(|error| match error {
         ExchangeError::NotSent => CallError::NotSent,
-        ExchangeError::Broken => CallError::ResponseLost,
+        ExchangeError::Broken | ExchangeError::Malformed => CallError::ResponseLost,
     })?;
     let (parts, body) = response.into_parts();
     let collecting = time::timeout_at(deadline, body.collect_up_to(RESPONSE_SIZE_MAX));
--- a/crates/upstream/src/attempt.rs
+++ b/crates/upstream/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt at one upstream.
 
+use std::ops::RangeInclusive;
 use std::pin::Pin;
 use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll};
@@ -27,6 +28,9 @@
 /// may stall.
 const STALL_DIVISOR: u32 = 4;
 
+/// Statuses of responses. The HTTP library takes every number from 100 to 999 for a status.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// What one attempt needs besides its lease and body.
 #[derive(Debug, Clone)]
 pub struct AttemptContext {
@@ -140,7 +144,8 @@
                 ExchangeError::NotSent => AttemptEnd::NotSent,
                 _ if context.body_fault.get().is_some() => AttemptEnd::Cancelled,
                 ExchangeError::Broken if possibly_stale => AttemptEnd::Unresponsive,
-                ExchangeError::Broken => AttemptEnd::Broken,
+                // What arrived was no response, so the connection was not just stale.
+                ExchangeError::Broken | ExchangeError::Malformed => AttemptEnd::Broken,
             };
             if matches!(end, AttemptEnd::Broken | AttemptEnd::Unresponsive) {
                 context.crash.check_upstream(&lease);
@@ -359,9 +364,13 @@
     signals: UpstreamSignals,
 ) -> Option<&'static str> {
     let headers = response.headers();
-    if response.status().is_informational() {
+    let status = response.status();
+    if status.is_informational() {
         return Some("it is informational, and no response of its own follows it");
     }
+    if !FINAL_STATUSES.contains(&status.as_u16()) {
+        return Some("its status is not one from 200 to 599");
+    }
     if http1::header::has_other_transfer_coding(headers) {
         return Some("it has a transfer coding other than chunks");
     }
