feat(http1): a timeout for unread responses, and narrow reads

Cause: a connection whose response is still being made and whose peer takes nothing of it had no timeout, since hyper does not ask for more of the body; and the client reads up to 64 KiB ahead for each connection.

The timeouts of a server connection have a file of their own.

--- a/crates/http1/src/client/connection.rs
+++ b/crates/http1/src/client/connection.rs
@@ -239,7 +239,8 @@
     };
     head_limit.lift();
     let (complete, body_complete) = oneshot::channel();
-    let response = response.map(|incoming| ResponseBody::new(incoming, complete));
+    let reads = head_limit.reads().clone();
+    let response = response.map(|incoming| ResponseBody::new(incoming, complete, reads));
     if reply.send(Ok(response)).is_err() {
         return false;
     }
--- a/crates/http1/src/client/response_body.rs
+++ b/crates/http1/src/client/response_body.rs
@@ -10,18 +10,22 @@
 use model::sizes::ByteSize;
 use tokio::sync::oneshot;
 
+use super::head_limit::ReadLimit;
+
 /// A streaming response body. When it is dropped before its end, the connection closes.
 #[derive(Debug)]
 pub struct ResponseBody {
     incoming: Incoming,
     complete: Option<oneshot::Sender<()>>,
+    reads: ReadLimit,
 }
 
 impl ResponseBody {
-    pub(super) fn new(incoming: Incoming, complete: oneshot::Sender<()>) -> Self {
+    pub(super) fn new(incoming: Incoming, complete: oneshot::Sender<()>, reads: ReadLimit) -> Self {
         let mut body = Self {
             incoming,
             complete: Some(complete),
+            reads,
         };
         if body.incoming.is_end_stream() {
             body.signal_complete();
@@ -29,6 +33,11 @@
         body
     }
 
+    /// The limit on how much of the body is read at once.
+    pub fn read_limit(&self) -> ReadLimit {
+        self.reads.clone()
+    }
+
     /// Reads the whole body into memory.
     ///
     /// # Errors
--- a/crates/http1/src/server/mod.rs
+++ b/crates/http1/src/server/mod.rs
@@ -3,6 +3,7 @@
 mod close;
 mod phase;
 mod target;
+mod timeout;
 
 use std::convert::Infallible;
 use std::error::Error;
@@ -20,14 +21,12 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task;
-use tokio::time::{self, Instant};
+use tokio::time;
 
 use close::{CloseReason, ConnectionLog};
-use phase::{
-    BodyState, ConnectionPhase, ConnectionState, PhaseTrackingBody, PhaseTrackingStream,
-    StateSender,
-};
+use phase::{BodyState, PhaseTrackingBody, PhaseTrackingStream, StateSender};
 use target::{BodyFraming, TargetTracker};
+use timeout::{TimeoutKind, wait_for_timeout, wait_until_unused};
 
 use crate::header;
 
@@ -37,9 +36,6 @@
 /// How long to wait before the next accept when the system could not provide a
 /// connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// How long an idle connection stays open after a stop has begun. A caller that has just
-/// received a response may have sent its next request already.
-const STOP_LINGER: Duration = Duration::from_millis(250);
 /// The smallest buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// The response to a request head that does not arrive within the head timeout.
@@ -58,6 +54,17 @@
     /// How long a connection may stay open without a request, or with a response that
     /// the peer does not read.
     pub idle_timeout: Duration,
+    /// How long a peer may leave its response unread, also one that is still being made; at most
+    /// the idle timeout. A connection that exceeds it is reset, which frees the buffers of the
+    /// system too. Without it, the idle timeout counts from the end of the response's body.
+    pub unread_timeout: Option<Duration>,
+}
+
+impl ServeLimits {
+    fn unread_timeout(&self) -> Duration {
+        let timeout = self.unread_timeout.unwrap_or(self.idle_timeout);
+        timeout.min(self.idle_timeout)
+    }
 }
 
 impl Default for ServeLimits {
@@ -67,6 +74,7 @@
             headers: 100,
             head_timeout: Duration::from_secs(15),
             idle_timeout: Duration::from_secs(15),
+            unread_timeout: None,
         }
     }
 }
@@ -164,6 +172,12 @@
             }
             Err(Some(TimeoutKind::Flush)) => {
                 log.end();
+                let stream = driver.connection.into_parts().io.into_inner().stream;
+                if limits().unread_timeout.is_some()
+                    && let Err(error) = stream.set_zero_linger()
+                {
+                    log::debug!(target: "http", "An unread response is not reset: {error}.");
+                }
                 log::info!(
                     target: "http", request = states.borrow().label();
                     "Connection closed: the caller did not read its response in time."
@@ -268,77 +282,6 @@
     }
 }
 
-/// Which timeout a connection has exceeded.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum TimeoutKind {
-    Idle,
-    Head,
-    Flush,
-}
-
-/// Waits until a connection has exceeded a timeout.
-async fn wait_for_timeout(
-    states: &mut watch::Receiver<ConnectionState>,
-    limits: impl Fn() -> ServeLimits,
-) -> TimeoutKind {
-    loop {
-        let phase = states.borrow_and_update().phase;
-        let timeouts = limits();
-        let timeout = match phase {
-            ConnectionPhase::Idle(since) => {
-                Some((since + timeouts.idle_timeout, TimeoutKind::Idle))
-            }
-            ConnectionPhase::Head(since) => {
-                Some((since + timeouts.head_timeout, TimeoutKind::Head))
-            }
-            ConnectionPhase::Flushing(since) => {
-                Some((since + timeouts.idle_timeout, TimeoutKind::Flush))
-            }
-            ConnectionPhase::Busy | ConnectionPhase::Receiving => None,
-        };
-        let Some((end, kind)) = timeout else {
-            next_state(states).await;
-            continue;
-        };
-        if end <= Instant::now() {
-            return kind;
-        }
-        tokio::select! {
-            () = time::sleep_until(end) => {}
-            () = next_state(states) => {}
-        }
-    }
-}
-
-/// Waits until no request is about to arrive on a connection that is to be closed: one is
-/// being handled, or none has arrived in time.
-async fn wait_until_unused(
-    states: &mut watch::Receiver<ConnectionState>,
-    limits: impl Fn() -> ServeLimits,
-) {
-    let stopped = Instant::now();
-    loop {
-        let end = match states.borrow_and_update().phase {
-            ConnectionPhase::Idle(since) => since.max(stopped) + STOP_LINGER,
-            ConnectionPhase::Head(since) => since + limits().head_timeout,
-            ConnectionPhase::Busy | ConnectionPhase::Flushing(_) | ConnectionPhase::Receiving => {
-                return;
-            }
-        };
-        tokio::select! {
-            () = time::sleep_until(end) => return,
-            () = next_state(states) => {}
-        }
-    }
-}
-
-/// Waits for the next state; never returns after the connection has ended.
-async fn next_state(states: &mut watch::Receiver<ConnectionState>) {
-    if states.changed().await.is_err() {
-        std::future::pending::<()>().await;
-    }
-}
-
 /// Sends status 408 for a head that did not arrive in time; no request was handled since the
 /// last of the `requests` before it.
 async fn respond_head_timeout(mut stream: TcpStream, requests: u64) {
--- a/crates/http1/src/server/phase.rs
+++ b/crates/http1/src/server/phase.rs
@@ -39,6 +39,8 @@
     pub(super) phase: ConnectionPhase,
     /// Requests whose heads have arrived.
     pub(super) requests: u64,
+    /// Since when the peer has taken nothing of a response that is still being made.
+    pub(super) blocked_since: Option<Instant>,
     /// Names the last request whose response has begun.
     label: Option<ids::RequestId>,
     /// The body of the current request.
@@ -76,6 +78,7 @@
         Self {
             phase: ConnectionPhase::Idle(Instant::now()),
             requests: 0,
+            blocked_since: None,
             label: None,
             body: BodyState::Ended,
             closes: false,
@@ -87,6 +90,7 @@
     fn start_request(&mut self, body: BodyState, closes: bool) {
         self.phase = ConnectionPhase::Busy;
         self.requests += 1;
+        self.blocked_since = None;
         self.label = None;
         self.body = body;
         self.closes = closes;
@@ -115,11 +119,21 @@
 
     /// Buffered bytes have been sent; returns whether that changed the phase.
     fn progress(&mut self) -> bool {
+        let was_blocked = self.blocked_since.take().is_some();
         let is_flushing = matches!(self.phase, ConnectionPhase::Flushing(_));
         if is_flushing {
             self.phase = ConnectionPhase::Flushing(Instant::now());
         }
-        is_flushing
+        is_flushing || was_blocked
+    }
+
+    /// The peer takes no more bytes for now; returns whether that is new.
+    fn block(&mut self) -> bool {
+        let is_new = self.phase == ConnectionPhase::Busy && self.blocked_since.is_none();
+        if is_new {
+            self.blocked_since = Some(Instant::now());
+        }
+        is_new
     }
 
     /// All buffered bytes have been sent; returns whether that changed the phase.
@@ -244,9 +258,11 @@
 
     /// A caller that reads slowly has time for all of its response.
     fn record_progress(&self, written: &Poll<io::Result<usize>>) {
-        if let Poll::Ready(Ok(_)) = written {
-            self.state.0.send_if_modified(ConnectionState::progress);
-        }
+        match written {
+            Poll::Ready(Ok(_)) => self.state.0.send_if_modified(ConnectionState::progress),
+            Poll::Ready(Err(_)) => false,
+            Poll::Pending => self.state.0.send_if_modified(ConnectionState::block),
+        };
     }
 
     fn poll_read_bytes(
--- a/crates/http1/tests/slow_readers.rs
+++ b/crates/http1/tests/slow_readers.rs
@@ -1,11 +1,16 @@
 //! Peers that read a response slowly, or not at all.
 
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
+use bytes::Bytes;
 use gooseberrydyke_http1::server::{self, Handler, ServeLimits};
-use model::call::{self, BodyStream};
+use http_body_util::BodyExt as _;
+use hyper::body::{Body, Frame};
+use model::call::{self, BodyError, BodyStream};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
@@ -20,16 +25,39 @@
 const PIECE_PAUSE: Duration = Duration::from_millis(20);
 const RECEIVE_BUFFER_BYTES: u32 = 64 * 1024;
 
+/// A body that arrives in pieces, more of them than are ever read.
+struct PieceBody;
+
+impl Body for PieceBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let piece = Bytes::from_static(&[b'a'; PIECE_BYTES]);
+        Poll::Ready(Some(Ok(Frame::data(piece))))
+    }
+}
+
 /// Starts a server of one large response; returns its address and what stops it.
 async fn start_server() -> (SocketAddr, watch::Sender<bool>) {
-    let handler: Handler<BodyStream> = Arc::new(|_| {
-        Box::pin(async { http::Response::new(call::full_body(vec![b'a'; BODY_BYTES])) })
-    });
+    start_server_of(|| call::full_body(vec![b'a'; BODY_BYTES]), None).await
+}
+
+async fn start_server_of(
+    body: fn() -> BodyStream,
+    unread_timeout: Option<Duration>,
+) -> (SocketAddr, watch::Sender<bool>) {
+    let handler: Handler<BodyStream> =
+        Arc::new(move |_| Box::pin(async move { http::Response::new(body()) }));
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (stop, stopping) = watch::channel(false);
     let limits = ServeLimits {
         idle_timeout: IDLE_TIMEOUT,
+        unread_timeout,
         ..ServeLimits::default()
     };
     tokio::spawn(server::listen(listener, limits, handler, stopping));
@@ -71,3 +99,16 @@
     assert!(reading.await.is_ok(), "the connection stays open");
     assert!(received.len() < BODY_BYTES, "{} bytes", received.len());
 }
+
+// hyper does not ask for more of a body while the peer takes nothing, so its end never comes.
+#[tokio::test]
+async fn a_response_that_is_still_being_made_is_given_up_after_the_unread_timeout() {
+    let unread_timeout = Some(IDLE_TIMEOUT / 2);
+    let (address, _stop) = start_server_of(|| PieceBody.boxed_unsync(), unread_timeout).await;
+    let mut stream = request(address).await;
+    time::sleep(IDLE_TIMEOUT * 6).await;
+    let mut received = Vec::new();
+    let reading = time::timeout(Duration::from_secs(5), stream.read_to_end(&mut received));
+    let read = reading.await.expect("the connection stays open");
+    assert!(read.is_err(), "the connection was not reset");
+}
