feat(upstream): bodies take a bounded share of the process's memory

Cause: responses of up to 1 MiB are buffered whole and stay until their caller has read them, so slow callers decide how much memory a gateway takes, and the platform kills a process that exceeds its own (112 MB on the smallest nodes).

Change: with limits.memory_mb in the settings, bodies are charged to a budget while they are held (MemoryBudget, released with the last reference to the data). Beyond 1/8 of the memory responses of over 16 KiB are streamed with back-pressure, and a response of which the caller takes nothing for 3 s is given up; beyond 1/4 new requests get 503 (memory-limit, with Retry-After) before anything runs. The levels are pure code in policy::memory. Sockets of callers get a bounded send buffer. Metrics memory.held and memory.streamed, and a log line for each change of level. Without the setting nothing changes, but for buffered responses being collected in one buffer of the declared size.

--- a/bins/entry/src/gateway.rs
+++ b/bins/entry/src/gateway.rs
@@ -7,18 +7,20 @@
 use std::time::Duration;
 
 use caller::wire::CallerHeaders;
-use caller::{CallerLimits, CallerListener, CallerSettings};
+use caller::{CallerLimits, CallerListener, CallerMemory, CallerSettings};
 use model::error::{ErrorKind, FleetError};
 use model::{ids, sizes, span};
 use node::keys::{FleetCa, NodeKeys};
 use node::replica::{FleetSource, NodeUpdate, ReplicaFleet, ReplicaSettings};
 use policy::membership::Member;
+use policy::memory::MemoryBounds;
 use policy::stop::StopSchedule;
 use telemetry::metrics::NodeMetrics;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{self, Instant};
 use upstream::dispatch::{ClaimCallbacks, Dispatcher};
+use upstream::memory::{self, MemoryBudget};
 use upstream::service::{RetryTokenSource, ServiceDirectory, ServiceSettings, SettingsFactory};
 use upstream::wire::UpstreamHeaders;
 
@@ -66,6 +68,9 @@
     pub upstream_headers: UpstreamHeaders,
     /// Maximum number of open connections from callers.
     pub connections_max: usize,
+    /// Memory of the process, beyond which it is killed; bodies take a share of it. Without it
+    /// they have no bound.
+    pub memory: Option<sizes::ByteSize>,
     /// How long a stopping node still accepts connections, until the load balancer has
     /// noticed that it is no longer ready.
     pub stop_delay: span::TimeSpan,
@@ -125,12 +130,16 @@
         let (stop, stop_watch) = watch::channel(None);
         let (stopping, stopping_watch) = watch::channel(false);
         let (closed, closed_watch) = watch::channel(false);
+        let memory_bounds = settings.memory.map(MemoryBounds::of);
+        let memory = MemoryBudget::new(memory_bounds);
+        tokio::spawn(memory::watch(memory.clone(), Arc::clone(&metrics)));
         let dispatcher = Dispatcher::new(
             &settings.node,
             directory.clone(),
             reject_claims(),
             crashes::crash_callbacks(&fleet.crashes),
             stop_watch,
+            memory.clone(),
             Arc::clone(&metrics),
         );
         let listener = CallerListener::bind(
@@ -139,6 +148,7 @@
                 limits: limits_watch,
                 headers: Arc::new(settings.caller_headers),
                 dispatch: dispatch_to(dispatcher),
+                memory: caller_memory(memory_bounds, &memory),
             },
             leaving_watch.clone(),
         )?;
@@ -203,6 +213,22 @@
     }
 }
 
+/// Bounds what waits to be written to callers by the memory that bodies may take.
+fn caller_memory(bounds: Option<MemoryBounds>, budget: &MemoryBudget) -> CallerMemory {
+    let Some(bounds) = bounds else {
+        return CallerMemory::default();
+    };
+    let budget = budget.clone();
+    CallerMemory {
+        send_buffer: Some(bounds.socket_buffer),
+        // The idle timeout is the longest one: a response that is streamed takes room at its
+        // upstream, too.
+        unread_timeout: Arc::new(move || {
+            Some(budget.level().unread_timeout().unwrap_or(Duration::MAX))
+        }),
+    }
+}
+
 fn start_fleet(
     settings: &GatewaySettings,
     updates: mpsc::Sender<NodeUpdate>,
--- a/bins/entry/src/server.rs
+++ b/bins/entry/src/server.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use caller::{CallerListener, CallerSettings, listener::Dispatch};
+use caller::{CallerListener, CallerMemory, CallerSettings, listener::Dispatch};
 use model::{ids, sizes};
 use node::claims::BatchSettings;
 use node::collector::CollectorUpdate;
@@ -20,6 +20,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{self, Instant};
 use upstream::dispatch::{ClaimCallbacks, Dispatcher};
+use upstream::memory::MemoryBudget;
 use upstream::service::{ServiceDirectory, ServiceSettings, SettingsFactory};
 
 use crate::crashes;
@@ -103,6 +104,7 @@
             claims,
             crashes::crash_callbacks(&fleet.crashes),
             stop_watch,
+            MemoryBudget::default(),
             Arc::clone(&metrics),
         );
         let listener = CallerListener::bind(
@@ -111,6 +113,7 @@
                 limits: watch::channel(settings.limits).1,
                 headers: Arc::default(),
                 dispatch: dispatch_to(dispatcher),
+                memory: CallerMemory::default(),
             },
             leaving_watch.clone(),
         )?;
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -7,4 +7,4 @@
 mod target;
 pub mod wire;
 
-pub use listener::{CallerLimits, CallerListener, CallerSettings};
+pub use listener::{CallerLimits, CallerListener, CallerMemory, CallerSettings};
--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -70,6 +70,27 @@
     pub headers: Arc<CallerHeaders>,
     /// Handles calls.
     pub dispatch: Dispatch,
+    /// Bounds what waits to be written to callers.
+    pub memory: CallerMemory,
+}
+
+/// Bounds what waits to be written to callers; the default leaves that to the system and the idle
+/// timeout.
+#[derive(Clone)]
+pub struct CallerMemory {
+    /// Size of the send buffer of each connection.
+    pub send_buffer: Option<sizes::ByteSize>,
+    /// How long a caller may leave its response unread now, if less than the idle timeout.
+    pub unread_timeout: Arc<dyn Fn() -> Option<Duration> + Send + Sync>,
+}
+
+impl Default for CallerMemory {
+    fn default() -> Self {
+        Self {
+            send_buffer: None,
+            unread_timeout: Arc::new(|| None),
+        }
+    }
 }
 
 impl CallerListener {
@@ -90,6 +111,10 @@
         };
         // As `TcpListener::bind` does, so that a restarted process gets its address back.
         socket.set_reuseaddr(true)?;
+        if let Some(size) = settings.memory.send_buffer {
+            // Accepted connections take it over.
+            socket.set_send_buffer_size(u32::try_from(size.get()).unwrap_or(u32::MAX))?;
+        }
         socket.bind(address)?;
         let listener = socket.listen(BACKLOG_MAX)?;
         Ok(Self {
@@ -112,11 +137,17 @@
         let mut connections = JoinSet::new();
         let connection_stop = stopping.clone();
         let limits = self.settings.limits.clone();
+        let unread_timeout = Arc::clone(&self.settings.memory.unread_timeout);
         let handler = handler(self.settings, self.draining);
         let admit = |connections: &mut JoinSet<()>, stream, peer| {
             if connections.len() < limits.borrow().connections {
                 let stop = connection_stop.clone();
-                connections.spawn(serve(stream, limits.clone(), Arc::clone(&handler), stop));
+                let (limits, unread_timeout) = (limits.clone(), Arc::clone(&unread_timeout));
+                let connection_limits = move || ServeLimits {
+                    unread_timeout: unread_timeout(),
+                    ..limits.borrow().connection
+                };
+                connections.spawn(serve(stream, connection_limits, Arc::clone(&handler), stop));
             } else {
                 log::warn!(target: "caller", "Too many connections; closed the one from {peer}.");
             }
@@ -152,15 +183,14 @@
 
 async fn serve(
     stream: TcpStream,
-    limits: watch::Receiver<CallerLimits>,
+    limits: impl Fn() -> ServeLimits,
     handler: server::Handler<BodyStream>,
     stopping: watch::Receiver<bool>,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(target: "caller", "Cannot set TCP_NODELAY: {error}.");
     }
-    let connection_limits = move || limits.borrow().connection;
-    server::serve(stream, connection_limits, handler, stopping).await;
+    server::serve(stream, limits, handler, stopping).await;
 }
 
 fn handler(
--- a/crates/caller/tests/backlog.rs
+++ b/crates/caller/tests/backlog.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use gooseberrydyke_caller::{CallerLimits, CallerListener, CallerSettings};
+use gooseberrydyke_caller::{CallerLimits, CallerListener, CallerMemory, CallerSettings};
 use model::error::{ErrorKind, FleetError};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -26,6 +26,7 @@
             let error = FleetError::new(ErrorKind::NoRoute, "no route");
             Box::pin(async { Err(error) })
         }),
+        memory: CallerMemory::default(),
     };
     let draining = watch::channel(false).1;
     let listener = CallerListener::bind(([127, 0, 0, 1], 0).into(), settings, draining).unwrap();
--- a/crates/model/src/error/kind.rs
+++ b/crates/model/src/error/kind.rs
@@ -35,6 +35,8 @@
         WorkspaceLimit = "workspace-limit",
         /// The service's queue is full.
         Overload = "overload",
+        /// The bodies that the node holds take too much of its memory.
+        MemoryLimit = "memory-limit",
         /// Every upstream that could take the request has reached its rate limit.
         RateLimited = "rate-limited",
         /// Upstreams crash while they run the request, so it is not sent.
@@ -115,6 +117,7 @@
             Self::Unauthenticated => (401, NotRun, false),
             Self::WorkspaceLimit => (429, NotRun, true),
             Self::Overload
+            | Self::MemoryLimit
             | Self::RateLimited
             | Self::Quarantined
             | Self::NoUpstream
--- a/crates/model/src/sizes.rs
+++ b/crates/model/src/sizes.rs
@@ -21,6 +21,10 @@
     /// A size in bytes.
     ByteSize, u64, 1, 1_099_511_627_776, "a whole number of bytes from 1 to 1099511627776"
 }
+crate::quantity! {
+    /// A number of bytes that are held in memory.
+    HeldBytes, u64, 0, u64::MAX, "a whole number of bytes"
+}
 crate::quantity! {
     /// The generation of the configuration; increases with every accepted change.
     Generation, u64, 0, u64::MAX, "a whole number"
@@ -44,6 +48,13 @@
     ExchangeCount, u64, 0, u64::MAX, "a whole number"
 }
 
+impl HeldBytes {
+    /// The size of data.
+    pub const fn of(data: &[u8]) -> Self {
+        Self(data.len() as u64)
+    }
+}
+
 impl ExchangeCount {
     /// The count after one more exchange.
     #[must_use]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`ejection`]: which upstreams are taken out of service, within the capacity floor.
 //! - [`retry`]: when another attempt may be made.
 //! - [`limit`]: how many requests are admitted.
+//! - [`memory`]: how much memory bodies may take.
 //! - [`permit`]: the rate limits that upstreams name, and permits to send to such an upstream.
 //! - [`quarantine`]: which requests crash the upstreams that run them.
 //! - [`stop`]: which requests a stopping node still takes.
@@ -29,6 +30,7 @@
 pub mod invariant;
 pub mod limit;
 pub mod membership;
+pub mod memory;
 pub mod office;
 pub mod permit;
 pub mod quarantine;
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -39,6 +39,8 @@
     in_flight: Gauge<u64>,
     nodes: Gauge<u64>,
     dropped_lines: Gauge<u64>,
+    held_bytes: Gauge<u64>,
+    streamed_responses: Counter<u64>,
 }
 
 impl NodeMetrics {
@@ -137,6 +139,15 @@
                 .u64_gauge("log.dropped")
                 .with_description("Log lines dropped since the start, as the output was slow.")
                 .build(),
+            held_bytes: meter
+                .u64_gauge("memory.held")
+                .with_unit("By")
+                .with_description("Bytes of bodies that this node holds.")
+                .build(),
+            streamed_responses: meter
+                .u64_counter("memory.streamed")
+                .with_description("Responses streamed for lack of memory to buffer them.")
+                .build(),
             provider,
             registry,
         })
@@ -252,6 +263,16 @@
         self.node_bytes.add(bytes, &[]);
     }
 
+    /// Sets the number of bytes held for bodies.
+    pub fn set_held_bytes(&self, bytes: u64) {
+        self.held_bytes.record(bytes, &[]);
+    }
+
+    /// Counts a response that was streamed for lack of memory to buffer it.
+    pub fn record_streamed_response(&self) {
+        self.streamed_responses.add(1, &[]);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         let mut text = Vec::new();
--- a/crates/upstream/src/attempt.rs
+++ b/crates/upstream/src/attempt.rs
@@ -8,11 +8,12 @@
 use bytes::Bytes;
 use http::{HeaderValue, header};
 use http_body_util::BodyExt as _;
-use http1::client::{ExchangeError, ResponseBody};
+use http1::client::{ExchangeError, ReadLimit, ResponseBody};
 use hyper::body::{Body, Frame, SizeHint};
 use model::call::{self, BodyError, BodyStream, CallHead, CallResponse};
 use model::ids;
 use policy::exchange::CarriedId;
+use policy::memory::MemoryLevel;
 use policy::permit::LimitSignal;
 use policy::retry::AttemptEnd;
 use telemetry::metrics::NodeMetrics;
@@ -20,6 +21,7 @@
 
 use crate::buffer::{self, CollectedBody};
 use crate::crash::CrashWatch;
+use crate::memory::MemoryBudget;
 use crate::pool::{ConnectionNeed, ConnectionUse, Freshness, PooledConnection};
 use crate::service::{AttemptLease, ServiceHandle};
 use crate::wire::{PauseSignal, UpstreamHeaders, UpstreamRefusal, UpstreamSignals};
@@ -50,6 +52,8 @@
     pub body_fault: BodyFault,
     /// Observes crashes of upstreams.
     pub crash: CrashWatch,
+    /// What the response body is charged to while it is held.
+    pub memory: MemoryBudget,
     /// Counts attempts and their connections.
     pub metrics: Arc<NodeMetrics>,
 }
@@ -258,10 +262,11 @@
         StallTimeout::ShareOfTimeLeft
     };
     let crash = signals.refusal.is_none().then(|| context.crash.clone());
+    let reads = body.read_limit();
     let body = LeasedBody::new(body, lease, crash, end, context.deadline, stall_timeout);
     let body = body.boxed_unsync();
     let body = match buffer_limit {
-        Some(limit) => buffer_body(body, limit.get()).await?,
+        Some(limit) => buffer_body(body, limit.get(), context, &reads).await?,
         None => body,
     };
     if withheld {
@@ -282,11 +287,23 @@
 }
 
 /// Buffers a response body of up to `limit_bytes` before any of it is forwarded, so
-/// that a truncated one can still be retried.
-async fn buffer_body(body: BodyStream, limit_bytes: u64) -> Result<BodyStream, AttemptFailure> {
-    match buffer::collect_up_to(body, limit_bytes).await {
+/// that a truncated one can still be retried. While memory is short, a large one is streamed, and
+/// little of it is read at once.
+async fn buffer_body(
+    body: BodyStream,
+    limit_bytes: u64,
+    context: &AttemptContext,
+    reads: &ReadLimit,
+) -> Result<BodyStream, AttemptFailure> {
+    let may_hold = MemoryLevel::buffers_response;
+    match buffer::collect_up_to(body, limit_bytes, &context.memory, may_hold).await {
         Ok(CollectedBody::Whole(bytes)) => Ok(call::full_body(bytes)),
         Ok(CollectedBody::Part(body)) => Ok(body),
+        Ok(CollectedBody::Unbuffered(body)) => {
+            context.metrics.record_streamed_response();
+            reads.narrow();
+            Ok(body)
+        }
         Err(BodyError::Deadline) => Err(AttemptFailure::new(AttemptEnd::TimedOut)),
         Err(_) => Err(AttemptFailure::new(AttemptEnd::Truncated)),
     }
--- a/crates/upstream/src/dispatch/body.rs
+++ b/crates/upstream/src/dispatch/body.rs
@@ -8,11 +8,14 @@
 use hyper::body::{Body, Frame, SizeHint};
 use model::call::{self, BodyError, BodyStream};
 use model::error::{ErrorKind, FleetError};
+use policy::memory::MemoryLevel;
 use tokio::runtime::Handle;
 use tokio::time::{self, Instant, Sleep};
 
+use super::memory_error;
 use crate::attempt::BodyFault;
 use crate::buffer::{self, CollectedBody};
+use crate::memory::MemoryBudget;
 
 /// The largest body that is buffered for further attempts.
 const BUFFERED_BYTES_MAX: u64 = 64 * 1024;
@@ -33,14 +36,17 @@
         body: BodyStream,
         deadline: Instant,
         fault: &BodyFault,
+        memory: &MemoryBudget,
     ) -> Result<Self, FleetError> {
         let size = body.size_hint().exact();
         if size.is_some_and(|size| size > BUFFERED_BYTES_MAX) {
             let streamed = StreamedBody::boxed(body, deadline, fault);
             return Ok(Self::Streaming(Some(streamed)));
         }
-        let collected =
-            time::timeout_at(deadline, buffer::collect_up_to(body, BUFFERED_BYTES_MAX)).await;
+        // Also while memory is short: a streamed body could neither be sent again nor recognised.
+        let may_hold = |level: MemoryLevel, _| level.admits_requests();
+        let collecting = buffer::collect_up_to(body, BUFFERED_BYTES_MAX, memory, may_hold);
+        let collected = time::timeout_at(deadline, collecting).await;
         let timed_out = |_| {
             FleetError::new(
                 ErrorKind::RequestTimeout,
@@ -59,6 +65,7 @@
             CollectedBody::Part(body) => {
                 Self::Streaming(Some(StreamedBody::boxed(body, deadline, fault)))
             }
+            CollectedBody::Unbuffered(_) => return Err(memory_error()),
         })
     }
 
--- a/crates/upstream/src/dispatch/dispatcher.rs
+++ b/crates/upstream/src/dispatch/dispatcher.rs
@@ -21,9 +21,10 @@
 use super::body::RequestBody;
 use super::claim::{self, ClaimCallbacks, ClaimGuard};
 use super::trace::CallTrace;
-use super::{race, resume};
+use super::{memory_error, race, resume};
 use crate::attempt::{self, AttemptContext, AttemptFailure, BodyFault};
 use crate::crash::{CrashCallbacks, CrashWatch};
+use crate::memory::MemoryBudget;
 use crate::service::{ServiceDirectory, ServiceHandle};
 
 /// Grace period after the deadline of a claimed request. A claim that is still unsettled
@@ -45,6 +46,7 @@
     crashes: CrashCallbacks,
     /// The schedule of the node's stop, once one has begun.
     stop: watch::Receiver<Option<StopSchedule>>,
+    memory: MemoryBudget,
     metrics: Arc<NodeMetrics>,
     /// Prefix of the request ids that this node assigns. It contains a random number,
     /// so that the ids stay unique when the process restarts.
@@ -84,6 +86,7 @@
         claims: ClaimCallbacks,
         crashes: CrashCallbacks,
         stop: watch::Receiver<Option<StopSchedule>>,
+        memory: MemoryBudget,
         metrics: Arc<NodeMetrics>,
     ) -> Self {
         let clock = clock::WallClock::start();
@@ -93,6 +96,7 @@
             claims,
             crashes,
             stop,
+            memory,
             metrics,
             id_prefix,
             started: Instant::now(),
@@ -206,8 +210,11 @@
         let timeout = call.head.timeout.unwrap_or(Duration::MAX).min(timeout_max);
         let deadline = started + timeout;
         self.check_stop(&target.handle, deadline)?;
+        if !self.memory.level().admits_requests() {
+            return Err(memory_error());
+        }
         let body_fault = BodyFault::default();
-        let mut body = RequestBody::prepare(call.body, deadline, &body_fault).await?;
+        let mut body = RequestBody::prepare(call.body, deadline, &body_fault, &self.memory).await?;
         // A stop may have begun while the body arrived.
         self.check_stop(&target.handle, deadline)?;
         let crash = CrashWatch::new(fingerprint(&call.head, &body), self.crashes.clone());
@@ -225,6 +232,7 @@
             deadline,
             body_fault,
             crash,
+            memory: self.memory.clone(),
             metrics: Arc::clone(&self.metrics),
         };
         let attempts_max = options
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -7,12 +7,14 @@
 //! - [`attempt`]: one attempt at one upstream.
 //! - [`dispatch`]: one request, with retries, hedges and resumed downloads.
 //! - [`crash`]: requests that crash the upstreams which run them.
+//! - [`memory`]: the memory that bodies take.
 //! - [`probe`]: periodic checks that an upstream can be reached.
 
 pub mod attempt;
 mod buffer;
 pub mod crash;
 pub mod dispatch;
+pub mod memory;
 pub mod pool;
 pub mod probe;
 pub mod service;
