--- a/crates/http1/src/server/mod.rs
+++ b/crates/http1/src/server/mod.rs
@@ -24,7 +24,7 @@
 use tokio::time;
 
 use close::{CloseReason, ConnectionLog};
-use phase::{BodyState, PhaseTrackingBody, PhaseTrackingStream, StateSender};
+use phase::{BodyState, ConnectionState, PhaseTrackingBody, PhaseTrackingStream, StateSender};
 use target::{BodyFraming, TargetTracker};
 use timeout::{TimeoutKind, wait_for_timeout, wait_until_unused};
 
@@ -172,16 +172,9 @@
             }
             Err(Some(TimeoutKind::Flush)) => {
                 log.end();
-                let stream = driver.connection.into_parts().io.into_inner().stream;
-                if limits().unread_timeout.is_some()
-                    && let Err(error) = stream.set_zero_linger()
-                {
-                    log::debug!(target: "http", "An unread response is not reset: {error}.");
-                }
-                log::info!(
-                    target: "http", request = states.borrow().label();
-                    "Connection closed: the caller did not read its response in time."
-                );
+                let parts = driver.connection.into_parts();
+                let is_reset = limits().unread_timeout.is_some();
+                end_unread(&parts.io.into_inner().stream, is_reset, &states.borrow());
                 return;
             }
         };
@@ -282,6 +275,17 @@
     }
 }
 
+/// Prepares the closing of a connection whose peer does not read its response.
+fn end_unread(stream: &TcpStream, is_reset: bool, state: &ConnectionState) {
+    if is_reset && let Err(error) = stream.set_zero_linger() {
+        log::debug!(target: "http", "An unread response is not reset: {error}.");
+    }
+    log::info!(
+        target: "http", request = state.label();
+        "Connection closed: the caller did not read its response in time."
+    );
+}
+
 /// Sends status 408 for a head that did not arrive in time; no request was handled since the
 /// last of the `requests` before it.
 async fn respond_head_timeout(mut stream: TcpStream, requests: u64) {
--- a/crates/policy/tests/memory_bounds.rs
+++ b/crates/policy/tests/memory_bounds.rs
@@ -72,11 +72,11 @@
 // Otherwise the log would have a line for each body around a bound.
 #[test]
 fn a_level_is_left_only_well_below_its_bound() {
+    use MemoryLevel::{Ample, Exhausted, Short};
     let bounds = bounds(112);
     let just_below = |bound: HeldBytes| HeldBytes::new(bound.get() - 1);
     let well_below = |bound: HeldBytes| HeldBytes::new(bound.get() / 8 * 7 - 8);
     let next = |current, held| bounds.next_level(current, held);
-    use MemoryLevel::{Ample, Exhausted, Short};
     assert_eq!(next(Ample, just_below(bounds.stream)), Ample);
     assert_eq!(next(Short, just_below(bounds.stream)), Short);
     assert_eq!(next(Short, well_below(bounds.stream)), Ample);
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -6,7 +6,7 @@
 use model::error::ErrorKind;
 use model::ids;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::Encoder as _;
 
@@ -39,8 +39,30 @@
     in_flight: Gauge<u64>,
     nodes: Gauge<u64>,
     dropped_lines: Gauge<u64>,
-    held_bytes: Gauge<u64>,
-    streamed_responses: Counter<u64>,
+    memory: MemoryInstruments,
+}
+
+/// The instruments of the memory that bodies take.
+#[derive(Debug)]
+struct MemoryInstruments {
+    held: Gauge<u64>,
+    streamed: Counter<u64>,
+}
+
+impl MemoryInstruments {
+    fn new(meter: &Meter) -> Self {
+        Self {
+            held: meter
+                .u64_gauge("memory.held")
+                .with_unit("By")
+                .with_description("Bytes of bodies that this node holds.")
+                .build(),
+            streamed: meter
+                .u64_counter("memory.streamed")
+                .with_description("Responses streamed for lack of memory to buffer them.")
+                .build(),
+        }
+    }
 }
 
 impl NodeMetrics {
@@ -139,15 +161,7 @@
                 .u64_gauge("log.dropped")
                 .with_description("Log lines dropped since the start, as the output was slow.")
                 .build(),
-            held_bytes: meter
-                .u64_gauge("memory.held")
-                .with_unit("By")
-                .with_description("Bytes of bodies that this node holds.")
-                .build(),
-            streamed_responses: meter
-                .u64_counter("memory.streamed")
-                .with_description("Responses streamed for lack of memory to buffer them.")
-                .build(),
+            memory: MemoryInstruments::new(&meter),
             provider,
             registry,
         })
@@ -265,12 +279,12 @@
 
     /// Sets the number of bytes held for bodies.
     pub fn set_held_bytes(&self, bytes: u64) {
-        self.held_bytes.record(bytes, &[]);
+        self.memory.held.record(bytes, &[]);
     }
 
     /// Counts a response that was streamed for lack of memory to buffer it.
     pub fn record_streamed_response(&self) {
-        self.streamed_responses.add(1, &[]);
+        self.memory.streamed.add(1, &[]);
     }
 
     /// Encodes all metrics in the Prometheus text format.
