fix(policy): bodies take a twelfth of the memory until they are streamed

Cause: on a busy machine (load 30) 500 slow readers took 70 MB beside what the process takes by itself, with shares of 1/8 and 1/4. A gateway of a large fleet takes 46 of the 112 MB.

Change: 1/12 and 1/6.

Not run with a fleet that takes 46 MB; the sum is 108 MB.

--- a/crates/policy/src/memory/mod.rs
+++ b/crates/policy/src/memory/mod.rs
@@ -4,14 +4,15 @@
 
 use model::sizes::{ByteSize, HeldBytes};
 
-/// Share of the process's memory beyond which response bodies are streamed, as a divisor: 14 MB on
-/// the smallest nodes, with 112 MB. A gateway takes 10 to 46 MB by itself. Shares of 1/5 and 2/5
-/// let 500 slow readers take 75 MB more than that, which is too much.
-const STREAM_DIVISOR: u64 = 8;
+/// Share of the process's memory beyond which response bodies are streamed, as a divisor: 9 MB on
+/// the smallest nodes, with 112 MB. A gateway takes 10 to 46 MB by itself, so 66 MB are left.
+/// On a busy machine, 500 slow readers take 62 MB of them; with 1/8 and 1/4 they took 70 MB, and
+/// with 1/5 and 2/5 75 MB on a less busy one.
+const STREAM_DIVISOR: u64 = 12;
 /// The largest response body that is buffered also while memory is short. Streaming it would take
 /// buffers of about that size, and a truncated response could not be retried.
 const SMALL_RESPONSE: HeldBytes = HeldBytes::new(16 * 1024);
-/// How many times as much is held when requests are rejected: 28 MB of 112 MB, which leaves 84 MB
+/// How many times as much is held when requests are rejected: 19 MB of 112 MB, which leaves 93 MB
 /// for the process itself, for the buffers of its connections, for requests that are in flight by
 /// then, and for fragmentation.
 const REJECT_FACTOR: u64 = 2;
