--- a/crates/model/src/error/kind.rs
+++ b/crates/model/src/error/kind.rs
@@ -37,6 +37,8 @@
         Overload = "overload",
         /// The request would wait longer for capacity than its deadline allows.
         ExpectedWait = "expected-wait",
+        /// The bodies that the node holds take too much of its memory.
+        MemoryLimit = "memory-limit",
         /// Every upstream that could take the request has reached its rate limit.
         RateLimited = "rate-limited",
         /// Upstreams crash while they run the request, so it is not sent.
@@ -118,6 +120,7 @@
             Self::WorkspaceLimit => (429, NotRun, true),
             Self::Overload
             | Self::ExpectedWait
+            | Self::MemoryLimit
             | Self::RateLimited
             | Self::Quarantined
             | Self::NoUpstream
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -40,6 +40,30 @@
     queues: QueueInstruments,
     nodes: Gauge<u64>,
     dropped_lines: Gauge<u64>,
+    memory: MemoryInstruments,
+}
+
+/// The instruments of the memory that bodies take.
+#[derive(Debug)]
+struct MemoryInstruments {
+    held: Gauge<u64>,
+    streamed: Counter<u64>,
+}
+
+impl MemoryInstruments {
+    fn new(meter: &Meter) -> Self {
+        Self {
+            held: meter
+                .u64_gauge("memory.held")
+                .with_unit("By")
+                .with_description("Bytes of bodies that this node holds.")
+                .build(),
+            streamed: meter
+                .u64_counter("memory.streamed")
+                .with_description("Responses streamed for lack of memory to buffer them.")
+                .build(),
+        }
+    }
 }
 
 /// The instruments of the requests that wait for an upstream.
@@ -163,6 +187,7 @@
                 .u64_gauge("log.dropped")
                 .with_description("Log lines dropped since the start, as the output was slow.")
                 .build(),
+            memory: MemoryInstruments::new(&meter),
             provider,
             registry,
         })
@@ -290,6 +315,16 @@
         self.node_bytes.add(bytes, &[]);
     }
 
+    /// Sets the number of bytes held for bodies.
+    pub fn set_held_bytes(&self, bytes: u64) {
+        self.memory.held.record(bytes, &[]);
+    }
+
+    /// Counts a response that was streamed for lack of memory to buffer it.
+    pub fn record_streamed_response(&self) {
+        self.memory.streamed.add(1, &[]);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         let mut text = Vec::new();
--- a/crates/upstream/src/attempt.rs
+++ b/crates/upstream/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt at one upstream.
 
+use std::ops::RangeInclusive;
 use std::pin::Pin;
 use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll};
@@ -7,12 +8,13 @@
 use bytes::Bytes;
 use http::{HeaderValue, header};
 use http_body_util::BodyExt as _;
-use http1::client::{ExchangeError, ResponseBody};
+use http1::client::{ExchangeError, ReadLimit, ResponseBody};
 use hyper::body::{Body, Frame, SizeHint};
 use model::call::{self, BodyError, BodyStream, CallHead, CallResponse};
 use model::ids;
 use policy::access::CallerAccess;
 use policy::exchange::CarriedId;
+use policy::memory::MemoryLevel;
 use policy::permit::LimitSignal;
 use policy::retry::AttemptEnd;
 use telemetry::metrics::NodeMetrics;
@@ -20,6 +22,7 @@
 
 use crate::buffer::{self, CollectedBody};
 use crate::crash::CrashWatch;
+use crate::memory::MemoryBudget;
 use crate::pool::{ConnectionNeed, ConnectionUse, Freshness, PooledConnection};
 use crate::service::{AttemptLease, ServiceHandle};
 use crate::wire::{PauseSignal, UpstreamHeaders, UpstreamRefusal, UpstreamSignals};
@@ -28,6 +31,9 @@
 /// may stall.
 const STALL_DIVISOR: u32 = 4;
 
+/// Statuses of responses. The HTTP library takes every number from 100 to 999 for a status.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// What one attempt needs besides its lease and body.
 #[derive(Debug, Clone)]
 pub struct AttemptContext {
@@ -49,6 +55,8 @@
     pub body_fault: BodyFault,
     /// Observes crashes of upstreams.
     pub crash: CrashWatch,
+    /// What the response body is charged to while it is held.
+    pub memory: MemoryBudget,
     /// Counts attempts and their connections.
     pub metrics: Arc<NodeMetrics>,
 }
@@ -143,7 +151,8 @@
                 ExchangeError::NotSent => AttemptEnd::NotSent,
                 _ if context.body_fault.get().is_some() => AttemptEnd::Cancelled,
                 ExchangeError::Broken if possibly_stale => AttemptEnd::Unresponsive,
-                ExchangeError::Broken => AttemptEnd::Broken,
+                // What arrived was no response, so the connection was not just stale.
+                ExchangeError::Broken | ExchangeError::Malformed => AttemptEnd::Broken,
             };
             if matches!(end, AttemptEnd::Broken | AttemptEnd::Unresponsive) {
                 context.crash.check_upstream(&lease);
@@ -259,10 +268,11 @@
         StallTimeout::ShareOfTimeLeft
     };
     let crash = signals.refusal.is_none().then(|| context.crash.clone());
+    let reads = body.read_limit();
     let body = LeasedBody::new(body, lease, crash, end, context.deadline, stall_timeout);
     let body = body.boxed_unsync();
     let body = match buffer_limit {
-        Some(limit) => buffer_body(body, limit.get()).await?,
+        Some(limit) => buffer_body(body, limit.get(), context, &reads).await?,
         None => body,
     };
     if withheld {
@@ -283,11 +293,23 @@
 }
 
 /// Buffers a response body of up to `limit_bytes` before any of it is forwarded, so
-/// that a truncated one can still be retried.
-async fn buffer_body(body: BodyStream, limit_bytes: u64) -> Result<BodyStream, AttemptFailure> {
-    match buffer::collect_up_to(body, limit_bytes).await {
+/// that a truncated one can still be retried. While memory is short, a large one is streamed, and
+/// little of it is read at once.
+async fn buffer_body(
+    body: BodyStream,
+    limit_bytes: u64,
+    context: &AttemptContext,
+    reads: &ReadLimit,
+) -> Result<BodyStream, AttemptFailure> {
+    let may_hold = MemoryLevel::buffers_response;
+    match buffer::collect_up_to(body, limit_bytes, &context.memory, may_hold).await {
         Ok(CollectedBody::Whole(bytes)) => Ok(call::full_body(bytes)),
         Ok(CollectedBody::Part(body)) => Ok(body),
+        Ok(CollectedBody::Unbuffered(body)) => {
+            context.metrics.record_streamed_response();
+            reads.narrow();
+            Ok(body)
+        }
         Err(BodyError::Deadline) => Err(AttemptFailure::new(AttemptEnd::TimedOut)),
         Err(_) => Err(AttemptFailure::new(AttemptEnd::Truncated)),
     }
@@ -365,9 +387,13 @@
     signals: UpstreamSignals,
 ) -> Option<&'static str> {
     let headers = response.headers();
-    if response.status().is_informational() {
+    let status = response.status();
+    if status.is_informational() {
         return Some("it is informational, and no response of its own follows it");
     }
+    if !FINAL_STATUSES.contains(&status.as_u16()) {
+        return Some("its status is not one from 200 to 599");
+    }
     if http1::header::has_other_transfer_coding(headers) {
         return Some("it has a transfer coding other than chunks");
     }
