feat(policy): tokens of quotas, handed out by the holders of retry tokens

Cause: a workspace's quota bounds what the whole fleet runs, and equal shares of it serve a workspace whose callers are at a few nodes badly. Change: policy::quota mints tokens by the votes for the relay, reserves a part for nodes that are cut off, and keeps the tokens of a node; node::replica::quota draws them. HolderTimes takes the lower time of a relay that restarted under its name, whose votes did not count until it had run for as long as its predecessor.

--- a/crates/node/src/limits/fleet.rs
+++ b/crates/node/src/limits/fleet.rs
@@ -144,7 +144,8 @@
             }
             OfficeRequest::Vote { .. }
             | OfficeRequest::Release { .. }
-            | OfficeRequest::DrawRetryToken { .. } => OfficeReply::NotHolder,
+            | OfficeRequest::DrawRetryToken { .. }
+            | OfficeRequest::DrawQuota { .. } => OfficeReply::NotHolder,
         }
     }
 
--- a/crates/node/src/replica/fleet.rs
+++ b/crates/node/src/replica/fleet.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use super::load_aggregator::LoadAggregator;
+use super::quota::{QuotaHandle, QuotaHolderParts, QuotaSettings, QuotaTaskParts};
 use super::retry_pool::{RetryPoolHandle, RetryPoolParts};
 use super::signal_relay::SignalRelay;
 use super::source::FleetSource;
@@ -51,6 +52,8 @@
     pub first_start: bool,
     /// How often an upstream writes its entry at the source.
     pub upstream_heartbeat: Duration,
+    /// How quotas of workspaces are enforced; they are not if `None`.
+    pub quota: Option<QuotaSettings>,
 }
 
 /// A handle to a node's part in the fleet.
@@ -64,6 +67,8 @@
     pub limits: LimitFleet,
     /// Crashes of upstreams and the requests that cause them.
     pub crashes: CrashFleet,
+    /// The quotas of workspaces; `None` if none are enforced.
+    pub quota: Option<QuotaHandle>,
     /// The address at which other nodes reach this one.
     pub address: SocketAddr,
     peers: PeerSet,
@@ -88,7 +93,7 @@
             peers: peers.clone(),
             members: members.clone(),
             source: settings.source,
-            seeds: settings.seeds,
+            seeds: settings.seeds.clone(),
             first_start: settings.first_start,
             upstream_heartbeat: settings.upstream_heartbeat,
         });
@@ -101,6 +106,19 @@
             members: members.clone(),
             load_aggregator: load_aggregator.clone(),
             first_start: settings.first_start,
+            quota: settings.quota.as_ref().map(|quota| QuotaHolderParts {
+                bound: quota.bound,
+                snapshots: replica.watch(),
+                seeds: settings.seeds,
+            }),
+        });
+        let quota = settings.quota.map(|quota| {
+            QuotaHandle::start(QuotaTaskParts {
+                peers: peers.clone(),
+                members: members.clone(),
+                retry_pool: retry_pool.clone(),
+                on_counts: quota.on_counts,
+            })
         });
         let limit_updates = settings.updates.clone();
         let limits = LimitFleet::start(LimitParts {
@@ -136,6 +154,7 @@
             replica,
             limits,
             crashes,
+            quota,
             address,
             peers,
             signal_relay,
@@ -313,6 +332,10 @@
             OfficeRequest::DrawRetryToken { service, .. } => {
                 OfficeReply::RetryToken(self.retry_pool.draw(service).await)
             }
+            OfficeRequest::DrawQuota { draw, .. } => {
+                let grant = self.retry_pool.draw_quota(draw).await;
+                grant.map_or(OfficeReply::NotHolder, OfficeReply::QuotaTokens)
+            }
             request => self.limits.handle_office(request).await,
         }
     }
--- a/crates/node/src/replica/mod.rs
+++ b/crates/node/src/replica/mod.rs
@@ -7,6 +7,7 @@
 mod compare;
 mod fleet;
 mod load_aggregator;
+mod quota;
 mod relay;
 mod retry_pool;
 mod signal_relay;
@@ -14,5 +15,6 @@
 mod task;
 
 pub use fleet::{NodeUpdate, ReplicaFleet, ReplicaSettings};
+pub use quota::{QuotaCounts, QuotaHandle, QuotaObserver, QuotaSettings};
 pub use source::{FleetSource, RoutesRead, SourceError, SourceFuture, UpstreamsRead};
 pub use task::{ReplicaHandle, ReplicaParts, ReplicaSnapshot};
--- a/crates/node/src/replica/retry_pool.rs
+++ b/crates/node/src/replica/retry_pool.rs
@@ -1,4 +1,5 @@
-//! The task that owns the retry tokens of a data centre, and the vote of this node for its relay.
+//! The task that owns the retry tokens of a data centre and its part of the quotas, and the vote of
+//! this node for its relay.
 //!
 //! Every node runs the task, but only the relay's pool is used. A relay hands out tokens by the
 //! share of its data centre's nodes that vote for it. A former relay loses its balance with its
@@ -10,12 +11,14 @@
     HolderTime, HolderTimes, OfficeTerm, OfficeVote, VOTE_INTERVAL, VOTE_RETRY_INTERVAL, VoteStep,
     VoteTally,
 };
+use policy::quota::{QuotaDraw, QuotaGrant, VoteStanding};
 use policy::retry::{RetryDeposit, RetryPool};
 use policy::service::LoadReport;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{self, Instant};
 
 use super::load_aggregator::LoadAggregator;
+use super::quota::{QuotaHolder, QuotaHolderParts};
 use crate::holder_clock::HolderClock;
 use crate::link::PeerSet;
 use crate::members::MemberSet;
@@ -26,6 +29,9 @@
 /// only reduces the number of retries; loads are reported again.
 const COMMANDS_MAX: usize = 1_024;
 
+/// A node that is its own relay with less than this share of the votes is cut off from the others.
+const ALONE_SHARE: f64 = 0.5;
+
 #[derive(Debug)]
 enum RetryPoolCommand {
     /// Send a report of this node to the relay.
@@ -33,6 +39,8 @@
     Deposit(RetryDeposit),
     /// Draw a token; replies with the term in which it was granted.
     Draw(ids::ServiceId, oneshot::Sender<Option<OfficeTerm>>),
+    /// Draw tokens of a quota; no reply if none are kept.
+    DrawQuota(QuotaDraw, oneshot::Sender<QuotaGrant>),
     /// Count the vote of a node; replies with the time of this one.
     Vote {
         from: ids::NodeId,
@@ -56,20 +64,55 @@
     pub(super) load_aggregator: LoadAggregator,
     /// Whether the whole fleet starts for the first time.
     pub(super) first_start: bool,
+    /// What the quotas need; `None` if none are kept.
+    pub(super) quota: Option<QuotaHolderParts>,
 }
 
 /// A handle to the task.
 #[derive(Debug, Clone)]
 pub(super) struct RetryPoolHandle {
     commands: mpsc::Sender<RetryPoolCommand>,
+    standing: watch::Receiver<VoteStanding>,
 }
 
 impl RetryPoolHandle {
     /// Starts the task; it ends with the last handle.
     pub(super) fn start(parts: RetryPoolParts) -> Self {
         let (commands, inbox) = mpsc::channel(COMMANDS_MAX);
-        tokio::spawn(run(parts, inbox, commands.downgrade()));
-        Self { commands }
+        let now = Instant::now();
+        let vote = OfficeVote::new(now, parts.first_start);
+        let (publisher, standing) = watch::channel(VoteStanding {
+            own: parts.members.table().own().node.clone(),
+            holder: None,
+            bound_until: vote.bound_until(),
+            is_alone: false,
+        });
+        let pool = RelayPool {
+            pool: RetryPool::new(now, parts.first_start),
+            quota: parts.quota.clone().map(QuotaHolder::new),
+            clock: HolderClock::start(),
+            tally: VoteTally::default(),
+            vote,
+            standing: publisher,
+            heard: HolderTimes::default(),
+            vote_at: now,
+            parts,
+        };
+        tokio::spawn(pool.run(inbox, commands.downgrade()));
+        Self { commands, standing }
+    }
+
+    /// Subscribes to the vote of this node.
+    pub(super) fn standing(&self) -> watch::Receiver<VoteStanding> {
+        self.standing.clone()
+    }
+
+    /// Draws tokens of a quota; `None` if this node keeps none.
+    pub(super) async fn draw_quota(&self, draw: QuotaDraw) -> Option<QuotaGrant> {
+        let (sender, reply) = oneshot::channel();
+        let command = RetryPoolCommand::DrawQuota(draw, sender);
+        self.commands.send(command).await.ok()?;
+        reply.await.ok()
     }
 
     /// Sends this node's loads and deposits to the relay.
@@ -133,44 +176,41 @@
     }
 }
 
-async fn run(
-    parts: RetryPoolParts,
-    mut inbox: mpsc::Receiver<RetryPoolCommand>,
-    own_inbox: mpsc::WeakSender<RetryPoolCommand>,
-) {
-    let now = Instant::now();
-    let mut pool = RelayPool {
-        pool: RetryPool::new(now, parts.first_start),
-        clock: HolderClock::start(),
-        tally: VoteTally::default(),
-        vote: OfficeVote::new(now, parts.first_start),
-        heard: HolderTimes::default(),
-        vote_at: now,
-        parts,
-    };
-    loop {
-        tokio::select! {
-            command = inbox.recv() => {
-                let Some(command) = command else { return };
-                pool.handle(command);
-            }
-            () = time::sleep_until(pool.vote_at) => pool.cast_vote(&own_inbox),
-        }
-    }
-}
-
-/// The pool of this node, its votes as a relay, and its vote for one.
+/// The pools of this node, its votes as a relay, and its vote for one.
 struct RelayPool {
     parts: RetryPoolParts,
     pool: RetryPool,
+    /// The part of the quotas; `None` if none are kept.
+    quota: Option<QuotaHolder>,
     clock: HolderClock,
     tally: VoteTally,
     vote: OfficeVote,
+    standing: watch::Sender<VoteStanding>,
     heard: HolderTimes,
     vote_at: Instant,
 }
 
 impl RelayPool {
+    async fn run(
+        mut self,
+        mut inbox: mpsc::Receiver<RetryPoolCommand>,
+        own_inbox: mpsc::WeakSender<RetryPoolCommand>,
+    ) {
+        loop {
+            tokio::select! {
+                command = inbox.recv() => {
+                    let Some(command) = command else { return };
+                    self.handle(command);
+                }
+                () = time::sleep_until(self.vote_at) => {
+                    self.cast_vote(&own_inbox);
+                    self.update_quota(true);
+                    self.publish_standing();
+                }
+            }
+        }
+    }
+
     fn handle(&mut self, command: RetryPoolCommand) {
         match command {
             RetryPoolCommand::Report(report) => self.report(report),
@@ -179,6 +219,14 @@
                 // When the requesting node has timed out, the drawn token is lost.
                 let _ = reply.send(self.draw(&service));
             }
+            RetryPoolCommand::DrawQuota(draw, reply) => {
+                self.update_quota(false);
+                let now = self.clock.now();
+                if let Some(quota) = &mut self.quota {
+                    // When the requesting node has timed out, the drawn tokens are lost.
+                    let _ = reply.send(quota.draw(now, &draw));
+                }
+            }
             RetryPoolCommand::Vote {
                 from,
                 heard,
@@ -205,11 +253,46 @@
                 self.heard.hear(&relay, time);
                 if self.vote.release(Instant::now(), &relay, time) {
                     self.vote_at = Instant::now();
+                    self.publish_standing();
                 }
             }
         }
     }
 
+    /// Mints quota tokens by the votes that count now.
+    fn update_quota(&mut self, recount: bool) {
+        let Some(quota) = &mut self.quota else {
+            return;
+        };
+        let table = self.parts.members.table();
+        if recount {
+            quota.recount(&table);
+        }
+        let own = &table.own().node;
+        let may_hold = self.vote.holder().is_none_or(|holder| holder == own);
+        quota.update(self.clock.now(), &self.tally, &table, may_hold);
+    }
+
+    /// Publishes which relay has the vote of this node.
+    fn publish_standing(&self) {
+        if self.quota.is_none() {
+            return;
+        }
+        let table = self.parts.members.table();
+        let own = &table.own().node;
+        let is_own = self.vote.holder() == Some(own);
+        let votes = || {
+            let voters = table.local_voters(Instant::now());
+            self.tally.share(self.clock.now(), voters).get()
+        };
+        self.standing.send_replace(VoteStanding {
+            own: own.clone(),
+            holder: self.vote.holder().cloned(),
+            bound_until: self.vote.bound_until(),
+            is_alone: is_own && votes() < ALONE_SHARE,
+        });
+    }
+
     /// Votes for the relay that this node knows.
     fn cast_vote(&mut self, own_inbox: &mpsc::WeakSender<RetryPoolCommand>) {
         let now = Instant::now();
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -15,6 +15,7 @@
 use policy::office::{HolderTime, OfficeTerm};
 use policy::permit::{LimitRecord, LimitReport, LimitShard, PermitReply, PermitRequest};
 use policy::quarantine::{CrashRecord, CrashReport};
+use policy::quota::{QuotaDraw, QuotaGrant};
 use policy::replica::UpstreamChange;
 use policy::service::{LoadReport, UpstreamLoad};
 use policy::suspicion::SuspicionSignal;
@@ -181,6 +182,13 @@
             /// The service.
             service: ids::ServiceId,
         },
+        /// Draw tokens of a workspace's quota.
+        DrawQuota {
+            /// The relay of a data centre.
+            holder: ids::NodeId,
+            /// The draw.
+            draw: QuotaDraw,
+        },
     }
 
     /// Offices of a data centre.
@@ -201,6 +209,8 @@
         RetryToken(Option<OfficeTerm>),
         /// The request was meant for another process, or this one does not hold the office.
         NotHolder,
+        /// The result of a draw of quota tokens.
+        QuotaTokens(QuotaGrant),
     }
 
     /// A request about crashes from one node to another.
@@ -358,7 +368,8 @@
             Self::Vote { holder, .. }
             | Self::Release { holder, .. }
             | Self::DrawPermit { holder, .. }
-            | Self::DrawRetryToken { holder, .. } => holder,
+            | Self::DrawRetryToken { holder, .. }
+            | Self::DrawQuota { holder, .. } => holder,
         }
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`claim`]: how a request with an idempotency key runs at most once.
 //! - [`membership`]: which nodes are in the fleet, and their roles.
 //! - [`office`]: how much of what a data centre has once a node may hand out.
+//! - [`quota`]: how many requests of a workspace the whole fleet runs.
 //! - [`replica`]: the snapshot of upstreams, its changes, and which removals to trust.
 //! - [`rendezvous`]: which node does a shared job, by rendezvous hashing.
 //! - [`invariant`]: run-time checks of invariants, with a count of the violations.
@@ -32,6 +33,7 @@
 pub mod office;
 pub mod permit;
 pub mod quarantine;
+pub mod quota;
 pub mod rendezvous;
 pub mod replica;
 pub mod retry;
--- a/crates/policy/src/office/tally.rs
+++ b/crates/policy/src/office/tally.rs
@@ -61,17 +61,34 @@
     /// The part of all votes that this holder has. `nodes` is the number of nodes that have a
     /// vote, as far as the holder knows.
     pub fn share(&self, now: HolderTime, nodes: usize) -> sizes::Share {
-        let (mut votes, mut nodes) = (0, nodes.max(1));
-        let current = self.votes.values().filter(|vote| vote.ends_at > now);
-        for vote in current {
-            votes += 1;
-            nodes = nodes.max(vote.nodes);
-        }
-        let [votes, nodes] = [votes, nodes.max(votes)]
+        let [votes, nodes] = [self.voters(now).count(), self.nodes(now, nodes)]
             .map(|count| f64::from(u32::try_from(count).unwrap_or(u32::MAX)));
         sizes::Share::new(votes / nodes)
     }
 
+    /// The nodes whose votes count.
+    pub fn voters(&self, now: HolderTime) -> impl Iterator<Item = &ids::NodeId> {
+        let current = self
+            .votes
+            .iter()
+            .filter(move |(_, vote)| vote.ends_at > now);
+        current.map(|(voter, _)| voter)
+    }
+
+    /// Whether the vote of a node counts.
+    pub fn counts(&self, now: HolderTime, node: &ids::NodeId) -> bool {
+        self.votes.get(node).is_some_and(|vote| vote.ends_at > now)
+    }
+
+    /// The number of nodes that have a vote: `nodes`, or more if voters know of more.
+    pub fn nodes(&self, now: HolderTime, nodes: usize) -> usize {
+        let current = self.votes.values().filter(|vote| vote.ends_at > now);
+        let (votes, nodes) = current.fold((0, nodes.max(1)), |(votes, nodes), vote| {
+            (votes + 1, nodes.max(vote.nodes))
+        });
+        nodes.max(votes)
+    }
+
     /// The current term; a new one begins with the first vote after a time without any.
     pub const fn term(&self) -> OfficeTerm {
         self.term
--- a/crates/policy/src/office/time.rs
+++ b/crates/policy/src/office/time.rs
@@ -24,6 +24,10 @@
     }
 }
 
+/// How much lower a stated time is at least if it is that of another process under the same name.
+/// Replies that overtake each other differ by less, since they are dropped after a time-out.
+const RESTART_GAP: Duration = Duration::from_secs(1);
+
 /// The last time that a node heard from each holder. A vote returns it to the holder, which
 /// learns from it that the vote was cast after that time, however long it took to arrive.
 #[derive(Debug, Default)]
@@ -32,12 +36,19 @@
 }
 
 impl HolderTimes {
-    /// Records the time that a holder stated; returns whether it is the first one.
+    /// Records the time that a holder stated; returns whether it is the first one of its process.
+    ///
+    /// A process that restarts under the same name states lower times. Votes that return the
+    /// former ones would not count until it has run for as long as its predecessor; votes that
+    /// return lower ones only count for a shorter time.
     pub fn hear(&mut self, holder: &ids::NodeId, time: HolderTime) -> bool {
         let heard = self.times.get_mut(holder);
-        let is_first = heard.is_none();
+        let is_first = heard
+            .as_ref()
+            .is_none_or(|heard| time.saturating_add(RESTART_GAP) < **heard);
         match heard {
-            Some(heard) => *heard = time.max(*heard),
+            Some(heard) if !is_first => *heard = time.max(*heard),
+            Some(heard) => *heard = time,
             None => drop(self.times.insert(holder.clone(), time)),
         }
         is_first
--- a/crates/policy/src/office/vote.rs
+++ b/crates/policy/src/office/vote.rs
@@ -103,6 +103,11 @@
         self.free_at > now
     }
 
+    /// Until when a holder may count the vote.
+    pub const fn bound_until(&self) -> Instant {
+        self.free_at
+    }
+
     /// The holder that has the vote, or had it last.
     pub const fn holder(&self) -> Option<&ids::NodeId> {
         self.holder.as_ref()
