feat(upstream): requests over the quota of their workspace are rejected

Cause: quotas had no call site. Change: the dispatcher takes a token through QuotaCallbacks once for each request of a workspace with a quota, after the key was checked, and gives it back if the request did not run; error kind quota-exceeded (429); settings of the bound; metric quota.tokens.

--- a/bins/entry/src/gateway.rs
+++ b/bins/entry/src/gateway.rs
@@ -8,6 +8,7 @@
 
 use caller::wire::CallerHeaders;
 use caller::{CallerLimits, CallerListener, CallerSettings};
+use model::config::QuotaBound;
 use model::error::{ErrorKind, FleetError};
 use model::{ids, sizes, span};
 use node::keys::{FleetCa, NodeKeys};
@@ -25,7 +26,7 @@
 use crate::ops::OpsEndpoint;
 use crate::replica_directory::ReplicaDirectoryTask;
 use crate::server::dispatch_to;
-use crate::{crashes, permits};
+use crate::{crashes, permits, quotas};
 
 /// Capacity of the queue of updates from other nodes. When it is full, new updates are
 /// dropped: suspicion decays with time, and loads are reported again.
@@ -56,6 +57,8 @@
     pub first_start: bool,
     /// How often an upstream writes its entry at the source.
     pub upstream_heartbeat: Duration,
+    /// How quotas of workspaces are enforced; they are not if `None`.
+    pub quota_bound: Option<QuotaBound>,
     /// The certificate authority that issues the certificates of all nodes.
     pub ca: FleetCa,
     /// The external source of routes and upstreams.
@@ -130,6 +133,7 @@
             directory.clone(),
             reject_claims(),
             crashes::crash_callbacks(&fleet.crashes),
+            fleet.quota.as_ref().map(quotas::quota_callbacks),
             stop_watch,
             Arc::clone(&metrics),
         );
@@ -208,6 +212,7 @@
     updates: mpsc::Sender<NodeUpdate>,
 ) -> io::Result<ReplicaFleet> {
     let metrics = Arc::clone(&settings.metrics);
+    let quota_bound = settings.quota_bound;
     ReplicaFleet::start(ReplicaSettings {
         own: Member {
             node: settings.node.clone(),
@@ -223,6 +228,7 @@
         updates,
         first_start: settings.first_start,
         upstream_heartbeat: settings.upstream_heartbeat,
+        quota: quota_bound.map(|bound| quotas::quota_settings(bound, &settings.metrics)),
     })
 }
 
--- a/bins/entry/src/lib.rs
+++ b/bins/entry/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! Private modules: `directory` and `replica_directory` apply the configuration to the
 //! service tasks, `permits` connects them to the sharing of rate limits and `crashes` the
-//! dispatcher to that of crashes, `probes` probes the upstreams assigned to this node, and
+//! dispatcher to that of crashes, `quotas` to that of quotas, `probes` probes the upstreams assigned to this node, and
 //! `ops` serves readiness, status and metrics.
 
 mod crashes;
@@ -16,6 +16,7 @@
 mod ops;
 mod permits;
 mod probes;
+mod quotas;
 mod replica_directory;
 pub mod server;
 pub mod settings;
--- a/bins/entry/src/server.rs
+++ b/bins/entry/src/server.rs
@@ -102,6 +102,7 @@
             directory.clone(),
             claims,
             crashes::crash_callbacks(&fleet.crashes),
+            None,
             stop_watch,
             Arc::clone(&metrics),
         );
--- a/crates/model/src/error/kind.rs
+++ b/crates/model/src/error/kind.rs
@@ -33,6 +33,8 @@
         UnknownWorkspace = "unknown-workspace",
         /// The workspace has too many requests in flight.
         WorkspaceLimit = "workspace-limit",
+        /// The workspace is over its quota.
+        QuotaExceeded = "quota-exceeded",
         /// The service's queue is full.
         Overload = "overload",
         /// Every upstream that could take the request has reached its rate limit.
@@ -113,7 +115,7 @@
             Self::NoRoute | Self::NotFound => (404, NotRun, false),
             Self::UnknownWorkspace | Self::Forbidden => (403, NotRun, false),
             Self::Unauthenticated => (401, NotRun, false),
-            Self::WorkspaceLimit => (429, NotRun, true),
+            Self::WorkspaceLimit | Self::QuotaExceeded => (429, NotRun, true),
             Self::Overload
             | Self::RateLimited
             | Self::Quarantined
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -36,6 +36,7 @@
     rate_limited: Gauge<u64>,
     paused: Gauge<u64>,
     permit_draws: Counter<u64>,
+    quota_events: Counter<u64>,
     in_flight: Gauge<u64>,
     nodes: Gauge<u64>,
     dropped_lines: Gauge<u64>,
@@ -125,6 +126,12 @@
                 .u64_counter("upstream.permit.draws")
                 .with_description("Draws of permits for upstreams with a rate limit, by result.")
                 .build(),
+            quota_events: meter
+                .u64_counter("quota.tokens")
+                .with_description(
+                    "Tokens of quotas drawn and spent, and requests refused, by workspace.",
+                )
+                .build(),
             in_flight: meter
                 .u64_gauge("upstream.in_flight")
                 .with_description("Requests of this node in flight, by service.")
@@ -231,6 +238,22 @@
             .add(1, &[service, KeyValue::new("result", result)]);
     }
 
+    /// Counts what became of the quota of a workspace; `None` stands for all that have no label
+    /// of their own.
+    pub fn record_quota(
+        &self,
+        workspace: Option<&ids::WorkspaceId>,
+        result: &'static str,
+        count: u64,
+    ) {
+        if count > 0 {
+            let workspace = workspace.map_or("other", ids::WorkspaceId::as_str);
+            let workspace = KeyValue::new("workspace", workspace.to_owned());
+            self.quota_events
+                .add(count, &[workspace, KeyValue::new("result", result)]);
+        }
+    }
+
     /// Sets the number of requests in flight at a service.
     pub fn set_in_flight(&self, service: &ids::ServiceId, count: u64) {
         let service = KeyValue::new("service", service.as_str().to_owned());
--- a/crates/upstream/src/dispatch/dispatcher.rs
+++ b/crates/upstream/src/dispatch/dispatcher.rs
@@ -22,6 +22,7 @@
 use super::access;
 use super::body::RequestBody;
 use super::claim::{self, ClaimCallbacks, ClaimGuard};
+use super::quota::{self, QuotaCallbacks};
 use super::trace::CallTrace;
 use super::{race, resume};
 use crate::attempt::{self, AttemptContext, AttemptFailure, BodyFault};
@@ -45,6 +46,8 @@
     directory: watch::Receiver<Arc<ServiceDirectory>>,
     claims: ClaimCallbacks,
     crashes: CrashCallbacks,
+    /// Quotas of workspaces; `None` if none are kept.
+    quotas: Option<QuotaCallbacks>,
     /// The schedule of the node's stop, once one has begun.
     stop: watch::Receiver<Option<StopSchedule>>,
     metrics: Arc<NodeMetrics>,
@@ -87,6 +90,7 @@
         directory: watch::Receiver<Arc<ServiceDirectory>>,
         claims: ClaimCallbacks,
         crashes: CrashCallbacks,
+        quotas: Option<QuotaCallbacks>,
         stop: watch::Receiver<Option<StopSchedule>>,
         metrics: Arc<NodeMetrics>,
     ) -> Self {
@@ -96,6 +100,7 @@
             directory,
             claims,
             crashes,
+            quotas,
             stop,
             metrics,
             id_prefix,
@@ -216,6 +221,21 @@
         let timeout = call.head.timeout.unwrap_or(Duration::MAX).min(timeout_max);
         let deadline = started + timeout;
         self.check_stop(&target.handle, deadline)?;
+        let token = quota::admit(self.quotas.as_ref(), target.access.as_ref()).await?;
+        let result = self.serve_within_quota(target, call, deadline).await;
+        if let Some(token) = token {
+            token.settle(&result);
+        }
+        result
+    }
+
+    async fn serve_within_quota(
+        &self,
+        target: CallTarget,
+        call: Call,
+        deadline: Instant,
+    ) -> Result<CallResponse, FleetError> {
+        let options = &target.route.options;
         let body_fault = BodyFault::default();
         let mut body = RequestBody::prepare(call.body, deadline, &body_fault).await?;
         // A stop may have begun while the body arrived.
