--- /dev/null
+++ b/crates/policy/tests/quota/fleet.rs
@@ -0,0 +1,614 @@
+//! A fleet whose nodes spend the quota of one workspace, with messages on a simulated network.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Duration;
+
+use gooseberrydyke_policy::office::{HolderTime, VOTE_INTERVAL, VOTE_RETRY_INTERVAL, VoteStep};
+use gooseberrydyke_policy::quota::{QuotaDraw, QuotaGrant, StockReply};
+use model::config::{QuotaBound, WorkspaceQuota};
+use model::ids::WorkspaceId;
+use model::sizes::{BurstSize, Rate, Share};
+use rand::rngs::SmallRng;
+use rand::{Rng as _, SeedableRng as _};
+use tokio::time::Instant;
+
+use crate::node::QuotaNode;
+
+/// How long a request waits for draws, as in the task of a node.
+const TAKE_WAIT_MAX: Duration = Duration::from_millis(150);
+const DRAW_TIMEOUT: Duration = Duration::from_millis(100);
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
+/// One way within a data centre and between two.
+const NEAR: Duration = Duration::from_micros(500);
+const FAR: Duration = Duration::from_micros(4_900);
+/// Share of messages that are late, and by how much at most.
+const LATE: f64 = 0.01;
+const LATE_MAX: Duration = Duration::from_millis(120);
+/// Interval at which a node compares its state with another one and finds out who is out of reach.
+const COMPARE_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest time in which a starting node learns of the others.
+const LEARN_MAX: Duration = Duration::from_millis(1_200);
+
+pub(crate) const BOUND: QuotaBound = QuotaBound {
+    window: Duration::from_secs(5),
+    overshoot: Share::new(0.1),
+    slack: BurstSize::new(20),
+};
+
+pub(crate) fn quota(rate: f64, burst: u32) -> WorkspaceQuota {
+    WorkspaceQuota {
+        rate: Rate::per_second(rate),
+        burst: BurstSize::new(burst),
+    }
+}
+
+pub(crate) fn workspace() -> WorkspaceId {
+    "acme".parse().unwrap()
+}
+
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct FleetPlan {
+    pub(crate) nodes: usize,
+    pub(crate) data_centres: usize,
+    pub(crate) seed: u64,
+    pub(crate) quota: WorkspaceQuota,
+}
+
+/// A message or a timer of one process.
+#[derive(Debug, Clone)]
+enum Event {
+    Request {
+        node: usize,
+    },
+    Vote {
+        node: usize,
+        run: u32,
+    },
+    Compare {
+        node: usize,
+        run: u32,
+    },
+    Learn {
+        node: usize,
+        run: u32,
+    },
+    Message {
+        from: (usize, u32),
+        to: usize,
+        content: Content,
+    },
+    /// Checks whether the exchange with a number has ended.
+    GiveUp {
+        node: usize,
+        run: u32,
+        exchange: u64,
+    },
+    Forget {
+        node: usize,
+        run: u32,
+        exchange: u64,
+    },
+}
+
+#[derive(Debug, Clone)]
+enum Content {
+    Vote {
+        exchange: u64,
+        heard: Option<HolderTime>,
+        voters: usize,
+    },
+    Release {
+        exchange: u64,
+    },
+    Time {
+        exchange: u64,
+        time: HolderTime,
+    },
+    Draw {
+        exchange: u64,
+        count: u32,
+    },
+    Grant {
+        exchange: u64,
+        grant: QuotaGrant,
+    },
+    Contact,
+}
+
+/// An exchange that waits for its reply.
+#[derive(Debug, Clone)]
+struct Exchange {
+    to: usize,
+    asked_at: Instant,
+    kind: ExchangeKind,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ExchangeKind {
+    Vote,
+    Release,
+    Draw { is_given_up: bool },
+}
+
+/// What a run came to.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Usage {
+    pub(crate) offered: usize,
+    pub(crate) granted: usize,
+    pub(crate) draws: usize,
+}
+
+pub(crate) struct QuotaFleet {
+    pub(crate) plan: FleetPlan,
+    pub(crate) nodes: Vec<QuotaNode>,
+    /// The group of each node; only nodes of one group reach each other.
+    pub(crate) groups: Vec<usize>,
+    /// By how much the messages of a node are delayed.
+    pub(crate) slow: BTreeMap<usize, Duration>,
+    /// The share of the workspace's requests that each node gets.
+    pub(crate) weights: Vec<f64>,
+    /// Requests per second.
+    pub(crate) load: f64,
+    /// When requests ran.
+    pub(crate) spent: Vec<Instant>,
+    /// When requests arrived, and at which node.
+    pub(crate) arrivals: Vec<(Instant, usize)>,
+    pub(crate) draws: usize,
+    rng: SmallRng,
+    pub(crate) started: Instant,
+    pub(crate) now: Instant,
+    queue: BinaryHeap<Reverse<(Instant, u64)>>,
+    events: BTreeMap<u64, Event>,
+    exchanges: BTreeMap<u64, Exchange>,
+    next_event: u64,
+}
+
+impl QuotaFleet {
+    /// A fleet that has run for some time, without requests.
+    pub(crate) fn start(plan: FleetPlan) -> Self {
+        let now = Instant::now();
+        let mut fleet = Self {
+            plan,
+            nodes: Vec::new(),
+            groups: vec![0; plan.nodes],
+            slow: BTreeMap::new(),
+            weights: vec![1.0; plan.nodes],
+            load: 0.0,
+            spent: Vec::new(),
+            arrivals: Vec::new(),
+            draws: 0,
+            rng: SmallRng::seed_from_u64(plan.seed),
+            started: now,
+            now,
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            exchanges: BTreeMap::new(),
+            next_event: 0,
+        };
+        for number in 0..plan.nodes {
+            let centre = number % plan.data_centres;
+            let node = QuotaNode::start(number, centre, now, BOUND, plan.quota, plan.data_centres);
+            fleet.nodes.push(node);
+            fleet.start_timers(number);
+        }
+        fleet.run(Duration::from_secs(18));
+        fleet.weights = fleet.random_weights(18);
+        fleet.schedule(Duration::ZERO, Event::Request { node: 0 });
+        fleet
+    }
+
+    /// Weights of callers that are hashed to nodes.
+    pub(crate) fn random_weights(&mut self, callers: usize) -> Vec<f64> {
+        let mut weights = vec![0.0; self.nodes.len()];
+        for _ in 0..callers {
+            weights[self.rng.random_range(0..self.nodes.len())] += 1.0;
+        }
+        weights
+    }
+
+    fn start_timers(&mut self, number: usize) {
+        let run = self.nodes[number].run;
+        let learn = self.rng.random_range(Duration::ZERO..LEARN_MAX);
+        let compare = self.rng.random_range(Duration::ZERO..COMPARE_INTERVAL);
+        self.schedule(learn, Event::Learn { node: number, run });
+        self.schedule(Duration::ZERO, Event::Vote { node: number, run });
+        self.schedule(compare, Event::Compare { node: number, run });
+    }
+
+    fn schedule(&mut self, delay: Duration, event: Event) {
+        self.next_event += 1;
+        self.queue
+            .push(Reverse((self.now + delay, self.next_event)));
+        self.events.insert(self.next_event, event);
+    }
+
+    /// Kills a node; it is back after a time.
+    pub(crate) fn kill(&mut self, number: usize) {
+        self.nodes[number].is_up = false;
+        self.nodes[number].run += 1;
+    }
+
+    pub(crate) fn restart(&mut self, number: usize) {
+        let run = self.nodes[number].run;
+        let centre = self.nodes[number].centre;
+        let quota = self.nodes[number].quota;
+        let mut node = QuotaNode::start(
+            number,
+            centre,
+            self.now,
+            BOUND,
+            quota,
+            self.plan.data_centres,
+        );
+        node.run = run + 1;
+        self.nodes[number] = node;
+        self.start_timers(number);
+    }
+
+    /// Adds a node that the others learn of when it does of them.
+    pub(crate) fn add(&mut self) {
+        let number = self.nodes.len();
+        let centre = number % self.plan.data_centres;
+        let node = QuotaNode::start(
+            number,
+            centre,
+            self.now,
+            BOUND,
+            self.plan.quota,
+            self.plan.data_centres,
+        );
+        self.nodes.push(node);
+        self.groups.push(0);
+        self.weights.push(0.0);
+        self.start_timers(number);
+    }
+
+    /// The relay that most nodes of a data centre know.
+    pub(crate) fn relay(&self, centre: usize) -> usize {
+        let number = (0..self.nodes.len()).find(|number| self.nodes[*number].centre == centre);
+        number.unwrap()
+    }
+
+    /// Lets time pass.
+    pub(crate) fn run(&mut self, span: Duration) {
+        let until = self.now + span;
+        while let Some(Reverse((at, number))) = self.queue.peek().copied() {
+            if at > until {
+                break;
+            }
+            self.queue.pop();
+            self.now = at;
+            if let Some(event) = self.events.remove(&number) {
+                self.handle(event);
+            }
+        }
+        self.now = until;
+    }
+
+    /// Lets time pass with requests, and returns what they came to.
+    pub(crate) fn measure(&mut self, load: f64, span: Duration) -> Usage {
+        let before = (self.arrivals.len(), self.spent.len(), self.draws);
+        self.load = load;
+        self.run(span);
+        Usage {
+            offered: self.arrivals.len() - before.0,
+            granted: self.spent.len() - before.1,
+            draws: self.draws - before.2,
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Request { .. } => self.arrive(),
+            Event::Vote { node, run } if self.is_running(node, run) => self.vote(node),
+            Event::Compare { node, run } if self.is_running(node, run) => {
+                let peer = self.rng.random_range(0..self.nodes.len());
+                if self.nodes[node].knows_all {
+                    if self.reaches(node, peer) {
+                        self.send(node, peer, Content::Contact);
+                    } else if peer < self.nodes[node].known {
+                        self.nodes[node].mark_suspect(self.now, peer);
+                    }
+                }
+                self.schedule(COMPARE_INTERVAL, Event::Compare { node, run });
+            }
+            Event::Learn { node, run } if self.is_running(node, run) => self.learn(node),
+            Event::Message { from, to, content } => {
+                if self.reaches(from.0, to) && self.nodes[to].is_up {
+                    self.receive(from, to, content);
+                }
+            }
+            Event::GiveUp {
+                node,
+                run,
+                exchange,
+            } if self.is_running(node, run) => {
+                let entry = self.exchanges.get_mut(&exchange);
+                if let Some(entry) = entry
+                    && entry.kind == (ExchangeKind::Draw { is_given_up: false })
+                {
+                    entry.kind = ExchangeKind::Draw { is_given_up: true };
+                    let to = entry.to;
+                    self.finish_draw(node, to, None);
+                }
+            }
+            Event::Forget {
+                node,
+                run,
+                exchange,
+            } if self.is_running(node, run) => {
+                if let Some(entry) = self.exchanges.remove(&exchange) {
+                    self.nodes[node].mark_suspect(self.now, entry.to);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn is_running(&self, node: usize, run: u32) -> bool {
+        self.nodes[node].is_up && self.nodes[node].run == run
+    }
+
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        from == to || (self.groups[from] == self.groups[to] && self.nodes[to].is_up)
+    }
+
+    /// A node that reaches another one knows the fleet, and the fleet knows the node.
+    fn learn(&mut self, number: usize) {
+        let others = (0..self.nodes.len()).any(|peer| peer != number && self.reaches(number, peer));
+        if !others {
+            let run = self.nodes[number].run;
+            let retry = Duration::from_millis(500);
+            self.schedule(retry, Event::Learn { node: number, run });
+            return;
+        }
+        let count = self.nodes.len();
+        self.nodes[number].learn(count);
+        for peer in 0..count {
+            if self.reaches(number, peer) && self.nodes[peer].knows_all {
+                let known = self.nodes[peer].known.max(number + 1);
+                self.nodes[peer].learn(known);
+                self.nodes[peer].clear_suspect(number);
+            }
+        }
+    }
+
+    fn arrive(&mut self) {
+        let (mut delay, load) = (Duration::from_millis(20), self.load);
+        if load > 0.0 {
+            let sample: f64 = self.rng.random_range(f64::EPSILON..1.0);
+            delay = Duration::from_secs_f64(-sample.ln() / load);
+            let total: f64 = self.weights.iter().sum();
+            let mut pick = self.rng.random_range(0.0..total);
+            let chosen = self.weights.iter().position(|weight| {
+                pick -= weight;
+                pick < 0.0
+            });
+            let node = chosen.unwrap_or(0);
+            self.arrivals.push((self.now, node));
+            if self.nodes[node].is_up {
+                self.take(node);
+            }
+        }
+        self.schedule(delay, Event::Request { node: 0 });
+    }
+
+    fn take(&mut self, number: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[number];
+        let holders = node.holders(now);
+        let standing = node.standing(now);
+        match node.stock.take(now, &standing, &node.quota, &holders) {
+            StockReply::Token(_) => self.spent.push(now),
+            StockReply::Refused(_) => {}
+            StockReply::Wait => node.waiting.push_back(now),
+            StockReply::Draw => {
+                node.waiting.push_back(now);
+                self.draw_or_settle(number);
+            }
+        }
+    }
+
+    fn draw_or_settle(&mut self, number: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[number];
+        let holders = node.holders(now);
+        let is_late = |since: &Instant| now >= *since + TAKE_WAIT_MAX;
+        let late = node
+            .waiting
+            .iter()
+            .take_while(|since| is_late(since))
+            .count();
+        self.settle(number, late);
+        let node = &mut self.nodes[number];
+        if node.waiting.is_empty() {
+            return;
+        }
+        let Some(plan) = node.stock.plan_draw(now, &holders, node.waiting.len()) else {
+            let all = node.waiting.len();
+            self.settle(number, all);
+            return;
+        };
+        let to = QuotaNode::number_of(&plan.holder);
+        self.draws += 1;
+        let kind = ExchangeKind::Draw { is_given_up: false };
+        let exchange = self.ask(number, to, kind);
+        let run = self.nodes[number].run;
+        self.schedule(
+            DRAW_TIMEOUT,
+            Event::GiveUp {
+                node: number,
+                run,
+                exchange,
+            },
+        );
+        let count = plan.count;
+        self.send(number, to, Content::Draw { exchange, count });
+    }
+
+    fn settle(&mut self, number: usize, count: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[number];
+        let holders = node.holders(now);
+        let standing = node.standing(now);
+        for _ in 0..count {
+            node.waiting.pop_front();
+            let settled = node.stock.settle(now, &standing, &node.quota, &holders);
+            if settled.is_ok() {
+                self.spent.push(now);
+            }
+        }
+    }
+
+    fn finish_draw(&mut self, number: usize, holder: usize, grant: Option<(Instant, QuotaGrant)>) {
+        let now = self.now;
+        let is_local = self.nodes[holder].centre == self.nodes[number].centre;
+        let node = &mut self.nodes[number];
+        let name = QuotaNode::name_of(holder);
+        if let Some((asked_at, grant)) = grant {
+            node.stock
+                .record_grant(now, asked_at, &name, is_local, &grant);
+        } else {
+            node.stock.record_silence();
+            node.silent.record(now, name);
+        }
+        while !node.waiting.is_empty() && node.stock.spend(now).is_some() {
+            node.waiting.pop_front();
+            self.spent.push(now);
+        }
+        if !node.waiting.is_empty() {
+            self.draw_or_settle(number);
+        }
+    }
+
+    fn vote(&mut self, number: usize) {
+        let now = self.now;
+        let run = self.nodes[number].run;
+        let (step, heard, to) = self.nodes[number].vote_step(now);
+        let is_vote = heard.is_some() && matches!(step, VoteStep::Cast(_));
+        let next = if is_vote {
+            VOTE_INTERVAL
+        } else {
+            VOTE_RETRY_INTERVAL
+        };
+        self.schedule(next, Event::Vote { node: number, run });
+        let voters = self.nodes[number].voters();
+        match step {
+            VoteStep::Cast(_) => {
+                let exchange = self.ask(number, to, ExchangeKind::Vote);
+                self.send(
+                    number,
+                    to,
+                    Content::Vote {
+                        exchange,
+                        heard,
+                        voters,
+                    },
+                );
+            }
+            VoteStep::Release(holder) => {
+                let to = QuotaNode::number_of(&holder);
+                let exchange = self.ask(number, to, ExchangeKind::Release);
+                self.send(number, to, Content::Release { exchange });
+            }
+            VoteStep::Wait => {}
+        }
+    }
+
+    fn ask(&mut self, from: usize, to: usize, kind: ExchangeKind) -> u64 {
+        let exchange = self.next_event + 1;
+        let asked_at = self.now;
+        self.exchanges
+            .insert(exchange, Exchange { to, asked_at, kind });
+        let run = self.nodes[from].run;
+        self.schedule(
+            EXCHANGE_TIMEOUT,
+            Event::Forget {
+                node: from,
+                run,
+                exchange,
+            },
+        );
+        exchange
+    }
+
+    fn send(&mut self, from: usize, to: usize, content: Content) {
+        if !self.reaches(from, to) {
+            return;
+        }
+        let is_near = self.nodes[from].centre == self.nodes[to].centre;
+        let mut delay = if from == to {
+            Duration::ZERO
+        } else if is_near {
+            NEAR
+        } else {
+            FAR
+        };
+        delay += self
+            .rng
+            .random_range(Duration::ZERO..Duration::from_millis(2));
+        if from != to && self.rng.random_bool(LATE) {
+            delay += self.rng.random_range(Duration::ZERO..LATE_MAX);
+        }
+        delay += self.slow.get(&from).copied().unwrap_or_default();
+        let from = (from, self.nodes[from].run);
+        self.schedule(delay, Event::Message { from, to, content });
+    }
+
+    fn receive(&mut self, from: (usize, u32), to: usize, content: Content) {
+        let now = self.now;
+        let (from, run) = from;
+        let is_current = self.nodes[from].run == run;
+        if is_current {
+            self.nodes[to].clear_suspect(from);
+        }
+        match content {
+            Content::Contact => {}
+            Content::Vote {
+                exchange,
+                heard,
+                voters,
+            } => {
+                let time = self.nodes[to].count_vote(now, from, heard, voters);
+                self.send(to, from, Content::Time { exchange, time });
+            }
+            Content::Release { exchange } => {
+                let time = self.nodes[to].release(now, from);
+                self.send(to, from, Content::Time { exchange, time });
+            }
+            Content::Draw { exchange, count } => {
+                let draw = QuotaDraw {
+                    from: QuotaNode::name_of(from),
+                    workspace: workspace(),
+                    count,
+                };
+                let grant = self.nodes[to].grant(now, &draw);
+                self.send(to, from, Content::Grant { exchange, grant });
+            }
+            Content::Time { exchange, time } => {
+                let Some(entry) = self.exchanges.remove(&exchange) else {
+                    return;
+                };
+                let node = &mut self.nodes[to];
+                let is_first = node.hear(now, from, time, entry.kind == ExchangeKind::Release);
+                if is_first {
+                    let run = node.run;
+                    self.schedule(Duration::ZERO, Event::Vote { node: to, run });
+                }
+            }
+            Content::Grant { exchange, grant } => {
+                let Some(entry) = self.exchanges.remove(&exchange) else {
+                    return;
+                };
+                if entry.kind == (ExchangeKind::Draw { is_given_up: true }) {
+                    self.nodes[to]
+                        .stock
+                        .record_late(now, entry.asked_at, &grant);
+                } else {
+                    self.finish_draw(to, from, Some((entry.asked_at, grant)));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/quota/node.rs
@@ -0,0 +1,208 @@
+//! One node of the simulated fleet.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use gooseberrydyke_policy::office::{HolderTime, HolderTimes, OfficeVote, VoteStep, VoteTally};
+use gooseberrydyke_policy::quota::{
+    FleetCounts, QuotaDraw, QuotaGrant, QuotaPool, QuotaStock, SilentHolders, VoteStanding,
+};
+use model::config::{QuotaBound, WorkspaceQuota};
+use model::ids::NodeId;
+use tokio::time::Instant;
+
+/// How long a node that did not respond is no candidate, as in the member table.
+const SUSPECT_TIME: Duration = Duration::from_secs(10);
+
+pub(crate) struct QuotaNode {
+    pub(crate) number: usize,
+    pub(crate) centre: usize,
+    /// Counts the processes of the node.
+    pub(crate) run: u32,
+    pub(crate) is_up: bool,
+    pub(crate) knows_all: bool,
+    /// How many nodes it knows, the first ones.
+    pub(crate) known: usize,
+    pub(crate) quota: WorkspaceQuota,
+    pub(crate) stock: QuotaStock,
+    pub(crate) waiting: VecDeque<Instant>,
+    pub(crate) silent: SilentHolders,
+    centres: usize,
+    suspects: BTreeMap<usize, Instant>,
+    started: Instant,
+    vote: OfficeVote,
+    heard: HolderTimes,
+    tally: VoteTally,
+    pool: QuotaPool,
+}
+
+impl QuotaNode {
+    pub(crate) fn start(
+        number: usize,
+        centre: usize,
+        now: Instant,
+        bound: QuotaBound,
+        quota: WorkspaceQuota,
+        centres: usize,
+    ) -> Self {
+        Self {
+            number,
+            centre,
+            run: 0,
+            is_up: true,
+            knows_all: false,
+            known: 0,
+            quota,
+            stock: QuotaStock::new(now),
+            waiting: VecDeque::new(),
+            silent: SilentHolders::default(),
+            centres,
+            suspects: BTreeMap::new(),
+            started: now,
+            vote: OfficeVote::new(now, false),
+            heard: HolderTimes::default(),
+            tally: VoteTally::default(),
+            pool: QuotaPool::new(bound),
+        }
+    }
+
+    pub(crate) fn name_of(number: usize) -> NodeId {
+        format!("n{number:03}").parse().unwrap()
+    }
+
+    pub(crate) fn number_of(name: &NodeId) -> usize {
+        name.as_str()[1..].parse().unwrap()
+    }
+
+    fn time(&self, now: Instant) -> HolderTime {
+        HolderTime::since_start(now - self.started)
+    }
+
+    pub(crate) fn learn(&mut self, known: usize) {
+        self.knows_all = true;
+        self.known = known;
+    }
+
+    pub(crate) fn mark_suspect(&mut self, now: Instant, number: usize) {
+        if number != self.number {
+            self.suspects.insert(number, now);
+        }
+    }
+
+    pub(crate) fn clear_suspect(&mut self, number: usize) {
+        self.suspects.remove(&number);
+    }
+
+    /// The nodes of a data centre that this node knows; itself at least.
+    fn members(&self, centre: usize) -> impl Iterator<Item = usize> {
+        let own = self.number;
+        let known = (0..self.known).filter(move |number| *number != own);
+        let mut all: Vec<_> = known.chain([own]).collect();
+        all.sort_unstable();
+        let centres = self.centres;
+        all.into_iter()
+            .filter(move |number| number % centres == centre)
+    }
+
+    fn relay(&self, now: Instant, centre: usize) -> Option<usize> {
+        self.members(centre).find(|number| {
+            let suspected = self.suspects.get(number);
+            suspected.is_none_or(|at| now >= *at + SUSPECT_TIME)
+        })
+    }
+
+    /// The holders to ask, in order.
+    pub(crate) fn holders(&self, now: Instant) -> Vec<NodeId> {
+        let others = (0..self.centres).filter(|centre| *centre != self.centre);
+        let relays = [self.centre].into_iter().chain(others);
+        let relays = relays.filter_map(|centre| self.relay(now, centre));
+        let names = relays.map(Self::name_of);
+        names
+            .filter(|name| !self.silent.contains(now, name))
+            .collect()
+    }
+
+    pub(crate) fn voters(&self) -> usize {
+        self.members(self.centre).count()
+    }
+
+    /// What becomes of the vote: the step, the time that it states, and the candidate.
+    pub(crate) fn vote_step(&mut self, now: Instant) -> (VoteStep, Option<HolderTime>, usize) {
+        let relay = self.relay(now, self.centre).unwrap_or(self.number);
+        let own = Self::name_of(self.number);
+        self.heard.hear(&own, self.time(now));
+        let name = Self::name_of(relay);
+        let heard = self.heard.last(&name);
+        let step = self.vote.step(now, &name, heard, |_| false);
+        self.update_pool(now);
+        (step, heard, relay)
+    }
+
+    pub(crate) fn count_vote(
+        &mut self,
+        now: Instant,
+        from: usize,
+        heard: Option<HolderTime>,
+        voters: usize,
+    ) -> HolderTime {
+        let time = self.time(now);
+        if let Some(heard) = heard {
+            self.tally.record(time, Self::name_of(from), heard, voters);
+        }
+        time
+    }
+
+    pub(crate) fn release(&mut self, now: Instant, from: usize) -> HolderTime {
+        let time = self.time(now);
+        self.tally.release(time, Self::name_of(from));
+        time
+    }
+
+    /// Records the time of a holder; returns whether the vote is to be cast at once.
+    pub(crate) fn hear(
+        &mut self,
+        now: Instant,
+        from: usize,
+        time: HolderTime,
+        is_release: bool,
+    ) -> bool {
+        let name = Self::name_of(from);
+        let is_first = self.heard.hear(&name, time);
+        if is_release {
+            return self.vote.release(now, &name, time);
+        }
+        is_first
+    }
+
+    pub(crate) fn standing(&self, now: Instant) -> VoteStanding {
+        let own = Self::name_of(self.number);
+        let is_own = self.vote.holder() == Some(&own);
+        let share = self.tally.share(self.time(now), self.voters());
+        VoteStanding {
+            own,
+            holder: self.vote.holder().cloned(),
+            bound_until: self.vote.bound_until(),
+            is_alone: is_own && share.get() < 0.5,
+        }
+    }
+
+    pub(crate) fn update_pool(&mut self, now: Instant) {
+        let own = Self::name_of(self.number);
+        let counts = FleetCounts {
+            local: self.voters(),
+            all: self.known.max(1),
+            data_centres: if self.known > 1 { self.centres } else { 1 },
+            voters: self.voters(),
+            may_be_whole: false,
+        };
+        let may_hold = self.vote.holder().is_none_or(|holder| *holder == own);
+        let time = self.time(now);
+        self.pool.update(time, &self.tally, &counts, may_hold);
+    }
+
+    pub(crate) fn grant(&mut self, now: Instant, draw: &QuotaDraw) -> QuotaGrant {
+        self.update_pool(now);
+        let time = self.time(now);
+        self.pool.draw(time, draw, &self.quota)
+    }
+}
--- a/crates/upstream/src/dispatch/quota.rs
+++ b/crates/upstream/src/dispatch/quota.rs
@@ -11,7 +11,7 @@
 use policy::quota::QuotaToken;
 
 /// Least time after which the caller of a refused request is asked to return.
-const RETRY_AFTER_MIN: Duration = Duration::from_millis(50);
+const RETRY_AFTER_MIN: Duration = Duration::from_millis(250);
 /// By which part of that time it is lengthened at random, so that callers that were refused
 /// together do not return together.
 const JITTER: f64 = 0.5;
