feat(policy): nodes hand over what a former holder reserved for them

Cause: with the relay cut off, the balance that the next holder may keep was under one token, so it handed out nothing, and each attached node spent its reserved rate alone, with no more than one token saved. Change: a holder's balance is limited by its share of votes, not by what it mints; a draw hands over what was saved; turns of refused nodes are half as far apart.

--- a/crates/node/src/replica/quota/draw.rs
+++ b/crates/node/src/replica/quota/draw.rs
@@ -38,7 +38,7 @@
     };
     let (parts, own_inbox) = (parts.clone(), own_inbox.clone());
     tokio::spawn(async move {
-        let exchange = exchange(&parts, &sent, plan.count);
+        let exchange = exchange(&parts, &sent, [plan.count, plan.deposit_millitokens]);
         tokio::pin!(exchange);
         let Ok(grant) = time::timeout(DRAW_TIMEOUT, &mut exchange).await else {
             report(&own_inbox, QuotaCommand::Drawn(sent.clone(), None)).await;
@@ -51,13 +51,18 @@
     });
 }
 
-async fn exchange(parts: &QuotaTaskParts, sent: &SentDraw, count: u32) -> Option<QuotaGrant> {
+async fn exchange(
+    parts: &QuotaTaskParts,
+    sent: &SentDraw,
+    [count, deposit_millitokens]: [u32; 2],
+) -> Option<QuotaGrant> {
     let table = parts.members.table();
     let own = &table.own().node;
     let draw = QuotaDraw {
         from: own.clone(),
         workspace: sent.workspace.clone(),
         count,
+        deposit_millitokens,
     };
     if sent.holder == *own {
         return parts.retry_pool.draw_quota(draw).await;
--- a/crates/node/src/replica/quota/task.rs
+++ b/crates/node/src/replica/quota/task.rs
@@ -194,7 +194,9 @@
         if desk.waiting.is_empty() {
             return;
         }
-        let plan = desk.stock.plan_draw(now, &holders, desk.waiting.len());
+        let plan = desk
+            .stock
+            .plan_draw(now, &standing, &desk.quota, &holders, desk.waiting.len());
         if let Some(plan) = plan {
             draw::start(&self.parts, &self.own_inbox, workspace, plan);
         } else {
--- a/crates/policy/src/quota/account.rs
+++ b/crates/policy/src/quota/account.rs
@@ -23,6 +23,9 @@
 const RESERVATION_MARGIN: Duration = Duration::from_millis(200);
 /// Time for which a node that waited for its turn is served, in seconds.
 const SLOT_SECONDS: f64 = 0.1;
+/// Distance of the turns of refused nodes, in parts of the time that mints their tokens. Not all
+/// of them come, and tokens that nobody fetches may be lost.
+const SLOT_SPACING: f64 = 0.5;
 /// Rounding errors of sums that should make a whole token.
 const ROUNDING: f64 = 1e-9;
 
@@ -117,6 +120,12 @@
         self.limit(capacity_share);
     }
 
+    /// Adds what a node saved at the rate that a former holder reserved for it.
+    pub(super) fn deposit(&mut self, millitokens: u32, capacity_share: f64) {
+        self.balance += f64::from(millitokens) / 1_000.0;
+        self.limit(capacity_share);
+    }
+
     /// Applies another budget.
     pub(super) fn set_budget(&mut self, budget: QuotaBudget, capacity_share: f64) {
         self.budget = budget;
@@ -165,7 +174,7 @@
         let slot = self.next_slot.max(due).min(now + limit);
         // A busy node gets tokens for its next requests at once.
         let batch = f64::from(lacking).min(rate * SLOT_SECONDS).max(1.0);
-        self.next_slot = slot + batch / rate;
+        self.next_slot = slot + SLOT_SPACING * batch / rate;
         Duration::from_secs_f64(slot - now)
     }
 
--- a/crates/policy/src/quota/message.rs
+++ b/crates/policy/src/quota/message.rs
@@ -21,6 +21,9 @@
         pub workspace: ids::WorkspaceId,
         /// How many tokens it can use.
         pub count: u32,
+        /// Thousandths of a token that the node has saved at a rate which a former holder reserved
+        /// for it. It hands them over, so that the nodes that lost that holder share them.
+        pub deposit_millitokens: u32,
     }
 
     /// What a holder hands out.
--- a/crates/policy/src/quota/pool.rs
+++ b/crates/policy/src/quota/pool.rs
@@ -157,6 +157,9 @@
         let counts = |node: &ids::NodeId| counted.binary_search(node).is_ok();
         account.accrue(now, self.clock, capacity_share, counts);
         account.set_budget(budget, capacity_share);
+        if self.power.moving > 0.0 {
+            account.deposit(draw.deposit_millitokens, capacity_share);
+        }
         let tokens = account.take(draw.count);
         let centre_rate = budget.rate * self.centre_share;
         let reserved = if counts(&draw.from) {
@@ -193,9 +196,10 @@
             || between(HolderTime::default(), now) >= SETTLED_AGE
     }
 
-    /// The part of the fleet's capacity that this holder may keep.
+    /// The part of the fleet's capacity that this holder may keep: all holders together keep one
+    /// for each vote.
     fn capacity_share(&self) -> f64 {
-        self.centre_share * self.power.total()
+        self.centre_share * self.power.moving
     }
 
     fn accrue_all(&mut self, now: HolderTime) {
--- a/crates/policy/src/quota/stock.rs
+++ b/crates/policy/src/quota/stock.rs
@@ -51,6 +51,8 @@
     pub holder: ids::NodeId,
     /// The number of tokens to ask for.
     pub count: u32,
+    /// Thousandths of a token to hand over.
+    pub deposit_millitokens: u32,
 }
 
 /// A rate that a holder reserved for this node.
@@ -137,6 +139,8 @@
     pub fn plan_draw(
         &mut self,
         now: Instant,
+        standing: &VoteStanding,
+        quota: &WorkspaceQuota,
         holders: &[ids::NodeId],
         waiting: usize,
     ) -> Option<DrawPlan> {
@@ -147,7 +151,11 @@
         let further = whole(self.asked.rate(RATE_MEMORY) * BATCH_SECONDS).saturating_sub(1);
         self.is_drawing = true;
         let count = waiting.max(1).saturating_add(further).min(BATCH_MAX);
-        Some(DrawPlan { holder, count })
+        Some(DrawPlan {
+            deposit_millitokens: self.take_deposit(now, standing, quota, &holder),
+            holder,
+            count,
+        })
     }
 
     /// Records the reply of a holder to a draw of `asked_at`. Only the holder of the node's own
@@ -230,19 +238,47 @@
     }
 
     /// Spends at the reserved rate, unless the holder that reserved it may count the node's vote.
-    pub fn spend_reserved(
+    fn spend_reserved(
         &mut self,
         now: Instant,
         standing: &VoteStanding,
         quota: &WorkspaceQuota,
     ) -> Option<QuotaToken> {
+        self.save(now, standing, quota);
+        if self.saved < 1.0 {
+            return None;
+        }
+        self.saved -= 1.0;
+        self.spent.add(1);
+        Some(QuotaToken { ends_at: now })
+    }
+
+    /// What is handed over to a holder: all that was saved, if it has the node's vote.
+    fn take_deposit(
+        &mut self,
+        now: Instant,
+        standing: &VoteStanding,
+        quota: &WorkspaceQuota,
+        holder: &ids::NodeId,
+    ) -> u32 {
+        if standing.is_alone || standing.bound_to(now) != Some(holder) {
+            return 0;
+        }
+        self.save(now, standing, quota);
+        let millitokens = whole(self.saved * 1_000.0);
+        self.saved -= f64::from(millitokens) / 1_000.0;
+        millitokens
+    }
+
+    /// Saves up to one token at the reserved rate.
+    fn save(&mut self, now: Instant, standing: &VoteStanding, quota: &WorkspaceQuota) {
         let reserved = self.reserved.as_ref().filter(|reserved| {
             reserved.ends_at > now && standing.bound_to(now) != Some(&reserved.holder)
         });
         let Some(reserved) = reserved else {
             self.saved = 0.0;
             self.saved_at = None;
-            return None;
+            return;
         };
         let since = self.saved_at.unwrap_or_else(|| {
             // A vote that nobody has may have ended before this request.
@@ -256,12 +292,6 @@
         let rate = reserved.rate.min(quota.rate.get());
         self.saved = rate.mul_add(elapsed, self.saved).min(1.0);
         self.saved_at = Some(now);
-        if self.saved < 1.0 {
-            return None;
-        }
-        self.saved -= 1.0;
-        self.spent.add(1);
-        Some(QuotaToken { ends_at: now })
     }
 
     /// Takes back a token of a request that certainly did not run.
--- a/crates/policy/tests/quota/fleet.rs
+++ b/crates/policy/tests/quota/fleet.rs
@@ -108,6 +108,7 @@
     Draw {
         exchange: u64,
         count: u32,
+        deposit: u32,
     },
     Grant {
         exchange: u64,
@@ -400,7 +401,9 @@
         let holders = node.holders(now);
         let standing = node.standing(now);
         match node.stock.take(now, &standing, &node.quota, &holders) {
-            StockReply::Token(_) => self.spent.push(now),
+            StockReply::Token(_) => {
+                self.spent.push(now);
+            }
             StockReply::Refused(_) => {}
             StockReply::Wait => node.waiting.push_back(now),
             StockReply::Draw => {
@@ -425,7 +428,13 @@
         if node.waiting.is_empty() {
             return;
         }
-        let Some(plan) = node.stock.plan_draw(now, &holders, node.waiting.len()) else {
+        let Some(plan) = node.stock.plan_draw(
+            now,
+            &node.standing(now),
+            &node.quota.clone(),
+            &holders,
+            node.waiting.len(),
+        ) else {
             let all = node.waiting.len();
             self.settle(number, all);
             return;
@@ -443,8 +452,16 @@
                 exchange,
             },
         );
-        let count = plan.count;
-        self.send(number, to, Content::Draw { exchange, count });
+        let (count, deposit) = (plan.count, plan.deposit_millitokens);
+        self.send(
+            number,
+            to,
+            Content::Draw {
+                exchange,
+                count,
+                deposit,
+            },
+        );
     }
 
     fn settle(&mut self, number: usize, count: usize) {
@@ -456,7 +473,9 @@
             node.waiting.pop_front();
             let settled = node.stock.settle(now, &standing, &node.quota, &holders);
             if settled.is_ok() {
-                self.spent.push(now);
+                {
+                    self.spent.push(now);
+                };
             }
         }
     }
@@ -475,7 +494,9 @@
         }
         while !node.waiting.is_empty() && node.stock.spend(now).is_some() {
             node.waiting.pop_front();
-            self.spent.push(now);
+            {
+                self.spent.push(now);
+            };
         }
         if !node.waiting.is_empty() {
             self.draw_or_settle(number);
@@ -577,11 +598,16 @@
                 let time = self.nodes[to].release(now, from);
                 self.send(to, from, Content::Time { exchange, time });
             }
-            Content::Draw { exchange, count } => {
+            Content::Draw {
+                exchange,
+                count,
+                deposit,
+            } => {
                 let draw = QuotaDraw {
                     from: QuotaNode::name_of(from),
                     workspace: workspace(),
                     count,
+                    deposit_millitokens: deposit,
                 };
                 let grant = self.nodes[to].grant(now, &draw);
                 self.send(to, from, Content::Grant { exchange, grant });
