feat(policy): reserved rates allow for uneven requests

Cause: a detached node saved one token at most, so a third of its requests found none at the rate at which they came. Change: it saves for 1.5 s, up to three tokens, for which holders withhold more; pools hold 0.75 of what the bound allows beyond the rate (0.6 before) and initial amounts are 0.2 of it (0.25 before).

--- a/crates/policy/src/quota/account.rs
+++ b/crates/policy/src/quota/account.rs
@@ -7,7 +7,7 @@
 
 use super::budget::QuotaBudget;
 use super::ledger::MOVING_PART;
-use super::message::RESERVATION_TTL;
+use super::message::{RESERVATION_TTL, saved_max};
 use super::recent::RecentCount;
 use crate::office::HolderTime;
 
@@ -224,15 +224,13 @@
         reservation.granted.decay(elapsed, GRANT_MEMORY);
         reservation.granted.add(tokens);
         reservation.granted_at = now;
-        // A detached node saves up to one token, which it may spend in any window.
-        let saved = 1.0 / self.budget.window;
-        let wanted = reservation.granted.rate(GRANT_MEMORY) * RESERVED_FACTOR + saved;
-        let withheld = wanted.min(reservable - others);
-        let withheld = if withheld - saved < RESERVED_MIN {
-            0.0
-        } else {
-            withheld
-        };
+        // A detached node may spend in any window what it saved before.
+        let with_saved = |rate: f64| rate + saved_max(rate) / self.budget.window;
+        let wanted = reservation.granted.rate(GRANT_MEMORY) * RESERVED_FACTOR;
+        let saved = with_saved(wanted) - wanted;
+        let rate = wanted.min(reservable - others - saved);
+        let rate = if rate < RESERVED_MIN { 0.0 } else { rate };
+        let withheld = if rate > 0.0 { with_saved(rate) } else { 0.0 };
         let last = StatedRate {
             withheld,
             stated: now,
@@ -241,7 +239,7 @@
             reservation.highest = last;
         }
         reservation.last = last;
-        (withheld - saved).max(0.0)
+        rate
     }
 
     /// Whether a new account would be the same.
--- a/crates/policy/src/quota/budget.rs
+++ b/crates/policy/src/quota/budget.rs
@@ -5,10 +5,10 @@
 use super::message::TOKEN_TTL;
 
 /// Part of what the bound allows beyond the rate that pools may hold.
-const CAPACITY_PART: f64 = 0.6;
-/// Part of it that new holders may hand out once. The remaining 0.15 covers nodes that know
+const CAPACITY_PART: f64 = 0.75;
+/// Part of it that new holders may hand out once. The remaining 0.05 covers nodes that know
 /// different members for a moment.
-const INITIAL_PART: f64 = 0.25;
+const INITIAL_PART: f64 = 0.2;
 
 /// The division of one quota's bound over the whole fleet.
 ///
--- a/crates/policy/src/quota/message.rs
+++ b/crates/policy/src/quota/message.rs
@@ -10,6 +10,16 @@
 /// How long a node may spend at a reserved rate after its holder last stated it. Cuts in a
 /// network usually last about ten seconds.
 pub(super) const RESERVATION_TTL: Duration = Duration::from_secs(12);
+/// Time for which a node saves up at a reserved rate, in seconds. Requests do not come evenly:
+/// with one token at most, a third of them would find none.
+const SAVING_SECONDS: f64 = 1.5;
+/// Most tokens that a node saves.
+const SAVED_MAX: f64 = 3.0;
+
+/// The tokens that a node may save at a reserved rate.
+pub(super) fn saved_max(rate: f64) -> f64 {
+    (rate * SAVING_SECONDS).clamp(1.0, SAVED_MAX)
+}
 
 model::record! {
     /// A node asks for tokens of a workspace.
--- a/crates/policy/src/quota/stock.rs
+++ b/crates/policy/src/quota/stock.rs
@@ -7,7 +7,7 @@
 use model::ids;
 use tokio::time::Instant;
 
-use super::message::{QuotaGrant, RESERVATION_TTL, TOKEN_TTL};
+use super::message::{QuotaGrant, RESERVATION_TTL, TOKEN_TTL, saved_max};
 use super::recent::RecentCount;
 use super::standing::VoteStanding;
 
@@ -153,7 +153,8 @@
         self.decay(now);
         let waiting = u32::try_from(waiting).unwrap_or(BATCH_MAX);
         // The request that waits is counted in the rate.
-        let further = whole(self.asked.rate(RATE_MEMORY) * BATCH_SECONDS).saturating_sub(1);
+        let further = whole(self.asked.rate(RATE_MEMORY) * BATCH_SECONDS, BATCH_MAX);
+        let further = further.saturating_sub(1);
         self.is_drawing = true;
         let count = waiting.max(1).saturating_add(further).min(BATCH_MAX);
         Some(DrawPlan {
@@ -270,12 +271,12 @@
             return 0;
         }
         self.save(now, standing, quota);
-        let millitokens = whole(self.saved * 1_000.0);
+        let millitokens = whole(self.saved * 1_000.0, u32::MAX);
         self.saved -= f64::from(millitokens) / 1_000.0;
         millitokens
     }
 
-    /// Saves up to one token at the reserved rate.
+    /// Saves parts of tokens at the reserved rate.
     fn save(&mut self, now: Instant, standing: &VoteStanding, quota: &WorkspaceQuota) {
         let reserved = self.reserved.as_ref().filter(|reserved| {
             reserved.ends_at > now && standing.bound_to(now) != Some(&reserved.holder)
@@ -295,7 +296,7 @@
         });
         let elapsed = now.saturating_duration_since(since).as_secs_f64();
         let rate = reserved.rate.min(quota.rate.get());
-        self.saved = rate.mul_add(elapsed, self.saved).min(1.0);
+        self.saved = rate.mul_add(elapsed, self.saved).min(saved_max(rate));
         self.saved_at = Some(now);
     }
 
@@ -345,6 +346,6 @@
     clippy::cast_sign_loss,
     reason = "clamped to the range first"
 )]
-fn whole(amount: f64) -> u32 {
-    amount.clamp(0.0, f64::from(BATCH_MAX)) as u32
+fn whole(amount: f64, limit: u32) -> u32 {
+    amount.clamp(0.0, f64::from(limit)) as u32
 }
