--- a/crates/node/src/replica/quota/task.rs
+++ b/crates/node/src/replica/quota/task.rs
@@ -153,12 +153,12 @@
             counts: WorkspaceCounts::default(),
         });
         desk.quota = request.quota;
-        let taken = desk.stock.take(now, &standing, &request.quota, &holders);
+        let outcome = desk.stock.take(now, &standing, &request.quota, &holders);
         let waiting = WaitingRequest {
             since: now,
             reply: request.reply,
         };
-        match taken {
+        match outcome {
             StockReply::Token(token) => desk.grant(now, waiting, token),
             StockReply::Refused(wait) => desk.refuse(now, &request.workspace, waiting, wait),
             StockReply::Wait => desk.waiting.push_back(waiting),
--- a/crates/policy/src/quota/recent.rs
+++ b/crates/policy/src/quota/recent.rs
@@ -20,7 +20,7 @@
     }
 
     /// Events per second.
-    pub(super) fn rate(&self, memory: Duration) -> f64 {
+    pub(super) fn rate(self, memory: Duration) -> f64 {
         self.level / memory.as_secs_f64()
     }
 }
--- a/crates/policy/tests/quota/main.rs
+++ b/crates/policy/tests/quota/main.rs
@@ -5,6 +5,7 @@
 
 mod fleet;
 mod node;
+mod traffic;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
