--- a/bins/entry/src/gateway.rs
+++ b/bins/entry/src/gateway.rs
@@ -8,6 +8,7 @@
 
 use caller::wire::CallerHeaders;
 use caller::{CallerLimits, CallerListener, CallerMemory, CallerSettings};
+use model::config::QuotaBound;
 use model::error::{ErrorKind, FleetError};
 use model::{ids, sizes, span};
 use node::keys::{FleetCa, NodeKeys};
@@ -19,7 +20,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{self, Instant};
-use upstream::dispatch::{ClaimCallbacks, Dispatcher};
+use upstream::dispatch::{ClaimCallbacks, DispatchCallbacks, Dispatcher};
 use upstream::memory::{self, MemoryBudget};
 use upstream::service::{RetryTokenSource, ServiceDirectory, ServiceSettings, SettingsFactory};
 use upstream::wire::UpstreamHeaders;
@@ -27,7 +28,7 @@
 use crate::ops::OpsEndpoint;
 use crate::replica_directory::ReplicaDirectoryTask;
 use crate::server::dispatch_to;
-use crate::{crashes, permits};
+use crate::{crashes, permits, quotas};
 
 /// Capacity of the queue of updates from other nodes. When it is full, new updates are
 /// dropped: suspicion decays with time, and loads are reported again.
@@ -58,6 +59,8 @@
     pub first_start: bool,
     /// How often an upstream writes its entry at the source.
     pub upstream_heartbeat: Duration,
+    /// How quotas of workspaces are enforced; they are not if `None`.
+    pub quota_bound: Option<QuotaBound>,
     /// The certificate authority that issues the certificates of all nodes.
     pub ca: FleetCa,
     /// The external source of routes and upstreams.
@@ -136,8 +139,11 @@
         let dispatcher = Dispatcher::new(
             &settings.node,
             directory.clone(),
-            reject_claims(),
-            crashes::crash_callbacks(&fleet.crashes),
+            DispatchCallbacks {
+                claims: reject_claims(),
+                crashes: crashes::crash_callbacks(&fleet.crashes),
+                quotas: fleet.quota.as_ref().map(quotas::quota_callbacks),
+            },
             stop_watch,
             memory.clone(),
             Arc::clone(&metrics),
@@ -234,6 +240,7 @@
     updates: mpsc::Sender<NodeUpdate>,
 ) -> io::Result<ReplicaFleet> {
     let metrics = Arc::clone(&settings.metrics);
+    let quota_bound = settings.quota_bound;
     ReplicaFleet::start(ReplicaSettings {
         own: Member {
             node: settings.node.clone(),
@@ -249,6 +256,7 @@
         updates,
         first_start: settings.first_start,
         upstream_heartbeat: settings.upstream_heartbeat,
+        quota: quota_bound.map(|bound| quotas::quota_settings(bound, &settings.metrics)),
     })
 }
 
--- a/bins/entry/src/server.rs
+++ b/bins/entry/src/server.rs
@@ -19,7 +19,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{self, Instant};
-use upstream::dispatch::{ClaimCallbacks, Dispatcher};
+use upstream::dispatch::{ClaimCallbacks, DispatchCallbacks, Dispatcher};
 use upstream::memory::MemoryBudget;
 use upstream::service::{ServiceDirectory, ServiceSettings, SettingsFactory};
 
@@ -101,8 +101,11 @@
         let dispatcher = Dispatcher::new(
             &settings.node,
             directory.clone(),
-            claims,
-            crashes::crash_callbacks(&fleet.crashes),
+            DispatchCallbacks {
+                claims,
+                crashes: crashes::crash_callbacks(&fleet.crashes),
+                quotas: None,
+            },
             stop_watch,
             MemoryBudget::default(),
             Arc::clone(&metrics),
--- a/crates/upstream/src/dispatch/dispatcher.rs
+++ b/crates/upstream/src/dispatch/dispatcher.rs
@@ -22,6 +22,7 @@
 
 use super::body::{self, RequestBody};
 use super::claim::{self, ClaimCallbacks, ClaimGuard};
+use super::quota::{self, QuotaCallbacks};
 use super::trace::CallTrace;
 use super::{access, admission, memory_error, race, resume};
 use crate::attempt::{self, AttemptContext, AttemptFailure, BodyFault};
@@ -40,12 +41,22 @@
 const CONFIG_WAIT_MAX: Duration = Duration::from_secs(1);
 const CONFIG_WAIT_DIVISOR: u32 = 3;
 
+/// What the dispatcher calls for state that the whole fleet shares.
+#[derive(Clone)]
+pub struct DispatchCallbacks {
+    /// Claims of idempotency keys.
+    pub claims: ClaimCallbacks,
+    /// Crashes of upstreams.
+    pub crashes: CrashCallbacks,
+    /// Quotas of workspaces; `None` if none are kept.
+    pub quotas: Option<QuotaCallbacks>,
+}
+
 /// Serves requests by the current service directory.
 #[derive(Clone)]
 pub struct Dispatcher {
     directory: watch::Receiver<Arc<ServiceDirectory>>,
-    claims: ClaimCallbacks,
-    crashes: CrashCallbacks,
+    callbacks: DispatchCallbacks,
     /// The schedule of the node's stop, once one has begun.
     stop: watch::Receiver<Option<StopSchedule>>,
     memory: MemoryBudget,
@@ -89,8 +100,7 @@
     pub fn new(
         node: &ids::NodeId,
         directory: watch::Receiver<Arc<ServiceDirectory>>,
-        claims: ClaimCallbacks,
-        crashes: CrashCallbacks,
+        callbacks: DispatchCallbacks,
         stop: watch::Receiver<Option<StopSchedule>>,
         memory: MemoryBudget,
         metrics: Arc<NodeMetrics>,
@@ -99,8 +109,7 @@
         let id_prefix = format!("{node}-{:016x}", rand::random::<u64>()).into();
         Self {
             directory,
-            claims,
-            crashes,
+            callbacks,
             stop,
             memory,
             metrics,
@@ -231,11 +240,29 @@
         if !self.memory.level().admits_requests() {
             return Err(memory_error());
         }
+        let token = quota::admit(self.callbacks.quotas.as_ref(), target.access.as_ref()).await?;
+        let result = self.serve_within_quota(target, call, deadline).await;
+        if let Some(token) = token {
+            token.settle(&result);
+        }
+        result
+    }
+
+    async fn serve_within_quota(
+        &self,
+        target: CallTarget,
+        call: Call,
+        deadline: Instant,
+    ) -> Result<CallResponse, FleetError> {
+        let options = &target.route.options;
         let body_fault = BodyFault::default();
         let mut body = RequestBody::prepare(call.body, deadline, &body_fault, &self.memory).await?;
         // A stop may have begun while the body arrived.
         self.check_stop(&target.handle, deadline)?;
-        let crash = CrashWatch::new(fingerprint(&call.head, &body), self.crashes.clone());
+        let crash = CrashWatch::new(
+            fingerprint(&call.head, &body),
+            self.callbacks.crashes.clone(),
+        );
         crash.admit().await?;
         let request_hash = request_hash(&call.head, &body);
         let guard = self
@@ -332,7 +359,7 @@
                 .saturating_add(target.service.key_retention.get()),
             settled_by: self.clock.now().saturating_add(left + SETTLE_GRACE),
         };
-        let claiming = tokio::time::timeout_at(deadline, (self.claims.claim)(attempt));
+        let claiming = tokio::time::timeout_at(deadline, (self.callbacks.claims.claim)(attempt));
         let verdict = claiming.await.unwrap_or_else(|_| {
             Err(FleetError::new(
                 ErrorKind::ClaimUnavailable,
@@ -344,10 +371,15 @@
                 if let Some(error) = claim::refusal(verdict) {
                     return Err(error);
                 }
-                Ok(Some(ClaimGuard::new(self.claims.clone(), key, token)))
+                Ok(Some(ClaimGuard::new(
+                    self.callbacks.claims.clone(),
+                    key,
+                    token,
+                )))
             }
             Err(error) => {
-                ClaimGuard::new(self.claims.clone(), key, token).settle(ClaimState::NotRun);
+                ClaimGuard::new(self.callbacks.claims.clone(), key, token)
+                    .settle(ClaimState::NotRun);
                 Err(FleetError::new(ErrorKind::ClaimUnavailable, error.detail()))
             }
         }
--- a/crates/upstream/src/dispatch/mod.rs
+++ b/crates/upstream/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 mod body;
 mod claim;
 mod dispatcher;
+mod quota;
 mod race;
 mod resume;
 mod trace;
@@ -14,7 +15,8 @@
 use model::error::{ErrorKind, FleetError};
 
 pub use claim::{ClaimCallbacks, ClaimFuture};
-pub use dispatcher::Dispatcher;
+pub use dispatcher::{DispatchCallbacks, Dispatcher};
+pub use quota::{QuotaCallbacks, QuotaFuture};
 
 /// Bounds of the delay before a caller retries a request that was rejected for lack of memory.
 /// Unread responses are given up after 3 s, and others leave before. Drawn at random, so that
