feat(placement): even assignment of upstreams, with a width from the node's demand

Cause: with 121 nodes and 163 upstreams a node prefers some 100 of them for 5 requests a second, and a hash-drawn subset is uneven over the upstreams.

Change: where `contracts` of the settings contains `pool`, each node computes the same assignment of the upstreams to the members of its data centre: rendezvous hashing with bounded loads, in nested steps of width. The width follows the node's own rate and latency and narrows after 30 s. A full subset is followed by the other local upstreams, then by remote ones.

--- a/bins/entry/src/directory.rs
+++ b/bins/entry/src/directory.rs
@@ -10,7 +10,7 @@
 use policy::membership::MemberTable;
 use telemetry::metrics::NodeMetrics;
 use tokio::sync::watch;
-use upstream::service::{FleetSize, ServiceDirectory, SettingsFactory};
+use upstream::service::{FleetShape, ServiceDirectory, SettingsFactory};
 
 /// A task that builds the service directory from the current configuration.
 pub(crate) struct DirectoryTask {
@@ -26,16 +26,19 @@
     pub(crate) async fn run(mut self) {
         let mut members = self.members.watch();
         let mut records: Arc<BTreeMap<ids::ServiceId, VersionedRecord>> = Arc::default();
-        let mut size = FleetSize { nodes: 0, local: 0 };
+        let mut shape = FleetShape {
+            nodes: 0,
+            local: Arc::default(),
+        };
         loop {
             let snapshot = self.snapshots.borrow_and_update().clone();
-            let current_size = fleet_size(&members.borrow_and_update());
+            let current_shape = fleet_shape(&members.borrow_and_update());
             let directory = Arc::clone(&self.directory.borrow());
             let config_changed = directory.config.generation != snapshot.config.generation;
-            if config_changed || size != current_size {
-                size = current_size;
+            if config_changed || shape != current_shape {
+                shape = current_shape;
                 let next = directory
-                    .apply_config(snapshot.config, &self.settings_factory, size)
+                    .apply_config(snapshot.config, &self.settings_factory, shape.clone())
                     .await;
                 self.metrics.set_generation(next.config.generation.get());
                 self.directory.send_replace(Arc::new(next));
@@ -62,10 +65,11 @@
     }
 }
 
-/// Number of nodes in the fleet and in this node's data centre, according to the member table.
-pub(crate) fn fleet_size(table: &MemberTable) -> FleetSize {
-    FleetSize {
+/// The nodes of the fleet and of this node's data centre, according to the member table. Those
+/// that do not respond are included: they may still reach the upstreams.
+pub(crate) fn fleet_shape(table: &MemberTable) -> FleetShape {
+    FleetShape {
         nodes: table.len(),
-        local: table.local_len(),
+        local: table.local_nodes().into(),
     }
 }
--- a/bins/entry/src/gateway.rs
+++ b/bins/entry/src/gateway.rs
@@ -13,6 +13,7 @@
 use node::keys::{FleetCa, NodeKeys};
 use node::replica::{FleetSource, NodeUpdate, ReplicaFleet, ReplicaSettings};
 use policy::membership::Member;
+use policy::service::Placement;
 use policy::stop::StopSchedule;
 use telemetry::metrics::NodeMetrics;
 use tokio::sync::{mpsc, watch};
@@ -64,6 +65,8 @@
     pub caller_headers: CallerHeaders,
     /// Names of the headers exchanged with upstreams.
     pub upstream_headers: UpstreamHeaders,
+    /// How the upstreams that the node prefers are selected.
+    pub placement: Placement,
     /// Maximum number of open connections from callers.
     pub connections_max: usize,
     /// How long a stopping node still accepts connections, until the load balancer has
@@ -231,6 +234,7 @@
     let node = settings.node.clone();
     let data_centre = settings.data_centre.clone();
     let headers = Arc::new(settings.upstream_headers.clone());
+    let placement = settings.placement;
     let fleet = fleet.clone();
     Arc::new(move |service| {
         let (signal_fleet, load_fleet, retry_fleet) = (fleet.clone(), fleet.clone(), fleet.clone());
@@ -251,6 +255,7 @@
             limits: permits::limit_sink(&fleet.limits),
             permits: permits::permit_source(&fleet.limits, &metrics),
             headers: Arc::clone(&headers),
+            placement,
         }
     })
 }
--- a/bins/entry/src/replica_directory.rs
+++ b/bins/entry/src/replica_directory.rs
@@ -7,9 +7,9 @@
 use node::replica::{ReplicaFleet, ReplicaSnapshot};
 use telemetry::metrics::NodeMetrics;
 use tokio::sync::watch;
-use upstream::service::{FleetSize, ServiceDirectory, SettingsFactory};
+use upstream::service::{FleetShape, ServiceDirectory, SettingsFactory};
 
-use crate::directory::fleet_size;
+use crate::directory::fleet_shape;
 
 /// A task that builds the service directory and the caller limits from the snapshots of
 /// routes and upstreams.
@@ -26,10 +26,10 @@
     pub(crate) async fn run(self) {
         let mut snapshots = self.fleet.replica.watch();
         let mut members = self.fleet.members.watch();
-        let mut size = fleet_size(&members.borrow_and_update());
+        let mut shape = fleet_shape(&members.borrow_and_update());
         loop {
             let snapshot = snapshots.borrow_and_update().clone();
-            self.apply_snapshot(&snapshot, size).await;
+            self.apply_snapshot(&snapshot, &shape).await;
             loop {
                 tokio::select! {
                     changed = snapshots.changed() => match changed {
@@ -38,18 +38,18 @@
                     },
                     changed = members.changed() => if changed.is_err() { return },
                 }
-                let new_size = fleet_size(&members.borrow_and_update());
-                if new_size != size {
-                    size = new_size;
+                let new_shape = fleet_shape(&members.borrow_and_update());
+                if new_shape != shape {
+                    shape = new_shape;
                     let directory = Arc::clone(&self.directory.borrow());
-                    directory.set_fleet_size(size).await;
+                    directory.set_fleet_shape(&shape).await;
                 }
             }
         }
     }
 
     /// Does nothing until both snapshots have arrived.
-    async fn apply_snapshot(&self, snapshot: &ReplicaSnapshot, size: FleetSize) {
+    async fn apply_snapshot(&self, snapshot: &ReplicaSnapshot, shape: &FleetShape) {
         let (Some(routes), Some(upstreams)) = (&snapshot.routes, &snapshot.upstreams) else {
             return;
         };
@@ -61,7 +61,7 @@
         let config = Arc::new(config);
         let current = Arc::clone(&self.directory.borrow());
         let next = current
-            .apply_config(config, &self.settings_factory, size)
+            .apply_config(config, &self.settings_factory, shape.clone())
             .await;
         self.metrics.set_generation(next.config.generation.get());
         self.directory.send_replace(Arc::new(next));
--- a/bins/entry/src/server.rs
+++ b/bins/entry/src/server.rs
@@ -14,6 +14,7 @@
 use policy::detection::{Verdict, VerdictChange};
 use policy::membership::Member;
 use policy::permit::LimitRecord;
+use policy::service::Placement;
 use policy::stop::StopSchedule;
 use telemetry::metrics::NodeMetrics;
 use tokio::sync::{mpsc, watch};
@@ -260,6 +261,7 @@
             limits: permits::limit_sink(&fleet.limits),
             permits: permits::permit_source(&fleet.limits, &metrics),
             headers: Arc::default(),
+            placement: Placement::Hashed,
         }
     })
 }
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -176,6 +176,13 @@
             .count()
     }
 
+    /// The names of the members in this node's data centre, including this node, sorted.
+    pub fn local_nodes(&self) -> Vec<ids::NodeId> {
+        let members = self.members.values();
+        let local = members.filter(|member| member.data_centre == self.own.data_centre);
+        local.map(|member| member.node.clone()).collect()
+    }
+
     /// Whether no other node is known.
     pub fn is_empty(&self) -> bool {
         self.members.len() <= 1
--- a/crates/policy/src/service/balancer/admission.rs
+++ b/crates/policy/src/service/balancer/admission.rs
@@ -21,6 +21,7 @@
     pub fn admit(&mut self, now: Instant, request: &AttemptRequest) -> Admission {
         if request.purpose == AttemptPurpose::First {
             self.budget.deposit();
+            self.demand.count(now);
             self.late_share
                 .count_request(now, f64::from(self.fleet_nodes));
             self.add_offer_credit();
@@ -111,6 +112,7 @@
             &untried,
             &self.local_data_centre,
             explores,
+            choose::CandidateTiers::of(self.placement),
             width,
             |entry| entry.load_per_slot(now, usual_latency),
             &mut self.rng,
--- a/crates/policy/src/service/balancer/mod.rs
+++ b/crates/policy/src/service/balancer/mod.rs
@@ -26,6 +26,8 @@
 use self::instance_pauses::InstancePauses;
 use self::remembered::RememberedUpstreams;
 use super::entry::{UpstreamEntry, UpstreamView};
+use super::placement::Placement;
+use super::width::{NodeDemand, RequestDemand};
 use crate::detection::{self, DetectionThresholds};
 use crate::limit;
 use crate::office::OfficeGrant;
@@ -171,6 +173,10 @@
     offer_credit: f64,
     /// Probability that a request prefers the upstreams of this node's data centre.
     local_share: f64,
+    /// Requests of this node.
+    demand: RequestDemand,
+    /// How the upstreams are selected that this node prefers.
+    placement: Placement,
     rng: SmallRng,
 }
 
@@ -205,6 +211,8 @@
             local_node_share: 1.0,
             offer_credit: 0.0,
             local_share: 1.0,
+            demand: RequestDemand::new(now),
+            placement: Placement::Hashed,
             rng: SmallRng::seed_from_u64(seed),
         };
         balancer.configure(now, service);
@@ -445,6 +453,14 @@
         views.map(|view| (view.upstream.clone(), view)).collect()
     }
 
+    /// What this node sends to the service.
+    pub fn demand(&self, now: Instant) -> NodeDemand {
+        NodeDemand {
+            rate: self.demand.rate(now),
+            latency: self.estimate.median(),
+        }
+    }
+
     /// Number of requests in flight from this node, over all upstreams.
     pub fn in_flight(&self) -> usize {
         self.attempts.len()
--- a/crates/policy/src/service/balancer/updates.rs
+++ b/crates/policy/src/service/balancer/updates.rs
@@ -14,6 +14,7 @@
 use crate::detection::{self, DetectionThresholds};
 use crate::ejection;
 use crate::service::entry::{DrainState, UpstreamEntry, UpstreamStatus};
+use crate::service::placement::Placement;
 
 /// Factor by which the load of a data centre's upstreams may exceed their share, so that
 /// requests stay local.
@@ -47,6 +48,8 @@
             return;
         }
         let mut entry = UpstreamEntry::new(now, upstream, self.thresholds.eject);
+        // Until it is assigned, a new upstream would be the first choice of all nodes.
+        entry.in_subset = self.placement == Placement::Hashed;
         if let Some(stated) = self.remembered.take(&id) {
             entry.restore(now, stated, self.draw_return_turn());
         }
@@ -97,11 +100,21 @@
             (slot_share / share.max(f64::MIN_POSITIVE) * LOCAL_EXCESS_FACTOR).min(1.0);
     }
 
-    /// Sets the subset of upstreams that this node prefers.
-    pub fn set_subset(&mut self, subset: &BTreeSet<ids::UpstreamId>) {
+    /// Sets how the upstreams are selected that this node prefers.
+    pub const fn set_placement(&mut self, placement: Placement) {
+        self.placement = placement;
+    }
+
+    /// Sets the subset of upstreams that this node prefers; returns how many upstreams it gained
+    /// or lost.
+    pub fn set_subset(&mut self, subset: &BTreeSet<ids::UpstreamId>) -> usize {
+        let mut changed = 0;
         for entry in self.upstreams.values_mut() {
-            entry.in_subset = subset.contains(&entry.upstream.id);
+            let in_subset = subset.contains(&entry.upstream.id);
+            changed += usize::from(entry.in_subset != in_subset);
+            entry.in_subset = in_subset;
         }
+        changed
     }
 
     /// Applies the median latency published by the service's collector.
--- a/crates/policy/src/service/choose.rs
+++ b/crates/policy/src/service/choose.rs
@@ -5,6 +5,7 @@
 use tokio::time::Instant;
 
 use super::entry::{UpstreamEntry, UpstreamStatus};
+use super::placement::Placement;
 
 /// One repeatable request in this many ignores the preference for the local data centre,
 /// so that nodes learn about remote upstreams.
@@ -21,13 +22,36 @@
     All,
 }
 
+/// Whether an upstream belongs to a group of candidates of a node in a data centre.
+type CandidateTier = fn(&UpstreamEntry, &ids::DataCentreId) -> bool;
+
 /// Groups of candidates, in order of preference.
-const TIERS: [fn(&UpstreamEntry, &ids::DataCentreId) -> bool; 4] = [
-    |entry, local| is_healthy(entry) && entry.in_subset && is_local(entry, local),
-    |entry, _| is_healthy(entry) && entry.in_subset,
-    |entry, _| is_healthy(entry),
-    |entry, _| entry.status() == UpstreamStatus::Avoided,
-];
+#[derive(Debug, Clone, Copy)]
+pub(super) struct CandidateTiers {
+    local: &'static [CandidateTier],
+    any: &'static [CandidateTier],
+}
+
+impl CandidateTiers {
+    /// An assigned subset is narrow, so that another local upstream is better than a remote one
+    /// when the subset is full: a new connection costs less than the way to it.
+    pub(super) const fn of(placement: Placement) -> Self {
+        let any: &[CandidateTier] = &[
+            |entry, _| is_healthy(entry) && entry.in_subset,
+            |entry, _| is_healthy(entry),
+            |entry, _| entry.status() == UpstreamStatus::Avoided,
+        ];
+        let local: &[CandidateTier] = &[
+            |entry, local| is_healthy(entry) && entry.in_subset && is_local(entry, local),
+            |entry, local| is_healthy(entry) && is_local(entry, local),
+        ];
+        let local = match placement {
+            Placement::Hashed => local.split_at(1).0,
+            Placement::Assigned => local,
+        };
+        Self { local, any }
+    }
+}
 
 /// Draws whether a request ignores the preference for the local data centre.
 pub(super) fn draw_exploration(repeatable: bool, rng: &mut impl Rng) -> bool {
@@ -35,17 +59,19 @@
 }
 
 /// Picks an upstream with room from the first group that has one; `explores` skips the
-/// group of local upstreams. `load` gives the load that is compared.
+/// groups of local upstreams. `load` gives the load that is compared.
 pub(super) fn pick<'a, K: Copy>(
     upstreams: &(impl Iterator<Item = (K, &'a UpstreamEntry)> + Clone),
     local_data_centre: &ids::DataCentreId,
     explores: bool,
+    tiers: CandidateTiers,
     width: ChoiceWidth,
     load: impl Fn(&UpstreamEntry) -> f64,
     rng: &mut impl Rng,
 ) -> Option<K> {
-    let first_tier = usize::from(explores);
-    TIERS[first_tier..].iter().find_map(|tier| {
+    let local_tiers = if explores { &[] } else { tiers.local };
+    let mut tiers = local_tiers.iter().chain(tiers.any);
+    tiers.find_map(|tier| {
         let candidates: Vec<_> = upstreams
             .clone()
             .filter(|(_, entry)| tier(entry, local_data_centre))
--- a/crates/policy/src/service/mod.rs
+++ b/crates/policy/src/service/mod.rs
@@ -1,15 +1,21 @@
 //! Load balancing of one service at one node.
 
+mod assignment;
 mod balancer;
 mod choose;
 mod entry;
 mod load_totals;
+mod placement;
 mod subset;
+mod width;
 
+pub use assignment::{AssignedUpstream, assign, width_step};
 pub use balancer::{
     Admission, AttemptGrant, AttemptKey, AttemptPurpose, AttemptRequest, LoadReport, OfferCount,
     ServiceBalancer, UpstreamLoad,
 };
 pub use entry::{UpstreamPause, UpstreamStatus, UpstreamView};
 pub use load_totals::LoadTotals;
+pub use placement::{NodeAssignment, Placement};
 pub use subset::{choose_subset, subset_size};
+pub use width::{NodeDemand, SubsetShape, SubsetWidth};
--- a/crates/upstream/src/service/directory.rs
+++ b/crates/upstream/src/service/directory.rs
@@ -6,7 +6,7 @@
 use model::{config, ids};
 use policy::routing::RouteTable;
 
-use super::handle::{FleetSize, ServiceHandle};
+use super::handle::{FleetShape, ServiceHandle};
 use super::task::{self, ServiceSettings};
 
 /// An immutable snapshot of the configuration, its routes and handles to the service tasks.
@@ -41,7 +41,7 @@
         &self,
         fleet: Arc<config::FleetConfig>,
         settings_factory: &SettingsFactory,
-        size: FleetSize,
+        shape: FleetShape,
     ) -> Self {
         let mut handles = BTreeMap::new();
         for (id, service) in &fleet.services {
@@ -55,7 +55,7 @@
                 }
                 None => task::start(settings_factory(id), Arc::clone(service)),
             };
-            handle.set_fleet_size(size).await;
+            handle.set_fleet_shape(shape.clone()).await;
             handles.insert(id.clone(), handle);
         }
         let routes = Arc::new(RouteTable::build(&fleet));
@@ -66,10 +66,10 @@
         }
     }
 
-    /// Tells the task of each service the size of the fleet.
-    pub async fn set_fleet_size(&self, size: FleetSize) {
+    /// Tells the task of each service the nodes of the fleet.
+    pub async fn set_fleet_shape(&self, shape: &FleetShape) {
         for handle in self.handles.values() {
-            handle.set_fleet_size(size).await;
+            handle.set_fleet_shape(shape.clone()).await;
         }
     }
 }
--- a/crates/upstream/src/service/handle.rs
+++ b/crates/upstream/src/service/handle.rs
@@ -60,13 +60,13 @@
     }
 }
 
-/// The number of nodes that send requests to the same upstreams.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct FleetSize {
-    /// Nodes of the whole fleet.
+/// The nodes that send requests to the same upstreams.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FleetShape {
+    /// Number of nodes of the whole fleet.
     pub nodes: usize,
-    /// Nodes of this node's own data centre.
-    pub local: usize,
+    /// Nodes of this node's own data centre, sorted.
+    pub local: Arc<[ids::NodeId]>,
 }
 
 /// A message to the task. The channel is bounded: senders wait while it is full.
@@ -110,7 +110,7 @@
         reachable: bool,
     },
     Configure(Arc<config::Service>),
-    SetFleetSize(FleetSize),
+    SetFleetShape(FleetShape),
     Signal(SuspicionSignal),
     DataCentreLoad(UpstreamLoad),
     Limit {
@@ -342,9 +342,9 @@
         self.send(ServiceCommand::Configure(service)).await;
     }
 
-    /// Sends the current number of nodes.
-    pub async fn set_fleet_size(&self, size: FleetSize) {
-        self.send(ServiceCommand::SetFleetSize(size)).await;
+    /// Sends the current nodes.
+    pub async fn set_fleet_shape(&self, shape: FleetShape) {
+        self.send(ServiceCommand::SetFleetShape(shape)).await;
     }
 
     /// Reports how many requests the data centre has in flight at an upstream.
--- a/crates/upstream/src/service/mod.rs
+++ b/crates/upstream/src/service/mod.rs
@@ -4,11 +4,12 @@
 mod handle;
 mod permit_source;
 mod retry_tokens;
+mod subset_selection;
 mod task;
 
 pub use directory::{ServiceDirectory, SettingsFactory};
 pub use handle::{
-    AdmissionError, AttemptLease, FleetSize, OutpacedFlag, ServiceHandle, WorkspacePermit,
+    AdmissionError, AttemptLease, FleetShape, OutpacedFlag, ServiceHandle, WorkspacePermit,
 };
 pub use permit_source::{PermitFuture, PermitOffer, PermitSource};
 pub use retry_tokens::{RetryTokenFuture, RetryTokenSource};
--- a/crates/upstream/src/service/task.rs
+++ b/crates/upstream/src/service/task.rs
@@ -12,18 +12,19 @@
 use policy::permit::{LimitReport, LimitSignal, PermitDraw};
 use policy::retry::RetryRefusal;
 use policy::service::{
-    self, Admission, AttemptGrant, AttemptKey, AttemptRequest, LoadReport, ServiceBalancer,
+    Admission, AttemptGrant, AttemptKey, AttemptRequest, LoadReport, Placement, ServiceBalancer,
 };
 use policy::suspicion::SuspicionSignal;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{self, Instant};
 
 use super::handle::{
-    AdmissionError, AttemptLease, FleetSize, LeaseRefusal, OutpacedFlag, RequestEvent,
+    AdmissionError, AttemptLease, FleetShape, LeaseRefusal, OutpacedFlag, RequestEvent,
     ServiceCommand, ServiceHandle,
 };
 use super::permit_source::PermitSource;
 use super::retry_tokens::RetryTokenSource;
+use super::subset_selection::SubsetSelection;
 use crate::pool::ConnectionPool;
 use crate::wire::UpstreamHeaders;
 
@@ -79,6 +80,8 @@
     pub permits: PermitSource,
     /// The names of the headers that the service and its upstreams exchange.
     pub headers: Arc<UpstreamHeaders>,
+    /// How the upstreams that the node prefers are selected.
+    pub placement: Placement,
 }
 
 type LeaseReply = oneshot::Sender<Result<AttemptLease, LeaseRefusal>>;
@@ -101,9 +104,8 @@
     queue: RequestQueue<PendingRequest>,
     pools: HashMap<SocketAddr, ConnectionPool>,
     events: mpsc::UnboundedSender<RequestEvent>,
-    size: FleetSize,
-    /// The size of the subset of upstreams in use; `None` before the first one is selected.
-    subset_size: Option<usize>,
+    shape: FleetShape,
+    subset: SubsetSelection,
     /// Time within which nearly all requests end, for the handles.
     slow_latency: watch::Sender<Option<Duration>>,
     /// Whether too many upstreams of the data centre were without requests at the last tick.
@@ -116,8 +118,11 @@
     let (events, event_inbox) = mpsc::unbounded_channel();
     let queue = RequestQueue::new(service.queue);
     let now = Instant::now();
-    let balancer = ServiceBalancer::new(now, service, settings.data_centre.clone(), settings.seed);
+    let mut balancer =
+        ServiceBalancer::new(now, service, settings.data_centre.clone(), settings.seed);
+    balancer.set_placement(settings.placement);
     let pools = HashMap::new();
+    let (node, placement) = (settings.node.clone(), settings.placement);
     let headers = Arc::clone(&settings.headers);
     let retry_tokens = settings.retry_tokens.clone();
     let permits = settings.permits.clone();
@@ -128,8 +133,11 @@
         queue,
         pools,
         events: events.clone(),
-        size: FleetSize { nodes: 1, local: 1 },
-        subset_size: None,
+        shape: FleetShape {
+            nodes: 1,
+            local: Arc::new([node]),
+        },
+        subset: SubsetSelection::new(now, placement),
         slow_latency: latency_sender,
         under_floor: false,
     };
@@ -168,6 +176,9 @@
                     last_load_report = Instant::now();
                     (self.settings.loads)(self.balancer.take_load_report());
                 }
+                () = time::sleep_until(self.subset.due_at()), if self.subset.is_outdated() => {
+                    self.select_subset();
+                }
                 () = time::sleep_until(self.next_tick(last_tick)), if self.needs_tick() => {
                     self.tick();
                     last_tick = Instant::now();
@@ -195,7 +206,7 @@
     }
 
     fn load_report_interval(&self) -> Duration {
-        LOAD_REPORT_INTERVAL_PER_NODE * u32::try_from(self.size.local).unwrap_or(u32::MAX)
+        LOAD_REPORT_INTERVAL_PER_NODE * count(self.shape.local.len())
     }
 
     /// When the next tick is due: at a fixed interval, or for a service whose nodes
@@ -224,6 +235,7 @@
         if let Some(report) = self.balancer.tick(now) {
             (self.settings.evidence)(report);
         }
+        self.select_subset();
         self.log_unoffered(now);
         self.admit_queued();
     }
@@ -329,7 +341,7 @@
                 self.balancer.record_outcome(now, &upstream, reachable);
             }
             ServiceCommand::Configure(service) => self.configure(now, service),
-            ServiceCommand::SetFleetSize(size) => self.set_fleet_size(size),
+            ServiceCommand::SetFleetShape(shape) => self.set_fleet_shape(shape),
             ServiceCommand::DataCentreLoad(load) => {
                 self.balancer.apply_data_centre_load(now, &load);
             }
@@ -350,32 +362,27 @@
     fn configure(&mut self, now: Instant, service: Arc<config::Service>) {
         self.balancer.configure(now, service);
         self.sync_pools();
-        self.subset_size = None;
-        self.set_fleet_size(self.size);
+        self.subset.mark_outdated();
+        self.set_fleet_shape(self.shape.clone());
     }
 
-    fn set_fleet_size(&mut self, size: FleetSize) {
-        self.size = size;
-        let FleetSize { nodes, local } = size;
-        let count = |nodes| u32::try_from(nodes).unwrap_or(u32::MAX);
-        self.balancer.set_fleet_size(count(nodes));
-        let local_share = f64::from(count(local)) / f64::from(count(nodes).max(1));
-        self.balancer.set_local_node_share(local_share);
-        self.select_subset(nodes);
+    fn set_fleet_shape(&mut self, shape: FleetShape) {
+        let (nodes, local) = (count(shape.nodes), count(shape.local.len()));
+        self.balancer.set_fleet_size(nodes);
+        self.balancer
+            .set_local_node_share(f64::from(local) / f64::from(nodes.max(1)));
+        self.subset.set_shape(&shape);
+        self.shape = shape;
+        self.select_subset();
     }
 
-    /// Selects the subset of upstreams that this node prefers, if its size changed.
-    fn select_subset(&mut self, nodes: usize) {
-        let service = self.balancer.service();
-        let size = service::subset_size(service.upstreams.len(), nodes);
-        if self.subset_size.replace(size) == Some(size) {
-            return;
-        }
+    /// Selects the subset of upstreams that this node prefers, if it may have changed.
+    fn select_subset(&mut self) {
         let ServiceSettings {
             node, data_centre, ..
         } = &self.settings;
-        let subset = service::choose_subset(node, data_centre, service, nodes);
-        self.balancer.set_subset(&subset);
+        self.subset
+            .update(Instant::now(), node, data_centre, &mut self.balancer);
     }
 
     /// Drops the connection pools of upstreams that are no longer active, which closes their
@@ -506,3 +513,7 @@
         }
     }
 }
+
+fn count(nodes: usize) -> u32 {
+    u32::try_from(nodes).unwrap_or(u32::MAX)
+}
