feat(policy): choice that does not follow old loads, for assigned upstreams

Cause: totals of requests in flight are some 250 ms old. Nodes that compare all upstreams by them select the same one, and a node subtracted its newest report from a total that did not contain it yet.

Change: a total is taken less this node's report at the time it arrives. With `Placement::Assigned` all upstreams of the subset are compared: the share of a total that has ended by now is replaced by the mean, own requests count twice, and an upstream where this node's connection is idle counts one less.

--- a/crates/policy/src/service/balancer/admission.rs
+++ b/crates/policy/src/service/balancer/admission.rs
@@ -15,6 +15,7 @@
 use crate::retry;
 use crate::service::choose::{self, ChoiceWidth};
 use crate::service::entry::UpstreamStatus;
+use crate::service::measure::LoadMeasure;
 
 impl ServiceBalancer {
     /// Decides whether an attempt may be sent now, and to which upstream.
@@ -101,7 +102,10 @@
         }
         let skips_local = !rand::Rng::random_bool(&mut self.rng, self.local_share);
         let explores = skips_local || choose::draw_exploration(request.repeatable, &mut self.rng);
-        let width = if self.shares_signals() {
+        let kept_share = self.kept_load_share(now);
+        let width = if kept_share.is_some() {
+            ChoiceWidth::All
+        } else if self.shares_signals() {
             self.shared_load_width()
         } else {
             ChoiceWidth::Two
@@ -114,7 +118,11 @@
             explores,
             choose::CandidateTiers::of(self.placement),
             width,
-            |entry| entry.load_per_slot(now, usual_latency),
+            &LoadMeasure {
+                now,
+                usual_latency,
+                kept_share,
+            },
             &mut self.rng,
         )
     }
--- a/crates/policy/src/service/balancer/loads.rs
+++ b/crates/policy/src/service/balancer/loads.rs
@@ -42,7 +42,7 @@
     }
 }
 
-/// Requests of a data centre in flight at one upstream, including this node's own.
+/// Requests of the other nodes of a data centre in flight at one upstream.
 #[derive(Debug, Clone, Copy)]
 pub(in crate::service) struct DataCentreLoad {
     in_flight: u32,
@@ -50,13 +50,12 @@
 }
 
 impl DataCentreLoad {
-    /// Requests in flight from the other nodes; `own` is this node's part of the sum, and
-    /// an expired sum counts as zero.
-    pub(in crate::service) fn of_other_nodes(self, now: Instant, own: u32) -> u32 {
+    /// Requests in flight from the other nodes; an expired count is zero.
+    pub(in crate::service) fn of_other_nodes(self, now: Instant) -> u32 {
         if now.saturating_duration_since(self.at) >= LOAD_TTL {
             return 0;
         }
-        self.in_flight.saturating_sub(own)
+        self.in_flight
     }
 }
 
@@ -68,10 +67,12 @@
         };
         let entry = &mut self.upstreams[key];
         let before = entry.in_flight_of_other_nodes(now);
+        // The sum contains what this node had reported by now. A later report is not in it.
         entry.data_centre_load = Some(DataCentreLoad {
-            in_flight: load.in_flight,
+            in_flight: load.in_flight.saturating_sub(entry.reported_in_flight),
             at: now,
         });
+        self.loads_at = now;
         let after = entry.in_flight_of_other_nodes(now);
         if after < before || (before == 0 && entry.in_flight == 0) {
             entry.progress_at = now;
--- a/crates/policy/src/service/balancer/mod.rs
+++ b/crates/policy/src/service/balancer/mod.rs
@@ -173,6 +173,8 @@
     offer_credit: f64,
     /// Probability that a request prefers the upstreams of this node's data centre.
     local_share: f64,
+    /// When requests of the data centre were last reported.
+    loads_at: Instant,
     /// Requests of this node.
     demand: RequestDemand,
     /// How the upstreams are selected that this node prefers.
@@ -211,6 +213,7 @@
             local_node_share: 1.0,
             offer_credit: 0.0,
             local_share: 1.0,
+            loads_at: now,
             demand: RequestDemand::new(now),
             placement: Placement::Hashed,
             rng: SmallRng::seed_from_u64(seed),
@@ -292,6 +295,7 @@
         match end {
             AttemptEnd::Answered => {
                 entry.progress_at = now;
+                entry.own_answer_at = Some(now);
                 entry.limit.on_success(attempt.in_flight_before);
                 self.estimate.observe(latency);
                 self.latency_sample = Some(latency);
--- a/crates/policy/src/service/balancer/offers.rs
+++ b/crates/policy/src/service/balancer/offers.rs
@@ -14,6 +14,7 @@
 use super::{AttemptPurpose, AttemptRequest, ServiceBalancer, UpstreamKey};
 use crate::service::choose::ChoiceWidth;
 use crate::service::entry::UpstreamEntry;
+use crate::service::placement::Placement;
 
 /// An upstream is in service if it gets a request within this time.
 pub(in crate::service) const OFFER_WINDOW: Duration = Duration::from_secs(2);
@@ -195,6 +196,19 @@
         }
     }
 
+    /// The share of the requests in the last totals that are still in flight; `None` if the totals
+    /// are compared as they are.
+    pub(super) fn kept_load_share(&self, now: Instant) -> Option<f64> {
+        if self.placement == Placement::Hashed || !self.shares_signals() {
+            return None;
+        }
+        let age =
+            now.saturating_duration_since(self.loads_at) + self.load_delay(LOAD_DELAY_PER_NODE);
+        let latency = self.estimate.median().unwrap_or(LOAD_AGE_MAX);
+        let usual_ends = age.as_secs_f64() / latency.as_secs_f64().max(f64::MIN_POSITIVE);
+        Some((-usual_ends).exp())
+    }
+
     /// A delay that grows with the nodes of this data centre.
     fn load_delay(&self, per_node: Duration) -> Duration {
         per_node.mul_f64(f64::from(self.fleet_nodes) * self.local_node_share)
--- a/crates/policy/src/service/choose.rs
+++ b/crates/policy/src/service/choose.rs
@@ -5,6 +5,7 @@
 use tokio::time::Instant;
 
 use super::entry::{UpstreamEntry, UpstreamStatus};
+use super::measure::LoadMeasure;
 use super::placement::Placement;
 
 /// One repeatable request in this many ignores the preference for the local data centre,
@@ -66,7 +67,7 @@
     explores: bool,
     tiers: CandidateTiers,
     width: ChoiceWidth,
-    load: impl Fn(&UpstreamEntry) -> f64,
+    measure: &LoadMeasure,
     rng: &mut impl Rng,
 ) -> Option<K> {
     let local_tiers = if explores { &[] } else { tiers.local };
@@ -80,9 +81,11 @@
             .into_iter()
             .filter(|(_, entry)| entry.has_room())
             .collect();
+        let mean = measure.mean_of_others(with_room.iter().map(|(_, entry)| *entry));
+        let load = |entry: &UpstreamEntry| measure.load(entry, mean);
         match width {
-            ChoiceWidth::Two => less_loaded_of_two(&with_room, &load, rng),
-            ChoiceWidth::All => least_loaded(&with_room, &load, rng),
+            ChoiceWidth::Two => less_loaded_of_two(&with_room, load, rng),
+            ChoiceWidth::All => least_loaded(&with_room, load, rng),
         }
     })
 }
--- a/crates/policy/src/service/entry.rs
+++ b/crates/policy/src/service/entry.rs
@@ -128,6 +128,8 @@
     /// Time of the last response, or of the first request in flight after none was; of this
     /// data centre's requests.
     pub(super) progress_at: Instant,
+    /// Time of the last response to this node.
+    pub(super) own_answer_at: Option<Instant>,
     /// This node's requests in flight as last reported to the snapshot relay.
     pub(super) reported_in_flight: u32,
     /// How many more reports are to contain that number.
@@ -176,6 +178,7 @@
             last_offer: LastOffer::none(now),
             data_centre_load: None,
             progress_at: now,
+            own_answer_at: None,
             reported_in_flight: 0,
             reports_due: 0,
             known_limit: KnownLimit::none(now),
@@ -280,7 +283,7 @@
     /// Requests in flight from the other nodes of the data centre.
     pub(super) fn in_flight_of_other_nodes(&self, now: Instant) -> u32 {
         self.data_centre_load
-            .map_or(0, |load| load.of_other_nodes(now, self.reported_in_flight))
+            .map_or(0, |load| load.of_other_nodes(now))
     }
 
     /// Starts the ramp of an upstream that returns to service.
@@ -311,13 +314,25 @@
         Some(until.saturating_duration_since(now))
     }
 
-    /// Load per slot, raised by suspicion and during a ramp. The upstream with the lowest
-    /// value is preferred.
+    /// Whether an attempt of this node was answered within `reuse_time` and none is in flight, so
+    /// that its connection is idle.
+    pub(super) fn has_idle_connection(&self, now: Instant, reuse_time: Duration) -> bool {
+        let is_recent = |at| now.saturating_duration_since(at) < reuse_time;
+        self.in_flight == 0 && self.own_answer_at.is_some_and(is_recent)
+    }
+
+    /// Load per slot of so many requests, raised by suspicion and during a ramp. The upstream
+    /// with the lowest value is preferred.
     ///
     /// Each usual latency that passes without a response counts like a further request in
     /// flight; a fraction of one does not, so that many upstreams are equally loaded and
     /// the nodes spread over them.
-    pub(super) fn load_per_slot(&self, now: Instant, usual_latency: Option<Duration>) -> f64 {
+    pub(super) fn load_per_slot(
+        &self,
+        now: Instant,
+        requests: f64,
+        usual_latency: Option<Duration>,
+    ) -> f64 {
         let slots = f64::from(self.upstream.slots.get()).max(1.0);
         let in_flight = self.in_flight + self.in_flight_of_other_nodes(now);
         let stalled = usual_latency
@@ -326,7 +341,7 @@
                 let waiting = now.saturating_duration_since(self.progress_at);
                 (waiting.as_secs_f64() / usual.as_secs_f64()).floor()
             });
-        let requests = (f64::from(in_flight) + stalled + 1.0) / slots;
+        let requests = (requests + stalled + 1.0) / slots;
         let healthy_probability = self
             .suspicion
             .map_or(1.0, |suspicion| 1.0 - suspicion.score.probability(now));
--- a/crates/policy/src/service/mod.rs
+++ b/crates/policy/src/service/mod.rs
@@ -5,6 +5,7 @@
 mod choose;
 mod entry;
 mod load_totals;
+mod measure;
 mod placement;
 mod subset;
 mod width;
