--- a/crates/policy/src/service/balancer/offers.rs
+++ b/crates/policy/src/service/balancer/offers.rs
@@ -24,12 +24,12 @@
 /// arrives.
 const OFFER_INTERVAL: Duration = Duration::from_millis(1_800);
 /// Share of a data centre's upstreams that may be without an offer while only as many are suspect
-/// as gray-failure episodes explain. Half of what the capacity floor allows: a group of few
+/// as gray-failure episodes explain. Two thirds of what the capacity floor allows: a group of few
 /// upstreams deviates from the mean.
-const CALM_UNOFFERED_SHARE: f64 = 0.15;
+const CALM_UNOFFERED_SHARE: f64 = 0.2;
 /// Share of suspect upstreams beyond which other faults are likely, and all of them get offers at
 /// the usual interval.
-const CALM_SUSPECT_SHARE: f64 = 0.3;
+const CALM_SUSPECT_SHARE: f64 = 0.4;
 /// Longest interval between two offers to a suspect upstream. Suspicion without news ends within
 /// about this time, too.
 const CALM_OFFER_INTERVAL_MAX: Duration = Duration::from_secs(8);
