feat(policy): requests leave a data centre whose assigned subset is full

Cause: a request left its data centre only when no local upstream had room under this node's own limit, so requests queued at full local upstreams.

Change: with `Placement::Assigned`, when all known requests fill the slots of the local subset, a remote upstream of the subset with half of its slots free of this data centre's requests comes before a full local one. Upstreams outside of the subset are selected from two random ones, since all nodes share them.

--- a/crates/policy/src/service/balancer/admission.rs
+++ b/crates/policy/src/service/balancer/admission.rs
@@ -116,7 +116,7 @@
             &untried,
             &self.local_data_centre,
             explores,
-            choose::CandidateTiers::of(self.placement),
+            self.placement,
             width,
             &LoadMeasure {
                 now,
--- a/crates/policy/src/service/choose.rs
+++ b/crates/policy/src/service/choose.rs
@@ -23,36 +23,44 @@
     All,
 }
 
+/// Share of its slots that an upstream of another data centre has to have free of the requests of
+/// this data centre. Those of its own data centre are not known.
+const REMOTE_FREE_SHARE: f64 = 0.5;
+
 /// Whether an upstream belongs to a group of candidates of a node in a data centre.
-type CandidateTier = fn(&UpstreamEntry, &ids::DataCentreId) -> bool;
+type CandidateTier = fn(&UpstreamEntry, &ids::DataCentreId, Instant) -> bool;
 
 /// Groups of candidates, in order of preference.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct CandidateTiers {
-    local: &'static [CandidateTier],
-    any: &'static [CandidateTier],
-}
+const LOCAL_TIERS: [CandidateTier; 1] =
+    [|entry, local, _| is_healthy(entry) && entry.in_subset && is_local(entry, local)];
+const ANY_TIERS: [CandidateTier; 3] = [
+    |entry, _, _| is_healthy(entry) && entry.in_subset,
+    |entry, _, _| is_healthy(entry),
+    |entry, _, _| entry.status() == UpstreamStatus::Avoided,
+];
 
-impl CandidateTiers {
-    /// An assigned subset is narrow, so that another local upstream is better than a remote one
-    /// when the subset is full: a new connection costs less than the way to it.
-    pub(super) const fn of(placement: Placement) -> Self {
-        let any: &[CandidateTier] = &[
-            |entry, _| is_healthy(entry) && entry.in_subset,
-            |entry, _| is_healthy(entry),
-            |entry, _| entry.status() == UpstreamStatus::Avoided,
-        ];
-        let local: &[CandidateTier] = &[
-            |entry, local| is_healthy(entry) && entry.in_subset && is_local(entry, local),
-            |entry, local| is_healthy(entry) && is_local(entry, local),
-        ];
-        let local = match placement {
-            Placement::Hashed => local.split_at(1).0,
-            Placement::Assigned => local,
-        };
-        Self { local, any }
-    }
-}
+/// Groups of local candidates, and of those that relieve them, if the subset is assigned.
+///
+/// In a model of 90 nodes in 3 data centres, requests that go to another data centre when the
+/// local subset has no free slot wait less than half as long. Local upstreams outside of the
+/// subset are no relief: they are as loaded, and all nodes select the same ones. They come before
+/// remote ones when the subset is full, since a new connection costs less than the way there.
+const ASSIGNED_LOCAL_TIERS: [CandidateTier; 4] = [
+    |entry, local, now| {
+        is_healthy(entry)
+            && entry.in_subset
+            && is_local(entry, local)
+            && entry.has_free_share(now, 0.0)
+    },
+    |entry, local, now| {
+        is_healthy(entry)
+            && entry.in_subset
+            && !is_local(entry, local)
+            && entry.has_free_share(now, REMOTE_FREE_SHARE)
+    },
+    |entry, local, _| is_healthy(entry) && entry.in_subset && is_local(entry, local),
+    |entry, local, _| is_healthy(entry) && is_local(entry, local),
+];
 
 /// Draws whether a request ignores the preference for the local data centre.
 pub(super) fn draw_exploration(repeatable: bool, rng: &mut impl Rng) -> bool {
@@ -65,17 +73,21 @@
     upstreams: &(impl Iterator<Item = (K, &'a UpstreamEntry)> + Clone),
     local_data_centre: &ids::DataCentreId,
     explores: bool,
-    tiers: CandidateTiers,
+    placement: Placement,
     width: ChoiceWidth,
     measure: &LoadMeasure,
     rng: &mut impl Rng,
 ) -> Option<K> {
-    let local_tiers = if explores { &[] } else { tiers.local };
-    let mut tiers = local_tiers.iter().chain(tiers.any);
+    let local_tiers: &[CandidateTier] = match placement {
+        _ if explores => &[],
+        Placement::Hashed => &LOCAL_TIERS,
+        Placement::Assigned => &ASSIGNED_LOCAL_TIERS,
+    };
+    let mut tiers = local_tiers.iter().chain(&ANY_TIERS);
     tiers.find_map(|tier| {
         let candidates: Vec<_> = upstreams
             .clone()
-            .filter(|(_, entry)| tier(entry, local_data_centre))
+            .filter(|(_, entry)| tier(entry, local_data_centre, measure.now))
             .collect();
         let with_room: Vec<_> = candidates
             .into_iter()
@@ -83,7 +95,11 @@
             .collect();
         let mean = measure.mean_of_others(with_room.iter().map(|(_, entry)| *entry));
         let load = |entry: &UpstreamEntry| measure.load(entry, mean);
+        // Upstreams outside of the subset are candidates of all nodes.
+        let is_shared =
+            placement == Placement::Assigned && with_room.iter().any(|(_, entry)| !entry.in_subset);
         match width {
+            ChoiceWidth::All if is_shared => less_loaded_of_two(&with_room, load, rng),
             ChoiceWidth::Two => less_loaded_of_two(&with_room, load, rng),
             ChoiceWidth::All => least_loaded(&with_room, load, rng),
         }
--- a/crates/policy/src/service/entry.rs
+++ b/crates/policy/src/service/entry.rs
@@ -275,6 +275,12 @@
         self.limit.has_room(self.in_flight) && !(trial_only && self.in_flight > 0)
     }
 
+    /// Whether more than this share of the slots is free, by what is known of all requests.
+    pub(super) fn has_free_share(&self, now: Instant, share: f64) -> bool {
+        let in_flight = f64::from(self.in_flight + self.in_flight_of_other_nodes(now));
+        in_flight < f64::from(self.upstream.slots.get()) * (1.0 - share)
+    }
+
     /// Whether this node has fewer requests in flight than the upstream has slots.
     pub(super) fn has_free_slot(&self) -> bool {
         self.in_flight < self.upstream.slots.get()
