feat(entry): preferred upstreams and the nodes that share them, on the status page

The status page tells for each upstream whether the node prefers it and how many nodes of the data centre have it; the gauges upstream.preferred and upstream.sharing_nodes and the log part placement tell the same in sum.

--- a/bins/entry/src/ops.rs
+++ b/bins/entry/src/ops.rs
@@ -90,6 +90,8 @@
                     "unoffered": view.unoffered,
                     "rate_limit": view.rate_limit.map(RateLimit::get),
                     "pause_left_s": view.pause.map(|pause| pause.left.as_secs_f64()),
+                    "preferred": view.preferred,
+                    "sharing_nodes": view.sharing_nodes,
                     "pause_age_s": view.pause.map(|pause| pause.age.as_secs_f64()),
                 })
             });
@@ -114,6 +116,12 @@
             self.metrics.set_in_flight(service, in_flight);
             let unoffered = views.values().filter(|view| view.unoffered).count();
             self.metrics.set_unoffered_count(service, unoffered as u64);
+            let preferred = views.values().filter(|view| view.preferred).count();
+            self.metrics.set_preferred_count(service, preferred as u64);
+            let sharing_nodes = views.values().filter_map(|view| view.sharing_nodes);
+            if let Some(most) = sharing_nodes.max() {
+                self.metrics.set_sharing_nodes(service, u64::from(most));
+            }
             let limited = views.values().filter(|view| view.rate_limit.is_some());
             self.metrics
                 .set_rate_limited_count(service, limited.count() as u64);
--- a/crates/policy/src/service/balancer/updates.rs
+++ b/crates/policy/src/service/balancer/updates.rs
@@ -1,6 +1,6 @@
 //! Updates from outside: configuration, verdicts, ejection records, drains and loads.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -105,12 +105,20 @@
         self.placement = placement;
     }
 
-    /// Sets the subset of upstreams that this node prefers; returns how many upstreams it gained
-    /// or lost.
-    pub fn set_subset(&mut self, subset: &BTreeSet<ids::UpstreamId>) -> usize {
+    /// Sets the subset of upstreams that this node prefers.
+    pub fn set_subset(&mut self, subset: &BTreeSet<ids::UpstreamId>) {
+        for entry in self.upstreams.values_mut() {
+            entry.in_subset = subset.contains(&entry.upstream.id);
+        }
+    }
+
+    /// Sets the upstreams that are assigned to this node, each with the number of nodes that have
+    /// it; returns how many the node gained or lost.
+    pub fn set_assigned_subset(&mut self, subset: &BTreeMap<ids::UpstreamId, u32>) -> usize {
         let mut changed = 0;
         for entry in self.upstreams.values_mut() {
-            let in_subset = subset.contains(&entry.upstream.id);
+            entry.sharing_nodes = subset.get(&entry.upstream.id).copied();
+            let in_subset = entry.sharing_nodes.is_some();
             changed += usize::from(entry.in_subset != in_subset);
             entry.in_subset = in_subset;
         }
--- a/crates/policy/src/service/entry.rs
+++ b/crates/policy/src/service/entry.rs
@@ -62,6 +62,11 @@
     pub rate_limit: Option<sizes::RateLimit>,
     /// The pause that it asked for; `None` without one.
     pub pause: Option<UpstreamPause>,
+    /// Whether this node prefers it.
+    pub preferred: bool,
+    /// Nodes of this data centre that prefer it if all have subsets as wide as this node's;
+    /// `None` if it is not assigned to this node.
+    pub sharing_nodes: Option<u32>,
 }
 
 /// A pause that an upstream asked this node for, for the status page.
@@ -99,6 +104,8 @@
     pub(super) in_flight: u32,
     pub(super) limit: limit::AdaptiveLimit,
     pub(super) in_subset: bool,
+    /// Nodes of this data centre to which it is assigned, if it is to this one.
+    pub(super) sharing_nodes: Option<u32>,
     /// Load that the upstream reported, from 0 to 1.
     pub(super) reported_load: f64,
     /// Test over the failures that this node sees itself.
@@ -164,6 +171,7 @@
             upstream,
             in_flight: 0,
             in_subset: true,
+            sharing_nodes: None,
             reported_load: 0.0,
             own_test: detection::SequentialTest::new(score_cap),
             own_avoid_at: None,
@@ -381,6 +389,8 @@
                 age: now.saturating_duration_since(self.pause_asked_at),
                 left,
             }),
+            preferred: self.in_subset,
+            sharing_nodes: self.sharing_nodes,
         }
     }
 }
--- a/crates/policy/src/service/placement.rs
+++ b/crates/policy/src/service/placement.rs
@@ -1,6 +1,6 @@
 //! The upstreams that a node prefers if they are assigned to the nodes.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use model::{config, ids};
 
@@ -23,14 +23,30 @@
     }
 }
 
+/// An upstream that is assigned to a node.
+#[derive(Debug, Clone)]
+struct RankedUpstream {
+    id: ids::UpstreamId,
+    /// The places that it has in the lists of all nodes, sorted.
+    places: Vec<usize>,
+}
+
+impl RankedUpstream {
+    /// Nodes that have the upstream if all have subsets of this width.
+    fn sharing_nodes(&self, width: usize) -> u32 {
+        let count = self.places.partition_point(|place| *place < width);
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+}
+
 /// The upstreams of a service that are assigned to one node, by data centre.
 #[derive(Debug, Clone, Default)]
 pub struct NodeAssignment {
     /// Nodes and upstreams of the node's data centre.
     shape: Option<SubsetShape>,
-    local: Vec<ids::UpstreamId>,
+    local: Vec<RankedUpstream>,
     /// Of each other data centre: the upstreams, and the share of the remote slots.
-    remote: Vec<(f64, Vec<ids::UpstreamId>)>,
+    remote: Vec<(f64, Vec<RankedUpstream>)>,
     /// Maximum width of the subset.
     width_max: usize,
 }
@@ -63,10 +79,23 @@
             return Self::default();
         };
         let width_max = subset::subset_size(service.upstreams.len(), nodes);
-        let assigned_to_node = |upstreams: &[AssignedUpstream<'_>]| -> Vec<ids::UpstreamId> {
+        let assigned_to_node = |upstreams: &[AssignedUpstream<'_>]| -> Vec<RankedUpstream> {
             let assigned = assignment::assign(local_nodes, upstreams, width_max);
-            let own = assigned[own_index].iter();
-            own.map(|index| upstreams[*index].id.clone()).collect()
+            let mut places = vec![Vec::new(); upstreams.len()];
+            for of_node in &assigned {
+                for (place, index) in of_node.iter().enumerate() {
+                    places[*index].push(place);
+                }
+            }
+            let own = assigned[own_index].iter().map(|index| {
+                let mut places = std::mem::take(&mut places[*index]);
+                places.sort_unstable();
+                RankedUpstream {
+                    id: upstreams[*index].id.clone(),
+                    places,
+                }
+            });
+            own.collect()
         };
         let local = by_centre.remove(data_centre).unwrap_or_default();
         let remote_slots: u32 = by_centre.values().map(|ups| slots_of(ups)).sum();
@@ -92,15 +121,20 @@
         self.shape
     }
 
-    /// The node's subset with a given number of local upstreams, if there are as many.
-    pub fn subset(&self, width: usize) -> BTreeSet<ids::UpstreamId> {
+    /// The node's subset with a given number of local upstreams, if there are as many, and the
+    /// number of nodes that have each upstream.
+    pub fn subset(&self, width: usize) -> BTreeMap<ids::UpstreamId, u32> {
         let local_width = width.min(self.width_max).min(self.local.len());
         let missing = width.min(self.width_max) - local_width;
         let remote_width = missing.max(REMOTE_WIDTH_MIN);
-        let mut subset: BTreeSet<_> = self.local[..local_width].iter().cloned().collect();
+        let with_count = |width: usize| {
+            move |upstream: &RankedUpstream| (upstream.id.clone(), upstream.sharing_nodes(width))
+        };
+        let local = self.local[..local_width].iter();
+        let mut subset: BTreeMap<_, _> = local.map(with_count(local_width)).collect();
         for (share, upstreams) in &self.remote {
             let width = width_step(share_of(remote_width, *share)).min(upstreams.len());
-            subset.extend(upstreams[..width].iter().cloned());
+            subset.extend(upstreams[..width].iter().map(with_count(width)));
         }
         subset
     }
--- a/crates/policy/tests/placement/assignment.rs
+++ b/crates/policy/tests/placement/assignment.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeSet;
 
-use gooseberrydyke_policy::service::{AssignedUpstream, assign};
+use gooseberrydyke_policy::service::{AssignedUpstream, NodeAssignment, assign};
 use model::ids::{NodeId, UpstreamId};
 
-use super::common::name;
+use super::common::{CENTRES, name, service};
 
 /// Nodes and upstreams of one data centre in the large deployments, a small one, one with more
 /// nodes than upstreams, and one with few pairs.
@@ -155,3 +155,39 @@
     }
     println!("one assignment takes {:?}", started.elapsed() / 10);
 }
+
+// Operators compare the number of nodes that share an upstream. A node whose data centre lacks
+// upstreams must still have a subset, and a drain must free its place at once.
+#[test]
+fn a_subset_has_local_and_remote_upstreams_that_are_shared_evenly() {
+    let mut nodes = nodes(40);
+    nodes.sort();
+    let mut config = service(90, 4, 0).as_ref().clone();
+    let subset_of = |config: &model::config::Service, centre: &str, width| {
+        let assignment = NodeAssignment::new(&nodes[7], &name(centre), config, &nodes, 120);
+        assignment.subset(width)
+    };
+    let subset = subset_of(&config, CENTRES[0], 6);
+    let is_local = |id: &UpstreamId| {
+        let mut upstreams = config.upstreams.iter();
+        upstreams.any(|up| up.id == *id && up.data_centre.as_str() == CENTRES[0])
+    };
+    let local = subset.iter().filter(|(id, _)| is_local(id));
+    let counts: Vec<u32> = local.map(|(_, count)| *count).collect();
+    assert_eq!(counts.len(), 6);
+    assert!(
+        counts.iter().all(|count| (7..=9).contains(count)),
+        "{counts:?}"
+    );
+    assert_eq!(subset.len(), 10, "4 of other data centres");
+    assert!(subset_of(&config, "elsewhere", 13).len() >= 13);
+    let (drained, _) = subset.first_key_value().unwrap();
+    for upstream in &mut config.upstreams {
+        if upstream.id == *drained {
+            upstream.state = model::config::UpstreamState::Draining;
+        }
+    }
+    let after = subset_of(&config, CENTRES[0], 6);
+    assert!(!after.contains_key(drained));
+    assert_eq!(after.len(), 10);
+}
--- a/crates/policy/tests/placement/choice.rs
+++ b/crates/policy/tests/placement/choice.rs
@@ -232,8 +232,8 @@
         ] {
             let plan = FleetPlan {
                 utilisation,
-                clump,
                 delay,
+                clump,
                 width,
                 ..plan
             };
--- a/crates/policy/tests/placement/chooser.rs
+++ b/crates/policy/tests/placement/chooser.rs
@@ -76,7 +76,7 @@
 /// Decides where the requests of one node go.
 pub(crate) enum Chooser {
     Product(Box<ProductChooser>),
-    Rule(RuleChooser),
+    Rule(Box<RuleChooser>),
 }
 
 pub(crate) struct ProductChooser {
@@ -113,14 +113,14 @@
             .filter(|node| plan.centre_of_node(*node) == plan.centre_of_node(knowledge.node))
             .map(|node| name(&format!("node-{node:03}")))
             .collect();
-        balancer.set_local_node_share(local.len() as f64 / plan.nodes as f64);
+        balancer.set_local_node_share(f64::from(u32::try_from(plan.centres).unwrap()).recip());
         if plan.centres == 1 {
             let subset = knowledge.subset.iter().map(|index| id_of(*index)).collect();
             balancer.set_subset(&subset);
         } else {
             let node = name(&format!("node-{:03}", knowledge.node));
             let assignment = NodeAssignment::new(&node, &centre, &config, &local, plan.nodes);
-            balancer.set_subset(&assignment.subset(knowledge.subset.len()));
+            balancer.set_assigned_subset(&assignment.subset(knowledge.subset.len()));
         }
         Self::Product(Box::new(ProductChooser { started, balancer }))
     }
@@ -128,13 +128,13 @@
     /// A rule over the same subset.
     pub(crate) fn rule(knowledge: &Knowledge, load: LoadRule, compares_two: bool) -> Self {
         let seed = knowledge.plan.seed * 1_000 + knowledge.node as u64;
-        Self::Rule(RuleChooser {
+        Self::Rule(Box::new(RuleChooser {
             upstreams: vec![UpstreamKnowledge::default(); knowledge.plan.upstreams],
             knowledge: knowledge.clone(),
             load,
             compares_two,
             rng: SmallRng::seed_from_u64(seed),
-        })
+        }))
     }
 
     pub(crate) fn choose(&mut self, now: Duration) -> Choice {
--- a/crates/policy/tests/placement/fleet.rs
+++ b/crates/policy/tests/placement/fleet.rs
@@ -80,7 +80,7 @@
 
     /// The width of a node with a share of the requests.
     fn adapted_width(&self, share: f64) -> usize {
-        let shape = SubsetShape {
+        let subset = SubsetShape {
             nodes: self.nodes,
             upstreams: self.upstreams,
             slots: u32::try_from(self.upstreams).unwrap() * self.slots,
@@ -90,7 +90,7 @@
             latency: Some(self.work),
         };
         let mut width = SubsetWidth::default();
-        width.update(Instant::now(), &demand, shape);
+        width.update(Instant::now(), &demand, subset);
         width.get()
     }
 }
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -6,7 +6,7 @@
 use model::error::ErrorKind;
 use model::ids;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::Encoder as _;
 
@@ -15,6 +15,10 @@
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
 ];
 
+/// Descriptions of gauges.
+const PREFERRED: &str = "Upstreams that the node prefers, by service.";
+const SHARING_NODES: &str = "Nodes to which an upstream of the node is assigned, at most.";
+
 /// The instruments of one process.
 #[derive(Debug)]
 pub struct NodeMetrics {
@@ -33,6 +37,8 @@
     node_bytes: Counter<u64>,
     upstreams: Gauge<u64>,
     unoffered: Gauge<u64>,
+    preferred: Gauge<u64>,
+    sharing_nodes: Gauge<u64>,
     rate_limited: Gauge<u64>,
     paused: Gauge<u64>,
     permit_draws: Counter<u64>,
@@ -113,6 +119,8 @@
                     "Upstreams of the node's data centre without a request for two seconds.",
                 )
                 .build(),
+            preferred: gauge(&meter, "upstream.preferred", PREFERRED),
+            sharing_nodes: gauge(&meter, "upstream.sharing_nodes", SHARING_NODES),
             rate_limited: meter
                 .u64_gauge("upstream.rate_limited")
                 .with_description("Upstreams that name a limit on their requests per second.")
@@ -212,6 +220,18 @@
         self.unoffered.record(count, &[service]);
     }
 
+    /// Sets the number of a service's upstreams that the node prefers.
+    pub fn set_preferred_count(&self, service: &ids::ServiceId, count: u64) {
+        let service = KeyValue::new("service", service.as_str().to_owned());
+        self.preferred.record(count, &[service]);
+    }
+
+    /// Sets the highest number of nodes to which one of the node's upstreams is assigned.
+    pub fn set_sharing_nodes(&self, service: &ids::ServiceId, count: u64) {
+        let service = KeyValue::new("service", service.as_str().to_owned());
+        self.sharing_nodes.record(count, &[service]);
+    }
+
     /// Sets the number of a service's upstreams that have a rate limit.
     pub fn set_rate_limited_count(&self, service: &ids::ServiceId, count: u64) {
         let service = KeyValue::new("service", service.as_str().to_owned());
@@ -269,3 +289,7 @@
         }
     }
 }
+
+fn gauge(meter: &Meter, name: &'static str, description: &'static str) -> Gauge<u64> {
+    meter.u64_gauge(name).with_description(description).build()
+}
--- a/crates/upstream/src/service/subset_selection.rs
+++ b/crates/upstream/src/service/subset_selection.rs
@@ -1,5 +1,6 @@
 //! When the subset of upstreams that a node prefers is selected again.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use model::ids;
@@ -105,13 +106,19 @@
             return;
         }
         let subset = self.assignment.subset(self.width.get());
-        let changed = balancer.set_subset(&subset);
+        let changed = balancer.set_assigned_subset(&subset);
         if changed > 0 {
-            self.log(now, balancer, subset.len(), changed);
+            self.log(now, balancer, &subset, changed);
         }
     }
 
-    fn log(&mut self, now: Instant, balancer: &ServiceBalancer, size: usize, changed: usize) {
+    fn log(
+        &mut self,
+        now: Instant,
+        balancer: &ServiceBalancer,
+        subset: &BTreeMap<ids::UpstreamId, u32>,
+        changed: usize,
+    ) {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < LOG_INTERVAL;
         let level = if self.logged_at.is_some_and(is_recent) {
             log::Level::Debug
@@ -124,8 +131,10 @@
             level,
             service:% = balancer.service().id,
             width = self.width.get(),
-            upstreams = size,
-            changed;
+            upstreams = subset.len(),
+            changed,
+            sharing_nodes_min = subset.values().min().copied().unwrap_or(0),
+            sharing_nodes_max = subset.values().max().copied().unwrap_or(0);
             "The node's subset of upstreams changed."
         );
     }
