fix(policy): a node without local upstreams gets its whole width of remote ones

Cause: the shares of the remote data centres were rounded to the nearest, so that 13 upstreams over 3 data centres became 12. The new test of subsets showed it. They are rounded up now.

--- a/crates/policy/src/service/placement.rs
+++ b/crates/policy/src/service/placement.rs
@@ -151,5 +151,5 @@
     reason = "counts of upstreams are small"
 )]
 fn share_of(count: usize, share: f64) -> usize {
-    ((count as f64 * share).round() as usize).max(1)
+    ((count as f64 * share).ceil() as usize).max(1)
 }
--- a/crates/policy/tests/offer_floor/fleet.rs
+++ b/crates/policy/tests/offer_floor/fleet.rs
@@ -7,12 +7,12 @@
 
 use gooseberrydyke_policy::retry::{AttemptEnd, RetryCharge};
 use gooseberrydyke_policy::service::{
-    Admission, AttemptKey, AttemptPurpose, AttemptRequest, LoadTotals, ServiceBalancer,
-    UpstreamLoad,
+    Admission, AttemptKey, AttemptPurpose, AttemptRequest, LoadTotals, NodeAssignment, Placement,
+    ServiceBalancer, UpstreamLoad,
 };
 use gooseberrydyke_policy::suspicion::SuspicionSignal;
 use model::config::{DetectionProfile, RetryAllowance, Service};
-use model::ids::UpstreamId;
+use model::ids::{NodeId, UpstreamId};
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 use tokio::time::{self, Instant};
@@ -48,6 +48,8 @@
     pub(crate) repeatable_share: f64,
     /// Whether upstreams have episodes.
     pub(crate) episodes: bool,
+    /// Local upstreams that are assigned to each node; `None` if all are preferred.
+    pub(crate) assigned: Option<usize>,
     pub(crate) seed: u64,
 }
 
@@ -112,6 +114,9 @@
             let mut balancer = ServiceBalancer::new(now, Arc::clone(&config), centre, seed);
             balancer.set_fleet_size(nodes);
             balancer.set_local_node_share(1.0 / 3.0);
+            if let Some(width) = plan.assigned {
+                assign_subset(&mut balancer, plan.nodes, node, width);
+            }
             balancer
         });
         let balancers = balancers.collect();
@@ -299,6 +304,18 @@
     }
 }
 
+fn assign_subset(balancer: &mut ServiceBalancer, nodes: usize, node: usize, width: usize) {
+    let centre = node % CENTRES.len();
+    let node_name = |node: usize| -> NodeId { name(&format!("node-{node:03}")) };
+    let local = (centre..nodes).step_by(CENTRES.len()).map(node_name);
+    let local: Vec<_> = local.collect();
+    let own = node_name(node);
+    let service = balancer.service();
+    let assignment = NodeAssignment::new(&own, &name(CENTRES[centre]), service, &local, nodes);
+    balancer.set_placement(Placement::Assigned);
+    balancer.set_assigned_subset(&assignment.subset(width));
+}
+
 fn mean_of(in_episode: bool) -> f64 {
     if in_episode {
         EPISODE_SECONDS
--- a/crates/policy/tests/offer_floor/main.rs
+++ b/crates/policy/tests/offer_floor/main.rs
@@ -30,6 +30,7 @@
     requests_per_second: 600.0,
     repeatable_share: 0.0,
     episodes: true,
+    assigned: None,
     seed: 18,
 };
 
@@ -111,6 +112,19 @@
     check_groups(&run(plan).await, plan, WARM_UP);
 }
 
+// Nodes prefer few upstreams when these are assigned; those that all nodes of a subset avoid must
+// still get requests, and so must those in no subset.
+#[tokio::test(start_paused = true)]
+async fn assigned_upstreams_and_those_in_no_subset_get_requests_within_the_floor_window() {
+    for assigned in [6, 1] {
+        let plan = FleetPlan {
+            assigned: Some(assigned),
+            ..ONCE_ONLY
+        };
+        check_groups(&run(plan).await, plan, WARM_UP);
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn all_upstreams_get_requests_within_the_floor_window_after_a_pause() {
     let pause = Duration::from_secs(10);
