--- a/crates/policy/src/service/placement.rs
+++ b/crates/policy/src/service/placement.rs
@@ -133,7 +133,8 @@
         let local = self.local[..local_width].iter();
         let mut subset: BTreeMap<_, _> = local.map(with_count(local_width)).collect();
         for (share, upstreams) in &self.remote {
-            let width = width_step(share_of(remote_width, *share)).min(upstreams.len());
+            let share = share_of(remote_width, *share, missing);
+            let width = width_step(share).min(upstreams.len());
             subset.extend(upstreams[..width].iter().map(with_count(width)));
         }
         subset
@@ -150,6 +151,14 @@
     clippy::cast_precision_loss,
     reason = "counts of upstreams are small"
 )]
-fn share_of(count: usize, share: f64) -> usize {
-    ((count as f64 * share).ceil() as usize).max(1)
+fn share_of(count: usize, share: f64, missing: usize) -> usize {
+    // Upstreams that take the place of local ones are not to be fewer than these. The others are
+    // rounded to the nearest number, which a single drain seldom changes.
+    let share = count as f64 * share;
+    let rounded = if missing > 0 {
+        share.ceil()
+    } else {
+        share.round()
+    };
+    (rounded as usize).max(1)
 }
