--- a/crates/node/src/replica/quota/order.rs
+++ b/crates/node/src/replica/quota/order.rs
@@ -1,5 +1,6 @@
 //! In which order a node asks the holders of the data centres.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use model::ids;
@@ -7,8 +8,9 @@
 use policy::rendezvous;
 use tokio::time::Instant;
 
-/// How long the relays are taken as they were found; finding them reads the whole member table.
-const RELAYS_TTL: Duration = Duration::from_millis(200);
+/// How long the relays of an unchanged member table are taken as they were found; finding them
+/// reads all members. Only suspicions that end change the relays of such a table.
+const RELAYS_TTL: Duration = Duration::from_secs(1);
 
 /// A relay with its data centre.
 type CentreRelay = (ids::DataCentreId, ids::NodeId);
@@ -17,16 +19,19 @@
 #[derive(Debug, Default)]
 pub(super) struct HolderOrder {
     relays: Vec<CentreRelay>,
-    found_at: Option<Instant>,
+    found: Option<(Instant, Arc<MemberTable>)>,
 }
 
 impl HolderOrder {
-    /// Finds the relays again if they were found some time ago.
-    pub(super) fn refresh(&mut self, now: Instant, table: &MemberTable) {
-        if self.found_at.is_some_and(|at| now < at + RELAYS_TTL) {
+    /// Finds the relays again if the members changed or they were found some time ago.
+    pub(super) fn refresh(&mut self, now: Instant, table: &Arc<MemberTable>) {
+        let is_current = |(at, found): &(Instant, Arc<MemberTable>)| {
+            now < *at + RELAYS_TTL && Arc::ptr_eq(found, table)
+        };
+        if self.found.as_ref().is_some_and(is_current) {
             return;
         }
-        self.found_at = Some(now);
+        self.found = Some((now, Arc::clone(table)));
         let own = table.own();
         let mut centres = table.data_centres();
         centres.sort_by_key(|centre| *centre != own.data_centre);
