fix(policy): a fuller subset does not narrow the choice, and no fixed share leaves

Cause: while only local upstreams with a free slot were candidates, nodes with old totals selected the same few of them (68 nodes, utilisation 0.6: mean wait 56 ms instead of 32 ms before the spill). A fixed share of the requests left a data centre with few slots at any load.

Change: the whole local subset is compared if any of it has a free slot. With `Placement::Assigned` no fixed share leaves the data centre.

--- a/crates/policy/src/service/balancer/admission.rs
+++ b/crates/policy/src/service/balancer/admission.rs
@@ -16,6 +16,7 @@
 use crate::service::choose::{self, ChoiceWidth};
 use crate::service::entry::UpstreamStatus;
 use crate::service::measure::LoadMeasure;
+use crate::service::placement::Placement;
 
 impl ServiceBalancer {
     /// Decides whether an attempt may be sent now, and to which upstream.
@@ -100,7 +101,13 @@
             self.upstreams[key].next_trial_at = now + self.trial_interval;
             return Some(key);
         }
-        let skips_local = !rand::Rng::random_bool(&mut self.rng, self.local_share);
+        // With an assigned subset, requests leave the data centre when it is full. A fixed share of
+        // them would leave at any load: 3% in a model in which they then waited 4 ms less.
+        let local_share = match self.placement {
+            Placement::Hashed => self.local_share,
+            Placement::Assigned => 1.0,
+        };
+        let skips_local = !rand::Rng::random_bool(&mut self.rng, local_share);
         let explores = skips_local || choose::draw_exploration(request.repeatable, &mut self.rng);
         let kept_share = self.kept_load_share(now);
         let width = if kept_share.is_some() {
--- a/crates/policy/src/service/choose.rs
+++ b/crates/policy/src/service/choose.rs
@@ -45,13 +45,11 @@
 /// local subset has no free slot wait less than half as long. Local upstreams outside of the
 /// subset are no relief: they are as loaded, and all nodes select the same ones. They come before
 /// remote ones when the subset is full, since a new connection costs less than the way there.
+///
+/// The first group is skipped if it has no free slot. If only the upstreams with free slots were
+/// candidates, many nodes would select the few that the last totals show as free.
 const ASSIGNED_LOCAL_TIERS: [CandidateTier; 4] = [
-    |entry, local, now| {
-        is_healthy(entry)
-            && entry.in_subset
-            && is_local(entry, local)
-            && entry.has_free_share(now, 0.0)
-    },
+    |entry, local, _| is_healthy(entry) && entry.in_subset && is_local(entry, local),
     |entry, local, now| {
         is_healthy(entry)
             && entry.in_subset
@@ -83,8 +81,9 @@
         Placement::Hashed => &LOCAL_TIERS,
         Placement::Assigned => &ASSIGNED_LOCAL_TIERS,
     };
-    let mut tiers = local_tiers.iter().chain(&ANY_TIERS);
-    tiers.find_map(|tier| {
+    let is_relieved = placement == Placement::Assigned && !explores;
+    let mut tiers = local_tiers.iter().chain(&ANY_TIERS).enumerate();
+    tiers.find_map(|(place, tier)| {
         let candidates: Vec<_> = upstreams
             .clone()
             .filter(|(_, entry)| tier(entry, local_data_centre, measure.now))
@@ -93,6 +92,13 @@
             .into_iter()
             .filter(|(_, entry)| entry.has_room())
             .collect();
+        let has_free_slot = || {
+            let mut entries = with_room.iter();
+            entries.any(|(_, entry)| entry.has_free_share(measure.now, 0.0))
+        };
+        if is_relieved && place == 0 && !has_free_slot() {
+            return None;
+        }
         let mean = measure.mean_of_others(with_room.iter().map(|(_, entry)| *entry));
         let load = |entry: &UpstreamEntry| measure.load(entry, mean);
         // Upstreams outside of the subset are candidates of all nodes.
