--- a/crates/policy/src/quota/pool.rs
+++ b/crates/policy/src/quota/pool.rs
@@ -15,9 +15,12 @@
 /// Time after the start of a process in which it may hand out initial amounts. Votes of former
 /// processes end before it does.
 const INITIAL_TIME: Duration = Duration::from_secs(4);
-/// Time for which the number of known nodes must not have changed before a process that started
+/// Time for which the number of known nodes must not have grown much before a process that started
 /// lately hands out anything. It learns of the others within one exchange with any of them.
-const SETTLE_TIME: Duration = Duration::from_millis(500);
+const SETTLE_TIME: Duration = Duration::from_millis(200);
+/// One part in so many by which the number may still grow meanwhile. After all nodes of a fleet of
+/// 121 restarted, the last few were heard of two seconds after the others.
+const SETTLED_GROWTH_DIVISOR: usize = 8;
 /// Age of a process at which it has exchanged members with others several times.
 const SETTLED_AGE: Duration = Duration::from_millis(2_500);
 /// Least and longest time that a refused node is told to wait. Under the least, a node over its
@@ -186,7 +189,7 @@
 
     /// Whether this process knows enough of the fleet to know its part of it.
     fn check_settled(&mut self, now: HolderTime, counts: &FleetCounts) -> bool {
-        if self.known.0 != counts.all {
+        if counts.all * SETTLED_GROWTH_DIVISOR > self.known.0 * (SETTLED_GROWTH_DIVISOR + 1) {
             self.known = (counts.all, now);
         }
         if counts.all <= 1 && !counts.may_be_whole {
