--- a/crates/policy/src/service/balancer/offers.rs
+++ b/crates/policy/src/service/balancer/offers.rs
@@ -30,6 +30,9 @@
 /// Share of suspect upstreams beyond which other faults are likely, and all of them get offers at
 /// the usual interval.
 const CALM_SUSPECT_SHARE: f64 = 0.4;
+/// Upstreams of a data centre with which the mean says enough. Of ten that count for the floor, four
+/// without an offer are too many.
+const CALM_UPSTREAMS_MIN: f64 = 24.0;
 /// Longest interval between two offers to a suspect upstream. Suspicion without news ends within
 /// about this time, too.
 const CALM_OFFER_INTERVAL_MAX: Duration = Duration::from_secs(8);
@@ -211,7 +214,10 @@
             eligible += 1.0;
             suspect += f64::from(u8::from(entry.suspicion.is_some()));
         }
-        calm_offer_interval(suspect / f64::max(eligible, 1.0))
+        if eligible < CALM_UPSTREAMS_MIN {
+            return OFFER_INTERVAL;
+        }
+        calm_offer_interval(suspect / eligible)
     }
 
     /// How many upstreams to compare by the load of the data centre.
