fix(policy): six tenths of a vote's rate move with the vote

After a change of the relay, the new one minted a quarter of the rate until it had every vote or 12 s had passed, less than what workspaces usually send.

--- a/crates/policy/src/quota/ledger.rs
+++ b/crates/policy/src/quota/ledger.rs
@@ -11,7 +11,7 @@
 /// Part of a vote's rate that moves with the vote. The rest stays with a holder for
 /// [`LEASE_TTL`] after the vote was last counted, so that it can be reserved for nodes that are
 /// cut off.
-pub(super) const MOVING_PART: f64 = 0.25;
+pub(super) const MOVING_PART: f64 = 0.6;
 /// How long a holder has the staying part of a vote that it no longer counts. Shorter than
 /// [`RESERVATION_TTL`] by more than a vote counts, so that the next holder has it later.
 const LEASE_TTL: Duration = Duration::from_secs(10);
