fix(policy): every rate that a holder stated is withheld until it ends

Cause: a holder kept the highest and the last rate that it reserved for a node. Of three falling ones the middle one was forgotten once the highest had ended. A node that did not get the last reply (lost, or later than 80 ms) still used the middle one, up to 12 s after it was stated, and the holder minted that part as well.

Change: the rates that may be in use are kept, the highest and oldest first; lower ones that follow within a second count as the same, so that at most some 13 are kept for each node.

--- a/crates/policy/src/quota/account.rs
+++ b/crates/policy/src/quota/account.rs
@@ -1,6 +1,6 @@
 //! The tokens of one workspace at a holder, and what it reserved for nodes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use model::ids;
@@ -21,6 +21,8 @@
 /// How much longer a holder withholds a reserved rate than the node may use it, for clocks that
 /// differ.
 const RESERVATION_MARGIN: Duration = Duration::from_millis(200);
+/// Distance of the lower rates that are kept one after the other.
+const STATED_SPACING: Duration = Duration::from_secs(1);
 /// Time for which a node that waited for its turn is served, in seconds.
 const SLOT_SECONDS: f64 = 0.1;
 /// Distance of the turns of refused nodes, in parts of the time that mints their tokens. Not all
@@ -39,31 +41,68 @@
 #[derive(Debug, Clone, Copy)]
 struct StatedRate {
     withheld: f64,
+    /// When it was first stated, and last if lower ones soon after it count as the same.
+    first: HolderTime,
     stated: HolderTime,
 }
 
 impl StatedRate {
-    fn withheld(&self, now: HolderTime) -> f64 {
+    fn is_in_use(&self, now: HolderTime) -> bool {
         let ends = self
             .stated
             .saturating_add(RESERVATION_TTL + RESERVATION_MARGIN);
-        if ends > now { self.withheld } else { 0.0 }
+        ends > now
     }
 }
 
 /// What is reserved for a node.
 #[derive(Debug, Clone)]
 struct Reservation {
-    /// The highest rate that may still be in use, and the last one.
-    highest: StatedRate,
-    last: StatedRate,
+    /// The rates that may still be in use, from the highest and oldest to the last one. A later
+    /// statement may not have reached the node.
+    stated: VecDeque<StatedRate>,
     granted: RecentCount,
     granted_at: HolderTime,
 }
 
 impl Reservation {
+    fn new(now: HolderTime) -> Self {
+        Self {
+            stated: VecDeque::new(),
+            granted: RecentCount::default(),
+            granted_at: now,
+        }
+    }
+
     fn withheld(&self, now: HolderTime) -> f64 {
-        self.highest.withheld(now).max(self.last.withheld(now))
+        let in_use = self.stated.iter().find(|rate| rate.is_in_use(now));
+        in_use.map_or(0.0, |rate| rate.withheld)
+    }
+
+    fn state(&mut self, now: HolderTime, withheld: f64) {
+        self.stated.retain(|rate| rate.is_in_use(now));
+        while self
+            .stated
+            .back()
+            .is_some_and(|rate| rate.withheld <= withheld)
+        {
+            self.stated.pop_back();
+        }
+        if withheld <= 0.0 {
+            return;
+        }
+        let rate = StatedRate {
+            withheld,
+            first: now,
+            stated: now,
+        };
+        let last = self.stated.back_mut();
+        if let Some(last) = last.filter(|last| between(last.first, now) < STATED_SPACING) {
+            // Counts for as long as the new one, so that few are kept.
+            last.stated = now;
+        } else {
+            self.stated.push_back(rate);
+        }
     }
 }
 
@@ -207,19 +246,10 @@
         let others: f64 = others
             .map(|(_, reservation)| reservation.withheld(now))
             .sum();
-        let nothing = StatedRate {
-            withheld: 0.0,
-            stated: now,
-        };
         let reservation = self
             .reservations
             .entry(node.clone())
-            .or_insert_with(|| Reservation {
-                highest: nothing,
-                last: nothing,
-                granted: RecentCount::default(),
-                granted_at: now,
-            });
+            .or_insert_with(|| Reservation::new(now));
         let elapsed = between(reservation.granted_at, now);
         reservation.granted.decay(elapsed, GRANT_MEMORY);
         reservation.granted.add(tokens);
@@ -231,14 +261,7 @@
         let rate = wanted.min(reservable - others - saved);
         let rate = if rate < RESERVED_MIN { 0.0 } else { rate };
         let withheld = if rate > 0.0 { with_saved(rate) } else { 0.0 };
-        let last = StatedRate {
-            withheld,
-            stated: now,
-        };
-        if withheld >= reservation.highest.withheld(now) {
-            reservation.highest = last;
-        }
-        reservation.last = last;
+        reservation.state(now, withheld);
         rate
     }
 
