--- a/crates/policy/src/quota/pool.rs
+++ b/crates/policy/src/quota/pool.rs
@@ -124,6 +124,8 @@
             self.base_clock = self.clock;
         }
         if has_fallen || !self.counted.iter().eq(tally.voters(now)) {
+            // A vote that does not count at both ends may have ended at any time in between.
+            self.counted.retain(|node| tally.counts(now, node));
             self.accrue_all(now);
             self.counted = tally.voters(now).cloned().collect();
         }
@@ -166,7 +168,7 @@
         let tokens = account.take(draw.count);
         let centre_rate = budget.rate * self.centre_share;
         let reserved = if counts(&draw.from) {
-            let reservable = centre_rate * (1.0 - MOVING_PART) * self.power.staying;
+            let reservable = centre_rate * (1.0 - MOVING_PART) * self.power.reservable;
             account.reserve(now, &draw.from, tokens, reservable)
         } else {
             0.0
