test(policy): offers to suspect upstreams while they are assigned

Nothing checked the offer intervals that apply with Placement::Assigned while only episodes make upstreams suspect.

--- a/crates/policy/tests/offer_floor/fleet.rs
+++ b/crates/policy/tests/offer_floor/fleet.rs
@@ -62,6 +62,14 @@
     pub(crate) trial: bool,
 }
 
+/// A time without episodes of an upstream that had one before.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SoundTime {
+    pub(crate) upstream: usize,
+    pub(crate) from: Duration,
+    pub(crate) until: Duration,
+}
+
 struct Upstream {
     in_episode: bool,
     changes_at: Duration,
@@ -86,6 +94,7 @@
     in_flight: Vec<AttemptInFlight>,
     signals: Vec<(Duration, usize, SuspicionSignal)>,
     pub(crate) offers: Vec<Offer>,
+    pub(crate) sound_times: Vec<SoundTime>,
     pub(crate) lost: usize,
     pub(crate) requests: usize,
     /// Requests that found every slot of their upstream taken.
@@ -138,6 +147,7 @@
             in_flight: Vec::new(),
             signals: Vec::new(),
             offers: Vec::new(),
+            sound_times: Vec::new(),
             lost: 0,
             requests: 0,
             over_slots: 0,
@@ -174,11 +184,18 @@
         if !self.plan.episodes {
             return;
         }
-        for upstream in &mut self.upstreams {
-            if upstream.changes_at <= now {
-                upstream.in_episode = !upstream.in_episode;
-                upstream.changes_at =
-                    now + exponential(&mut self.rng, mean_of(upstream.in_episode));
+        for (number, upstream) in self.upstreams.iter_mut().enumerate() {
+            if upstream.changes_at > now {
+                continue;
+            }
+            upstream.in_episode = !upstream.in_episode;
+            upstream.changes_at = now + exponential(&mut self.rng, mean_of(upstream.in_episode));
+            if !upstream.in_episode {
+                self.sound_times.push(SoundTime {
+                    upstream: number,
+                    from: now,
+                    until: upstream.changes_at,
+                });
             }
         }
     }
--- a/crates/policy/tests/offer_floor/main.rs
+++ b/crates/policy/tests/offer_floor/main.rs
@@ -1,5 +1,6 @@
 //! The capacity floor: avoided upstreams keep getting requests from the whole fleet.
 
+mod calm;
 #[path = "../common/mod.rs"]
 mod common;
 mod fleet;
@@ -24,7 +25,7 @@
 const SERVED_MIN: usize = 7;
 
 /// The grown deployment's once-only service.
-const ONCE_ONLY: FleetPlan = FleetPlan {
+pub(crate) const ONCE_ONLY: FleetPlan = FleetPlan {
     nodes: 96,
     upstreams: 150,
     requests_per_second: 600.0,
