fix(policy): a flow that is no longer excessive does not wait behind a stall that never was

Departures from the queue are timed apart for flows with excessive use and for others. When a waiting flow changed from one kind to the other, the time since the last departure of the new kind counted as a stall, however long ago that was. Requests behind it were rejected, and the interval went into the mean afterwards.

The time now begins anew while no waiter of a kind is left, checked with the expiry every 100 ms.

--- a/crates/policy/src/service/fair_admission.rs
+++ b/crates/policy/src/service/fair_admission.rs
@@ -143,6 +143,9 @@
         let is_excessive = flows.is_excessive(now, &rank.class.flow);
         let is_alike = |flow: &_| flows.is_excessive(now, flow) == is_excessive;
         let waiting = self.queue.count(is_alike);
+        if self.queue.is_empty() {
+            self.restart_idle_departures(now, balancer);
+        }
         let departures = &mut self.departures[usize::from(is_excessive)];
         if waiting == 0 {
             departures.restart(now);
@@ -240,12 +243,29 @@
         decisions
     }
 
-    /// Rejects the waiters that could no longer end before their deadlines.
+    /// Rejects the waiters that could no longer end before their deadlines. It is called at least
+    /// every 100 ms while there are waiters.
     pub fn expire(&mut self, now: Instant, balancer: &ServiceBalancer) -> Vec<FairDecision<T>> {
         let waiters = self.queue.expire(now + balancer.min_time_left());
+        self.restart_idle_departures(now, balancer);
         waiters.into_iter().map(expired).collect()
     }
 
+    /// Lets the time without departures begin anew for each kind of flow that has no waiters.
+    ///
+    /// A waiting flow may become one of the other kind. The time since the last departure of that
+    /// kind, minutes perhaps, would then look like a stall.
+    fn restart_idle_departures(&mut self, now: Instant, balancer: &ServiceBalancer) {
+        let flows = balancer.flows();
+        let excessive = self.queue.count(|flow| flows.is_excessive(now, flow));
+        let waiting = [self.queue.len() - excessive, excessive];
+        for (departures, waiting) in self.departures.iter_mut().zip(waiting) {
+            if waiting == 0 {
+                departures.restart(now);
+            }
+        }
+    }
+
     /// Number of waiters.
     pub const fn len(&self) -> usize {
         self.queue.len()
