fix(policy): a flow with excessive use finds room in a small data centre

A data centre without upstreams of its own has a share of the others' slots. With few usable upstreams and few nodes that share is less than one slot, so flows with excessive use were held back although nothing was in flight. The room is now one request at least.

--- a/crates/policy/src/service/balancer/shared_room.rs
+++ b/crates/policy/src/service/balancer/shared_room.rs
@@ -76,7 +76,8 @@
             let span = REQUESTS_PER_SLOT - EXCESS_REQUESTS_PER_SLOT;
             EXCESS_REQUESTS_PER_SLOT + span / (f64::from(class.priority) + 1.0)
         };
-        load.in_flight + 1.0 <= load.slots * per_slot
+        // The share of a small data centre in remote slots may be less than one.
+        load.in_flight + 1.0 <= f64::max(load.slots * per_slot, 1.0)
     }
 
     /// Sums up the upstreams that take requests.
--- a/crates/policy/tests/fair_admission.rs
+++ b/crates/policy/tests/fair_admission.rs
@@ -29,9 +29,13 @@
 
 impl Node {
     fn new(upstreams: usize) -> Self {
+        Self::in_centre("ikeja", upstreams)
+    }
+
+    fn in_centre(centre: &str, upstreams: usize) -> Self {
         let config = service(upstreams, SLOTS, 0);
         let now = Instant::now();
-        let mut balancer = ServiceBalancer::new(now, config, name("ikeja"), 7);
+        let mut balancer = ServiceBalancer::new(now, config, name(centre), 7);
         balancer.set_fleet_size(120);
         Self {
             balancer,
@@ -165,3 +169,21 @@
     let decisions = node.arrive(20, "hot");
     assert_eq!(rejected(&decisions), [], "{decisions:?}");
 }
+
+// The part of a small data centre in the slots of the others may be less than one slot. A flow
+// with excessive use then found no room although nothing was in flight.
+#[tokio::test(start_paused = true)]
+async fn an_idle_service_has_room_for_one_request_of_any_flow() {
+    let mut node = Node::in_centre("ibadan", 2);
+    node.balancer.set_local_node_share(1.0 / 120.0);
+    for _ in 0..20 {
+        node.serve("hot").await;
+        time::advance(Duration::from_millis(950)).await;
+    }
+    for _ in 0..10 {
+        node.serve("hot").await;
+    }
+    let flow = FlowKey::Workspace(name("hot"));
+    let flows = node.balancer.flows();
+    assert!(flows.is_excessive(Instant::now(), &flow));
+}
