fix(policy): attempts that hung do not make the expected wait far too long

The mean time in service counted attempts that hung until their timeout in full. For some 16 attempts after such a fault, the expected wait was several seconds, and requests that would have found room were rejected. An attempt now counts up to the time after which it is overdue.

In the new test (20 attempts of 4 s, then 50 ms) the second waiter expected 5.8 s and was rejected; now it waits.

--- a/crates/policy/src/service/balancer/mod.rs
+++ b/crates/policy/src/service/balancer/mod.rs
@@ -299,7 +299,9 @@
         let elapsed = now.saturating_duration_since(attempt.started);
         if let Some(flow) = &attempt.flow {
             self.flows.leave(flow);
-            self.service_rate.observe(elapsed);
+            // One that hangs until its timeout says nothing of when the others end.
+            self.service_rate
+                .observe(elapsed.min(attempt.overdue_after));
         }
         let latency = attempt.latency.unwrap_or(elapsed);
         let overdue = latency > attempt.overdue_after;
--- a/crates/policy/tests/fair_admission.rs
+++ b/crates/policy/tests/fair_admission.rs
@@ -187,3 +187,31 @@
     let flows = node.balancer.flows();
     assert!(flows.is_excessive(Instant::now(), &flow));
 }
+
+// Attempts that hang until their timeout made the mean time in service, and the wait that was
+// expected from it, several seconds long until many others had ended: requests were rejected
+// although there would have been room in time.
+#[tokio::test(start_paused = true)]
+async fn attempts_that_hung_do_not_make_the_expected_wait_far_too_long() {
+    let mut node = Node::new(3);
+    for _ in 0..40 {
+        node.serve("steady").await;
+        time::advance(Duration::from_millis(450)).await;
+    }
+    for _ in 0..20 {
+        let attempts = granted(&node.arrive(0, "steady"));
+        time::advance(Duration::from_secs(4)).await;
+        let now = Instant::now();
+        node.balancer.finish(now, attempts[0], AttemptEnd::TimedOut);
+    }
+    // No upstream is avoided any more.
+    time::advance(Duration::from_secs(10)).await;
+    let _ = node.balancer.tick(Instant::now());
+    node.report_others(FULL);
+    assert_eq!(granted(&node.arrive(1, "steady")).len(), 1);
+    for waiter in 2..4 {
+        let decisions = node.arrive(waiter, "steady");
+        assert_eq!(rejected(&decisions), [], "{decisions:?}");
+    }
+    assert_eq!(node.admission.len(), 2);
+}
