fix(policy): steady readers are not reset while memory is merely short

A peer's system asks for more only after a part of its receive buffer was read. On loopback with the usual buffer, a response that was read at 40 kB/s or less therefore made no progress for more than 3 s and was reset. The timeout is now 9 s while responses are streamed; while requests are rejected it stays 3 s, since that costs other callers more.

--- a/crates/http1/tests/slow_readers.rs
+++ b/crates/http1/tests/slow_readers.rs
@@ -12,9 +12,9 @@
 use hyper::body::{Body, Frame};
 use model::call::{self, BodyError, BodyStream};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::watch;
-use tokio::time;
+use tokio::time::{self, Instant};
 
 /// How long a response may make no progress.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -24,6 +24,13 @@
 /// Between two reads of a piece; in all they last several times the idle timeout.
 const PIECE_PAUSE: Duration = Duration::from_millis(20);
 const RECEIVE_BUFFER_BYTES: u32 = 64 * 1024;
+/// What a process with 112 MB sets.
+const SEND_BUFFER_BYTES: u32 = 28_000;
+/// A tenth of the time that a process with little memory gives a reader, and ten times the rate of
+/// a reader that needs 3 to 4 s for each step of its system.
+const UNREAD_TIMEOUT: Duration = Duration::from_millis(900);
+const STEADY_PIECE_BYTES: usize = 20_000;
+const STEADY_PAUSE: Duration = Duration::from_millis(50);
 
 /// A body that arrives in pieces, more of them than are ever read.
 struct PieceBody;
@@ -52,11 +59,16 @@
 ) -> (SocketAddr, watch::Sender<bool>) {
     let handler: Handler<BodyStream> =
         Arc::new(move |_| Box::pin(async move { http::Response::new(body()) }));
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let socket = TcpSocket::new_v4().unwrap();
+    if unread_timeout.is_some() {
+        socket.set_send_buffer_size(SEND_BUFFER_BYTES).unwrap();
+    }
+    socket.bind(([127, 0, 0, 1], 0).into()).unwrap();
+    let listener = socket.listen(16).unwrap();
     let address = listener.local_addr().unwrap();
     let (stop, stopping) = watch::channel(false);
     let limits = ServeLimits {
-        idle_timeout: IDLE_TIMEOUT,
+        idle_timeout: unread_timeout.unwrap_or_default().max(IDLE_TIMEOUT),
         unread_timeout,
         ..ServeLimits::default()
     };
@@ -112,3 +124,18 @@
     let read = reading.await.expect("the connection stays open");
     assert!(read.is_err(), "the connection was not reset");
 }
+
+// The peer's system asks for more only after a part of its buffer was read, so a response that is
+// read steadily makes progress in steps.
+#[tokio::test]
+async fn a_response_that_is_read_steadily_outlasts_the_unread_timeout() {
+    let (address, _stop) = start_server_of(|| PieceBody.boxed_unsync(), Some(UNREAD_TIMEOUT)).await;
+    let mut stream = request(address).await;
+    let mut piece = vec![0; STEADY_PIECE_BYTES];
+    let start = Instant::now();
+    while start.elapsed() < UNREAD_TIMEOUT * 4 {
+        let size = stream.read(&mut piece).await.unwrap();
+        assert!(size > 0, "the response ended after {:?}", start.elapsed());
+        time::sleep(STEADY_PAUSE).await;
+    }
+}
--- a/crates/policy/src/memory/mod.rs
+++ b/crates/policy/src/memory/mod.rs
@@ -20,9 +20,12 @@
 /// change with every body.
 const LEAVE_SHARE: (u64, u64) = (7, 8);
 
-/// How long a peer may leave its response unread while memory is short. One that reads 10 kB/s
-/// from a socket buffer of 28 kB makes progress within 3 s.
-const UNREAD_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long a peer may leave its response unread while memory is short. Its system asks for more
+/// only after it took a part of the receive buffer: on loopback, with the usual buffer, one that
+/// reads 40 kB/s needs 3 to 4 s, and one that reads 20 kB/s needs 6 to 9 s.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(9);
+/// The same while requests are rejected for lack of memory, which costs more than a slow reader.
+const EXHAUSTED_UNREAD_TIMEOUT: Duration = Duration::from_secs(3);
 /// The size of a socket's send buffer is the process's memory divided by this number: 28 kB on the
 /// smallest nodes, which is more than 10 Mbit/s carry in a round trip of 16 ms.
 const SOCKET_BUFFER_DIVISOR: u64 = 4_000;
@@ -54,7 +57,8 @@
     pub const fn unread_timeout(self) -> Option<Duration> {
         match self {
             Self::Ample => None,
-            Self::Short | Self::Exhausted => Some(UNREAD_TIMEOUT),
+            Self::Short => Some(UNREAD_TIMEOUT),
+            Self::Exhausted => Some(EXHAUSTED_UNREAD_TIMEOUT),
         }
     }
 }
--- a/crates/policy/tests/memory_bounds.rs
+++ b/crates/policy/tests/memory_bounds.rs
@@ -1,5 +1,7 @@
 //! What a node does at each share of its memory.
 
+use std::time::Duration;
+
 use gooseberrydyke_policy::memory::{MemoryBounds, MemoryLevel};
 use model::sizes::{ByteSize, HeldBytes};
 
@@ -69,6 +71,15 @@
     assert!(MemoryLevel::Exhausted.unread_timeout().is_some());
 }
 
+// A response that is read steadily makes progress in steps: 3 to 4 s apart at 40 kB/s, as measured
+// on loopback with the usual receive buffer. A timeout of 3 s reset it.
+#[test]
+fn a_steady_reader_has_time_for_two_steps_until_requests_are_rejected() {
+    let step = Duration::from_secs(4);
+    assert!(MemoryLevel::Short.unread_timeout() >= Some(step * 2));
+    assert!(MemoryLevel::Exhausted.unread_timeout() < MemoryLevel::Short.unread_timeout());
+}
+
 // Otherwise the log would have a line for each body around a bound.
 #[test]
 fn a_level_is_left_only_well_below_its_bound() {
