feat(telemetry): the end of a request is logged and counted by workspace

Cause: an operator could not tell whose requests a node answered or rejected: the answer and failure lines named no workspace, and only quota tokens were counted by workspace.

Change: both lines have the field `workspace` where the request has a valid key, or names a workspace that the configuration has. A name that only the caller knows is left out, since it may be a key. Lines without a workspace have no such field: the logger leaves out a pair without a value. The counter `workspace.requests` counts requests by workspace and outcome. The bounded set of labels moved from the quota task to the metrics, so that both counters name the same 100 workspaces and sum the others as `other`; the quota task reports every workspace.

--- a/crates/node/src/replica/quota/mod.rs
+++ b/crates/node/src/replica/quota/mod.rs
@@ -29,9 +29,8 @@
     pub refused: u64,
 }
 
-/// Called about once a second with what was counted since, for a workspace that has a label of
-/// its own in metrics, or `None` for all others together.
-pub type QuotaObserver = Arc<dyn Fn(Option<&ids::WorkspaceId>, QuotaCounts) + Send + Sync>;
+/// Called about once a second for each workspace with what was counted since.
+pub type QuotaObserver = Arc<dyn Fn(&ids::WorkspaceId, QuotaCounts) + Send + Sync>;
 
 /// Settings of the quotas.
 #[derive(Clone)]
--- a/crates/node/src/replica/quota/report.rs
+++ b/crates/node/src/replica/quota/report.rs
@@ -1,6 +1,5 @@
 //! What operators see of the quotas: counts for metrics, and log lines.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use model::ids;
@@ -8,9 +7,6 @@
 
 use super::{QuotaCounts, QuotaObserver};
 
-/// Workspaces that have a label of their own in metrics; the others are summed. More would make
-/// the metrics of a node too large to scrape.
-const LABELS_MAX: usize = 100;
 /// Time without a refusal after which a workspace is within its quota again.
 const CALM_TIME: Duration = Duration::from_secs(5);
 
@@ -58,28 +54,14 @@
     }
 }
 
-/// Hands counts to the metrics.
-pub(super) struct CountReport {
-    on_counts: QuotaObserver,
-    labels: BTreeSet<ids::WorkspaceId>,
-}
-
-impl CountReport {
-    pub(super) const fn new(on_counts: QuotaObserver) -> Self {
-        Self {
-            on_counts,
-            labels: BTreeSet::new(),
-        }
-    }
-
-    /// Reports what was counted of a workspace and starts at zero.
-    pub(super) fn report(&mut self, workspace: &ids::WorkspaceId, counts: &mut QuotaCounts) {
-        let counts = std::mem::take(counts);
-        if counts == QuotaCounts::default() {
-            return;
-        }
-        let has_label = self.labels.contains(workspace)
-            || (self.labels.len() < LABELS_MAX && self.labels.insert(workspace.clone()));
-        (self.on_counts)(has_label.then_some(workspace), counts);
+/// Reports what was counted of a workspace, if anything, and starts at zero.
+pub(super) fn report(
+    on_counts: &QuotaObserver,
+    workspace: &ids::WorkspaceId,
+    counts: &mut QuotaCounts,
+) {
+    let counts = std::mem::take(counts);
+    if counts != QuotaCounts::default() {
+        on_counts(workspace, counts);
     }
 }
--- a/crates/node/src/replica/quota/task.rs
+++ b/crates/node/src/replica/quota/task.rs
@@ -12,7 +12,7 @@
 use super::QuotaObserver;
 use super::draw::{self, SentDraw};
 use super::order::HolderOrder;
-use super::report::{CountReport, WorkspaceCounts};
+use super::report::{self, WorkspaceCounts};
 use crate::link::PeerSet;
 use crate::members::MemberSet;
 use crate::replica::retry_pool::RetryPoolHandle;
@@ -80,7 +80,6 @@
     desks: BTreeMap<ids::WorkspaceId, WorkspaceDesk>,
     order: HolderOrder,
     silent: SilentHolders,
-    report: CountReport,
     /// Whether the node was last seen without a holder that counts its vote.
     is_detached: Option<bool>,
 }
@@ -97,7 +96,6 @@
         desks: BTreeMap::new(),
         order: HolderOrder::default(),
         silent: SilentHolders::default(),
-        report: CountReport::new(parts.on_counts.clone()),
         is_detached: None,
         parts,
     };
@@ -247,9 +245,9 @@
     fn report(&mut self) {
         let now = Instant::now();
         self.note_standing(now);
-        let report = &mut self.report;
+        let on_counts = &self.parts.on_counts;
         self.desks.retain(|workspace, desk| {
-            report.report(workspace, &mut desk.counts.counts);
+            report::report(on_counts, workspace, &mut desk.counts.counts);
             let is_refusing = desk.counts.check_refusals(now, workspace);
             is_refusing || !desk.waiting.is_empty() || desk.stock.is_used(now)
         });
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -11,7 +11,7 @@
 use std::thread;
 use std::time::{Duration, UNIX_EPOCH};
 
-use log::kv::{self, Key, Value, VisitSource};
+use log::kv::{self, Key, Value, VisitSource, VisitValue};
 use model::clock;
 use serde_json::{Map, json};
 
@@ -175,11 +175,30 @@
     humantime::format_rfc3339_millis(UNIX_EPOCH + since_epoch)
 }
 
-/// Collects the key-value pairs of a log record as JSON.
+/// Finds out whether a value is `None`.
+struct NullCheck(bool);
+
+impl VisitValue<'_> for NullCheck {
+    fn visit_any(&mut self, _: Value<'_>) -> Result<(), kv::Error> {
+        Ok(())
+    }
+
+    fn visit_null(&mut self) -> Result<(), kv::Error> {
+        self.0 = true;
+        Ok(())
+    }
+}
+
+/// Collects the key-value pairs of a log record as JSON. A pair without a value is left out.
 struct FieldVisitor(Map<String, serde_json::Value>);
 
 impl<'kvs> VisitSource<'kvs> for FieldVisitor {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), kv::Error> {
+        let mut check = NullCheck(false);
+        value.visit(&mut check)?;
+        if check.0 {
+            return Ok(());
+        }
         let value = if let Some(number) = value.to_u64() {
             json!(number)
         } else if let Some(number) = value.to_f64() {
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -3,13 +3,15 @@
 
 use std::time::Duration;
 
-use model::error::ErrorKind;
+use model::error::{ErrorKind, Outcome};
 use model::ids;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::Encoder as _;
 
+use crate::workspaces::WorkspaceInstruments;
+
 /// Bucket boundaries of the latency histogram, in seconds.
 const LATENCY_BOUNDARIES: [f64; 14] = [
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
@@ -42,7 +44,7 @@
     rate_limited: Gauge<u64>,
     paused: Gauge<u64>,
     permit_draws: Counter<u64>,
-    quota_events: Counter<u64>,
+    workspaces: WorkspaceInstruments,
     in_flight: Gauge<u64>,
     queues: QueueInstruments,
     nodes: Gauge<u64>,
@@ -50,14 +52,6 @@
     memory: MemoryInstruments,
 }
 
-/// The counter of what became of the quotas of workspaces.
-fn quota_counter(meter: &Meter) -> Counter<u64> {
-    meter
-        .u64_counter("quota.tokens")
-        .with_description("Tokens of quotas drawn and spent, and requests refused, by workspace.")
-        .build()
-}
-
 /// The instruments of the memory that bodies take.
 #[derive(Debug)]
 struct MemoryInstruments {
@@ -191,7 +185,7 @@
                 .u64_counter("upstream.permit.draws")
                 .with_description("Draws of permits for upstreams with a rate limit, by result.")
                 .build(),
-            quota_events: quota_counter(&meter),
+            workspaces: WorkspaceInstruments::new(&meter),
             in_flight: meter
                 .u64_gauge("upstream.in_flight")
                 .with_description("Requests of this node in flight, by service.")
@@ -324,20 +318,14 @@
             .add(1, &[service, KeyValue::new("result", result)]);
     }
 
-    /// Counts what became of the quota of a workspace; `None` stands for all that have no label
-    /// of their own.
-    pub fn record_quota(
-        &self,
-        workspace: Option<&ids::WorkspaceId>,
-        result: &'static str,
-        count: u64,
-    ) {
-        if count > 0 {
-            let workspace = workspace.map_or("other", ids::WorkspaceId::as_str);
-            let workspace = KeyValue::new("workspace", workspace.to_owned());
-            self.quota_events
-                .add(count, &[workspace, KeyValue::new("result", result)]);
-        }
+    /// Counts what became of the quota of a workspace.
+    pub fn record_quota(&self, workspace: &ids::WorkspaceId, result: &'static str, count: u64) {
+        self.workspaces.record_quota(workspace, result, count);
+    }
+
+    /// Counts a request of a workspace by its outcome.
+    pub fn record_workspace_request(&self, workspace: &ids::WorkspaceId, outcome: Outcome) {
+        self.workspaces.record_request(workspace, outcome);
     }
 
     /// Sets the number of requests in flight at a service.
--- a/crates/upstream/src/dispatch/dispatcher.rs
+++ b/crates/upstream/src/dispatch/dispatcher.rs
@@ -23,7 +23,7 @@
 use super::body::{self, RequestBody};
 use super::claim::{self, ClaimCallbacks, ClaimGuard};
 use super::quota::{self, QuotaCallbacks};
-use super::trace::CallTrace;
+use super::trace::{self, CallTrace};
 use super::{access, admission, memory_error, race, resume};
 use crate::attempt::{self, AttemptContext, AttemptFailure, BodyFault};
 use crate::crash::{CrashCallbacks, CrashWatch};
@@ -136,6 +136,7 @@
             host: Arc::clone(&call.head.host),
             route: None,
             service: None,
+            workspace: None,
         };
         let result = self.route_and_serve(&directory, &mut trace, call).await;
         if let Some(service) = &trace.service {
@@ -149,6 +150,10 @@
         if let Err(error) = &result {
             self.metrics.record_refusal(error.kind());
         }
+        if let Some(workspace) = &trace.workspace {
+            let outcome = trace::outcome(&result);
+            self.metrics.record_workspace_request(workspace, outcome);
+        }
         trace.log_end(&result);
         result
     }
@@ -196,6 +201,10 @@
                 return Err(error);
             }
         };
+        trace.workspace = match &access {
+            Some(access) => access.workspace.clone(),
+            None => configured_workspace(fleet, &call.head),
+        };
         let Some(service) = matched.service_for(rand::random()) else {
             let detail = format!("route {} leads to no service", matched.route.id);
             return Err(FleetError::new(ErrorKind::NoUpstream, detail));
@@ -596,6 +605,13 @@
     FleetError::new(ErrorKind::Stopping, detail).with_retry_after(Some(Duration::ZERO))
 }
 
+/// The workspace that a request names, if the configuration has it.
+fn configured_workspace(fleet: &config::FleetConfig, head: &CallHead) -> Option<ids::WorkspaceId> {
+    let workspace = head.workspace.as_ref()?;
+    let configured = fleet.workspaces.get(workspace)?;
+    Some(configured.id.clone())
+}
+
 fn find_workspace(
     fleet: &config::FleetConfig,
     head: &CallHead,
