feat(ctl): explain the requests of a workspace from the logs of many nodes

Cause: who used what of a quota, and who was rejected by which decision, could only be found by hand in the logs of all nodes.

It says if a node was detached while it rejected, and how many lines nodes left out.

--- a/bins/ctl/src/commands.rs
+++ b/bins/ctl/src/commands.rs
@@ -2,7 +2,7 @@
 
 use std::fs::File;
 use std::io::{BufRead, BufReader};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use model::config::UpstreamState;
 use model::{ids, setting};
@@ -16,7 +16,7 @@
 use serde_json::Value;
 
 use crate::client::{AdminClient, ApiCall, CommandError};
-use crate::explain::{LogLine, RequestTimeline};
+use crate::explain::{LogLine, RequestTimeline, WorkspaceReport};
 use crate::flags::{
     Drain, Explain, GooseberrydykeCtl, GooseberrydykeCtlCmd, Put, Remove, SheetCmd, TokenCmd,
 };
@@ -71,7 +71,7 @@
         GooseberrydykeCtlCmd::Put(command) => output.change(&put(&client()?, &command)?),
         GooseberrydykeCtlCmd::Remove(command) => output.change(&remove(&client()?, &command)?),
         GooseberrydykeCtlCmd::Token(command) => run_token(command.subcommand, &output, &client()?)?,
-        GooseberrydykeCtlCmd::Explain(command) => explain(&command, &output)?,
+        GooseberrydykeCtlCmd::Explain(command) => explain(command, &output)?,
         GooseberrydykeCtlCmd::NewCa(command) => new_ca(&command.folder)?,
     }
     Ok(())
@@ -205,27 +205,53 @@
     Ok(())
 }
 
-fn explain(command: &Explain, output: &Output) -> Result<(), CommandError> {
+fn explain(command: Explain, output: &Output) -> Result<(), CommandError> {
+    let Explain {
+        workspace,
+        request,
+        file: mut files,
+    } = command;
+    if let Some(workspace) = workspace {
+        // The first file stands where the id of a request would.
+        files.splice(0..0, request.map(PathBuf::from));
+        let lines = read_logs(&files)?;
+        let Some(report) = WorkspaceReport::build(&workspace, &lines) else {
+            return Err(no_lines(&lines, &format!("workspace {workspace}")));
+        };
+        output.workspace_report(&report);
+        return Ok(());
+    }
+    let Some(request) = request else {
+        let detail = "explain needs the id of a request, or --workspace";
+        return Err(CommandError::Usage(detail.to_owned()));
+    };
+    let lines = read_logs(&files)?;
+    let id = ids::RequestId::of_bytes(request.as_bytes());
+    let Some(timeline) = RequestTimeline::build(id.as_str(), &lines) else {
+        return Err(no_lines(&lines, &format!("request {request}")));
+    };
+    output.timeline(&timeline);
+    Ok(())
+}
+
+fn no_lines(lines: &[LogLine], subject: &str) -> CommandError {
+    let count = lines.len();
+    CommandError::Usage(format!("none of {count} log lines belongs to {subject}"))
+}
+
+/// Reads the log lines of files, or of standard input if there are none.
+fn read_logs(files: &[PathBuf]) -> Result<Vec<LogLine>, CommandError> {
     let mut lines = Vec::new();
-    for path in &command.file {
+    for path in files {
         let read_error = |error| CommandError::Usage(format!("{}: {error}", path.display()));
         let file = File::open(path).map_err(read_error)?;
         read_lines(BufReader::new(file), &mut lines).map_err(read_error)?;
     }
-    if command.file.is_empty() {
+    if files.is_empty() {
         let read_error = |error| CommandError::Usage(format!("standard input: {error}"));
         read_lines(std::io::stdin().lock(), &mut lines).map_err(read_error)?;
     }
-    let request = ids::RequestId::of_bytes(command.request.as_bytes());
-    let Some(timeline) = RequestTimeline::build(request.as_str(), &lines) else {
-        return Err(CommandError::Usage(format!(
-            "none of {} log lines belongs to request {}",
-            lines.len(),
-            command.request
-        )));
-    };
-    output.timeline(&timeline);
-    Ok(())
+    Ok(lines)
 }
 
 /// Reads the log lines of one source and skips all other text.
--- a/bins/ctl/src/flags.rs
+++ b/bins/ctl/src/flags.rs
@@ -89,10 +89,13 @@
                 required operator: String
             }
         }
-        /// Explain what happened to a request, from the log lines of many nodes and without the API
+        /// Explain what happened to a request, or to the requests of a workspace, from the log lines
+        /// of many nodes and without the API
         cmd explain {
+            /// Explain the requests of this workspace; all other arguments are files
+            optional --workspace workspace: String
             /// Id of the request
-            required request: String
+            optional request: String
             /// Files with log lines in JSON; standard input by default
             repeated file: PathBuf
         }
--- a/bins/ctl/src/output.rs
+++ b/bins/ctl/src/output.rs
@@ -5,9 +5,9 @@
 use operator::api::wire::{
     AuditResponse, ChangeResponse, ConfigListing, IssuedToken, StatusResponse,
 };
-use serde_json::json;
+use serde_json::{Map, Value, json};
 
-use crate::explain::RequestTimeline;
+use crate::explain::{self, EndCounts, RequestTimeline, WorkspaceReport};
 
 /// Prints the results of commands to standard output.
 pub(crate) struct Output {
@@ -204,6 +204,85 @@
         }
     }
 
+    pub(crate) fn workspace_report(&self, report: &WorkspaceReport) {
+        let (conclusion, caveats) = (report.conclusion(), report.caveats());
+        let (first, last) = report.span;
+        let (first, last) = (explain::format_time(first), explain::format_time(last));
+        if self.json {
+            let nodes = report.nodes.iter();
+            let nodes: Map<_, _> = nodes
+                .map(|(node, counts)| (node.clone(), counts_json(counts)))
+                .collect();
+            let periods = report.periods.iter().map(|period| {
+                json!({
+                    "node": period.node,
+                    "from": period.from.map(explain::format_time),
+                    "until": period.until.map(explain::format_time),
+                    "refused": period.refused,
+                })
+            });
+            let text = json!({
+                "workspace": report.workspace,
+                "first": first,
+                "last": last,
+                "nodes": nodes,
+                "total": counts_json(&report.total()),
+                "quota_refusals": periods.collect::<Vec<_>>(),
+                "conclusion": conclusion,
+                "caveats": caveats,
+            });
+            println!("{text}");
+            return;
+        }
+        println!("workspace {}, {first} to {last}", report.workspace);
+        println!();
+        let mut table = Table::new(&[
+            "node",
+            "answered",
+            "failed",
+            "rejected",
+            "by status or kind",
+        ]);
+        let nodes = report.nodes.iter();
+        let nodes = nodes.map(|(node, counts)| (node.as_str(), counts.clone()));
+        for (node, counts) in nodes.chain([("all", report.total())]) {
+            let statuses = counts.statuses.iter();
+            let statuses = statuses.map(|(status, count)| format!("{status}: {count}"));
+            let kinds = counts.failures.iter().chain(&counts.rejections);
+            let kinds = kinds.map(|(kind, count)| format!("{kind}: {count}"));
+            table.add_row(&[
+                node.to_owned(),
+                counts.answered.to_string(),
+                counts.failed.to_string(),
+                counts.rejected.to_string(),
+                statuses.chain(kinds).collect::<Vec<_>>().join(", "),
+            ]);
+        }
+        table.print();
+        println!();
+        if !report.periods.is_empty() {
+            let mut table = Table::new(&["over its quota at", "from", "until", "rejected"]);
+            let time = |time: Option<_>, none: &str| {
+                time.map_or_else(|| none.to_owned(), explain::format_time)
+            };
+            for period in &report.periods {
+                let refused = period.refused;
+                table.add_row(&[
+                    period.node.clone(),
+                    time(period.from, "before these lines"),
+                    time(period.until, "no end in these lines"),
+                    refused.map_or_else(|| "?".to_owned(), |refused| refused.to_string()),
+                ]);
+            }
+            table.print();
+            println!();
+        }
+        println!("{conclusion}");
+        for sentence in caveats {
+            println!("{sentence}");
+        }
+    }
+
     pub(crate) fn token(&self, issued: &IssuedToken) {
         if !self.print_json(issued) {
             println!("{}", issued.token);
@@ -211,6 +290,21 @@
     }
 }
 
+fn counts_json(counts: &EndCounts) -> Value {
+    let statuses = counts.statuses.iter();
+    let statuses: Map<_, _> = statuses
+        .map(|(status, count)| (status.to_string(), json!(count)))
+        .collect();
+    json!({
+        "answered": counts.answered,
+        "failed": counts.failed,
+        "rejected": counts.rejected,
+        "statuses": statuses,
+        "failures": counts.failures,
+        "rejections": counts.rejections,
+    })
+}
+
 /// A text table whose columns are as wide as their longest cell.
 struct Table {
     rows: Vec<Vec<String>>,
--- a/bins/ctl/tests/explain.rs
+++ b/bins/ctl/tests/explain.rs
@@ -112,3 +112,116 @@
     let output = explain(&["explain", "hung", "no-such-file.log"], "");
     assert!(String::from_utf8_lossy(&output.stderr).contains("no-such-file.log"));
 }
+
+/// Log lines of three nodes about the workspace `acme`, and some about others. One node is
+/// detached while it rejects requests, and its rejections go on at the end of the log.
+const WORKSPACE_LINES: &str = r#"
+{"time":"2026-06-09T01:23:40.000Z","level":"INFO","part":"answer","message":"A request was answered.","node":"front-1","request":"a1","route":"r1","service":"docs","generation":7,"age_ms":10,"status":200,"workspace":"acme"}
+{"time":"2026-06-09T01:23:40.100Z","level":"INFO","part":"answer","message":"A request was answered.","node":"front-2","request":"a2","route":"r1","service":"docs","generation":7,"age_ms":10,"status":404,"workspace":"acme"}
+{"time":"2026-06-09T01:23:40.200Z","level":"INFO","part":"answer","message":"A request was answered.","node":"front-2","request":"b1","route":"r1","service":"docs","generation":7,"age_ms":10,"status":200,"workspace":"bolt"}
+{"time":"2026-06-09T01:23:40.300Z","level":"INFO","part":"answer","message":"A request was answered.","node":"front-2","request":"c1","route":"r1","service":"docs","generation":7,"age_ms":10,"status":200}
+{"time":"2026-06-09T01:23:41.000Z","level":"WARN","part":"quota","message":"A workspace is over its quota; requests that it sends here are rejected.","node":"front-1","workspace":"acme"}
+{"time":"2026-06-09T01:23:41.001Z","level":"INFO","part":"failure","message":"A request failed: workspace acme is over its quota of 20/s.","node":"front-1","request":"a3","route":"r1","service":"docs","generation":7,"age_ms":0,"host":"h","kind":"quota-exceeded","outcome":"not-run","workspace":"acme"}
+{"time":"2026-06-09T01:23:41.500Z","level":"INFO","part":"failure","message":"A request failed: late.","node":"front-1","request":"a4","route":"r1","service":"docs","generation":7,"age_ms":1500,"host":"h","kind":"deadline-sent","outcome":"unknown","workspace":"acme"}
+{"time":"2026-06-09T01:23:41.800Z","level":"INFO","part":"failure","message":"A request failed: no room.","node":"front-2","request":"a5","route":"r1","service":"docs","generation":7,"age_ms":0,"host":"h","kind":"expected-wait","outcome":"not-run","workspace":"acme"}
+{"time":"2026-06-09T01:23:42.000Z","level":"WARN","part":"quota","message":"This node is detached: it spends at the rates that were reserved for it.","node":"front-3"}
+{"time":"2026-06-09T01:23:42.500Z","level":"WARN","part":"quota","message":"A workspace is over its quota; requests that it sends here are rejected.","node":"front-3","workspace":"acme"}
+{"time":"2026-06-09T01:23:42.501Z","level":"INFO","part":"failure","message":"A request failed: workspace acme is over its quota of 20/s.","node":"front-3","request":"a6","route":"r1","service":"docs","generation":7,"age_ms":0,"host":"h","kind":"quota-exceeded","outcome":"not-run","workspace":"acme"}
+{"time":"2026-06-09T01:23:43.000Z","level":"WARN","part":"log","message":"12 lines of part failure were left out.","node":"front-1"}
+{"time":"2026-06-09T01:23:43.000Z","level":"WARN","part":"log","message":"900 lines of part suspicion were left out.","node":"front-1"}
+{"time":"2026-06-09T01:23:47.000Z","level":"INFO","part":"quota","message":"A workspace is within its quota again.","node":"front-1","workspace":"acme","refused":13}
+{"time":"2026-06-09T01:23:47.500Z","level":"INFO","part":"quota","message":"A workspace is within its quota again.","node":"front-2","workspace":"bolt","refused":77}
+"#;
+
+/// Guards against requests of other workspaces that are counted, and against rejections that
+/// pass for failures.
+#[test]
+fn the_requests_of_a_workspace_are_counted_by_end_kind_and_node() {
+    let arguments = ["--json", "explain", "--workspace", "acme"];
+    let report: serde_json::Value =
+        serde_json::from_str(&text(&explain(&arguments, WORKSPACE_LINES))).unwrap();
+    let front_1 = serde_json::json!({
+        "answered": 1, "failed": 1, "rejected": 1,
+        "statuses": {"200": 1},
+        "failures": {"deadline-sent": 1},
+        "rejections": {"quota-exceeded": 1},
+    });
+    assert_eq!(report["nodes"]["front-1"], front_1);
+    let total = serde_json::json!({
+        "answered": 2, "failed": 1, "rejected": 3,
+        "statuses": {"200": 1, "404": 1},
+        "failures": {"deadline-sent": 1},
+        "rejections": {"expected-wait": 1, "quota-exceeded": 2},
+    });
+    assert_eq!(report["total"], total);
+    assert_eq!(report["first"], "2026-06-09T01:23:40.000Z");
+    assert_eq!(report["last"], "2026-06-09T01:23:47.000Z");
+    let periods = serde_json::json!([
+        {"node": "front-1", "from": "2026-06-09T01:23:41.000Z",
+         "until": "2026-06-09T01:23:47.000Z", "refused": 13},
+        {"node": "front-3", "from": "2026-06-09T01:23:42.500Z", "until": null, "refused": null},
+    ]);
+    assert_eq!(report["quota_refusals"], periods);
+}
+
+/// Guards against a conclusion that hides that a node was detached, or that lines are
+/// missing.
+#[test]
+fn the_conclusion_names_the_quota_the_detached_node_and_the_missing_lines() {
+    let report = text(&explain(
+        &["explain", "--workspace", "acme"],
+        WORKSPACE_LINES,
+    ));
+    let expected = "Of 6 requests of acme, 2 were answered, 1 failed (deadline-sent: 1) and 3 were \
+                    rejected (mostly quota-exceeded: 2); its quota rejected requests from \
+                    2026-06-09T01:23:41.000Z to 2026-06-09T01:23:42.501Z.\n\
+                    Requests within the quota may have been rejected at nodes that were detached: \
+                    front-3.\n\
+                    Nodes left out 12 lines of the parts answer, failure and quota: the counts \
+                    are lower bounds.\n";
+    assert!(report.ends_with(expected), "{report}");
+    assert!(report.contains("no end in these lines"), "{report}");
+    assert!(!report.contains("bolt"), "another workspace: {report}");
+}
+
+/// Guards against rejections attributed to a quota that rejected nothing.
+#[test]
+fn a_workspace_that_its_quota_did_not_reject_is_reported_so() {
+    let input: Vec<_> = WORKSPACE_LINES.lines().collect();
+    let input = input[..5].join("\n");
+    let report = text(&explain(&["explain", "--workspace", "acme"], &input));
+    let expected = "Of 2 requests of acme, 2 were answered, 0 failed and 0 were rejected; its \
+                    quota rejected none.\n";
+    assert!(report.ends_with(expected), "{report}");
+}
+
+/// Guards against a first file that is taken for the id of a request, and against an empty
+/// report for a name that is misspelt.
+#[test]
+fn the_files_of_a_workspace_are_read_and_an_unknown_workspace_is_an_error() {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("explain-workspace");
+    std::fs::create_dir_all(&folder).unwrap();
+    let (first, second) = WORKSPACE_LINES.split_at(
+        WORKSPACE_LINES
+            .find("{\"time\":\"2026-06-09T01:23:41.500Z")
+            .unwrap(),
+    );
+    let mut arguments = vec![
+        "explain".to_owned(),
+        "--workspace".to_owned(),
+        "acme".to_owned(),
+    ];
+    for (name, part) in [("a.log", first), ("b.log", second)] {
+        let path = folder.join(name);
+        std::fs::write(&path, part).unwrap();
+        arguments.push(path.display().to_string());
+    }
+    let arguments: Vec<_> = arguments.iter().map(String::as_str).collect();
+    let report = text(&explain(&arguments, ""));
+    assert!(report.contains("Of 6 requests of acme"), "{report}");
+    let output = explain(&["explain", "--workspace", "nobody"], WORKSPACE_LINES);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("nobody"));
+    let output = explain(&["explain"], "");
+    assert_eq!(output.status.code(), Some(2));
+}
