fix(policy): after a restart of all nodes, relays hand out what nobody can mint

A node that has just started cannot vote for 1.85 s, since a vote of its former process may count, and nobody mints for it meanwhile. A relay that has just started, too, hands out that amount for each such node of its data centre that draws, and tells refused nodes to return within 150 ms.

--- a/crates/node/src/replica/quota/draw.rs
+++ b/crates/node/src/replica/quota/draw.rs
@@ -58,11 +58,15 @@
 ) -> Option<QuotaGrant> {
     let table = parts.members.table();
     let own = &table.own().node;
+    let is_local = table
+        .find(&sent.holder)
+        .is_some_and(|holder| holder.data_centre == table.own().data_centre);
     let draw = QuotaDraw {
         from: own.clone(),
         workspace: sent.workspace.clone(),
         count,
         deposit_millitokens,
+        is_new: is_local && parts.retry_pool.standing().borrow().is_new(sent.asked_at),
     };
     if sent.holder == *own {
         return parts.retry_pool.draw_quota(draw).await;
--- a/crates/node/tests/quota_cost.rs
+++ b/crates/node/tests/quota_cost.rs
@@ -30,6 +30,7 @@
             workspace: "workspace-0042".parse().unwrap(),
             count: 12,
             deposit_millitokens: 900,
+            is_new: false,
         },
     });
     let reply = NodeReply::Office(OfficeReply::QuotaTokens(QuotaGrant {
--- a/crates/policy/src/office/mod.rs
+++ b/crates/policy/src/office/mod.rs
@@ -18,4 +18,4 @@
 pub use grant::{HolderTerm, OfficeGrant, OfficeTerm};
 pub use tally::VoteTally;
 pub use time::{HolderTime, HolderTimes};
-pub use vote::{OfficeVote, VOTE_INTERVAL, VOTE_RETRY_INTERVAL, VoteStep};
+pub use vote::{OfficeVote, VOTE_INTERVAL, VOTE_RETRY_INTERVAL, VOTE_WAIT, VoteStep};
--- a/crates/policy/src/office/vote.rs
+++ b/crates/policy/src/office/vote.rs
@@ -12,6 +12,9 @@
 pub(super) const VOTE_TERM: Duration = Duration::from_millis(1_800);
 /// How much faster the clock of a voter may go in a term than that of its holder.
 const CLOCK_MARGIN: Duration = Duration::from_millis(50);
+/// How long a node that has just started waits until it votes: a vote of its former process may
+/// count for so long.
+pub const VOTE_WAIT: Duration = VOTE_TERM.saturating_add(CLOCK_MARGIN);
 /// Interval between two votes for the same holder. Two in a row may be lost.
 pub const VOTE_INTERVAL: Duration = Duration::from_millis(450);
 /// Interval between two attempts to learn the time of a holder or to get a vote released.
@@ -45,7 +48,7 @@
         let wait = if first_start {
             Duration::ZERO
         } else {
-            VOTE_TERM + CLOCK_MARGIN
+            VOTE_WAIT
         };
         Self {
             holder: None,
--- a/crates/policy/src/quota/account.rs
+++ b/crates/policy/src/quota/account.rs
@@ -111,7 +111,9 @@
 pub(super) struct QuotaAccount {
     budget: QuotaBudget,
     balance: f64,
-    /// What is left of the amount that a new holder may hand out.
+    /// What was handed out of the amount that a new holder may hand out.
+    initial_spent: f64,
+    /// That amount.
     initial: f64,
     clock: MintClock,
     updated: HolderTime,
@@ -123,16 +125,12 @@
 
 impl QuotaAccount {
     /// An account that is minted into since `clock`.
-    pub(super) fn new(
-        now: HolderTime,
-        budget: QuotaBudget,
-        clock: MintClock,
-        initial: f64,
-    ) -> Self {
+    pub(super) fn new(now: HolderTime, budget: QuotaBudget, clock: MintClock) -> Self {
         Self {
             budget,
             balance: 0.0,
-            initial,
+            initial_spent: 0.0,
+            initial: 0.0,
             clock,
             updated: now,
             reservations: BTreeMap::new(),
@@ -168,7 +166,6 @@
     /// Applies another budget.
     pub(super) fn set_budget(&mut self, budget: QuotaBudget, capacity_share: f64) {
         self.budget = budget;
-        self.initial = self.initial.min(budget.initial);
         self.limit(capacity_share);
     }
 
@@ -180,18 +177,19 @@
         self.budget.capacity * capacity_share + ROUNDING
     }
 
-    /// Ends the time in which the initial amount may be handed out.
-    pub(super) const fn end_initial(&mut self) {
-        self.initial = 0.0;
+    /// Sets the amount that a new holder may hand out before it mints, in all.
+    pub(super) const fn set_initial(&mut self, initial: f64) {
+        self.initial = initial;
     }
 
     /// Takes up to `count` tokens.
     pub(super) fn take(&mut self, count: u32) -> u32 {
-        let available = self.balance + self.initial + ROUNDING;
+        let initial = (self.initial - self.initial_spent).max(0.0);
+        let available = self.balance + initial + ROUNDING;
         let tokens = whole(available).min(count);
         let amount = f64::from(tokens);
-        let from_initial = amount.min(self.initial);
-        self.initial -= from_initial;
+        let from_initial = amount.min(initial);
+        self.initial_spent += from_initial;
         self.balance = (self.balance - (amount - from_initial)).max(0.0);
         tokens
     }
--- a/crates/policy/src/quota/message.rs
+++ b/crates/policy/src/quota/message.rs
@@ -34,6 +34,9 @@
         /// Thousandths of a token that the node has saved at a rate which a former holder reserved
         /// for it. It hands them over, so that the nodes that lost that holder share them.
         pub deposit_millitokens: u32,
+        /// Whether the node started lately, asks the holder of its own data centre, and has not been
+        /// able to vote yet, since the vote of its former process may count.
+        pub is_new: bool,
     }
 
     /// What a holder hands out.
--- a/crates/policy/src/quota/pool.rs
+++ b/crates/policy/src/quota/pool.rs
@@ -1,6 +1,6 @@
 //! The tokens of all workspaces at a holder.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use model::config::{QuotaBound, WorkspaceQuota};
@@ -10,7 +10,7 @@
 use super::budget::QuotaBudget;
 use super::ledger::{HolderPower, MOVING_PART, VoterLedger};
 use super::message::{QuotaDraw, QuotaGrant};
-use crate::office::{HolderTime, VoteTally};
+use crate::office::{HolderTime, VOTE_WAIT, VoteTally};
 
 /// Time after the start of a process in which it may hand out initial amounts. Votes of former
 /// processes end before it does.
@@ -27,6 +27,8 @@
 /// quota would draw for each request.
 const WAIT_MIN: Duration = Duration::from_millis(60);
 const WAIT_MAX: Duration = Duration::from_secs(1);
+/// The longest one while initial amounts are handed out.
+const INITIAL_WAIT_MAX: Duration = Duration::from_millis(150);
 /// How often accounts of workspaces that send nothing are dropped.
 const EVICTION_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -61,6 +63,10 @@
     updated: HolderTime,
     /// The nodes whose votes counted at the last update.
     counted: Vec<ids::NodeId>,
+    /// Nodes that drew before they could vote. Nobody mints for them meanwhile.
+    newcomers: BTreeSet<ids::NodeId>,
+    /// Nodes of the fleet.
+    nodes: f64,
     known: (usize, HolderTime),
     is_settled: bool,
     accounts: BTreeMap<ids::WorkspaceId, QuotaAccount>,
@@ -81,6 +87,8 @@
             base_clock: MintClock::default(),
             updated: start,
             counted: Vec::new(),
+            newcomers: BTreeSet::new(),
+            nodes: 1.0,
             known: (0, start),
             is_settled: false,
             accounts: BTreeMap::new(),
@@ -118,6 +126,7 @@
         let former_share = self.capacity_share();
         self.power = power;
         self.centre_share = centre_share;
+        self.nodes = all.max(1.0);
         self.data_centres = counts.data_centres.max(1);
         let has_fallen = self.capacity_share() < former_share;
         if has_fallen {
@@ -146,7 +155,12 @@
         let budget = QuotaBudget::new(&self.bound, quota, self.data_centres);
         let is_initial = between(HolderTime::default(), now) <= INITIAL_TIME;
         let initial = if is_initial {
-            budget.initial * self.centre_share
+            if draw.is_new {
+                self.newcomers.insert(draw.from.clone());
+            }
+            let newcomers = u32::try_from(self.newcomers.len()).unwrap_or(u32::MAX);
+            let unminted = budget.rate * VOTE_WAIT.as_secs_f64() * f64::from(newcomers);
+            budget.initial * self.centre_share + unminted / self.nodes
         } else {
             0.0
         };
@@ -154,10 +168,8 @@
         let account = self
             .accounts
             .entry(draw.workspace.clone())
-            .or_insert_with(|| QuotaAccount::new(now, budget, self.base_clock, initial));
-        if !is_initial {
-            account.end_initial();
-        }
+            .or_insert_with(|| QuotaAccount::new(now, budget, self.base_clock));
+        account.set_initial(initial);
         let counted = &self.counted;
         let counts = |node: &ids::NodeId| counted.binary_search(node).is_ok();
         account.accrue(now, self.clock, capacity_share, counts);
@@ -173,10 +185,12 @@
         } else {
             0.0
         };
+        // Other nodes, and then votes, may bring tokens soon.
+        let wait_max = if is_initial { INITIAL_WAIT_MAX } else { WAIT_MAX };
         let wait = if tokens < draw.count {
             let withheld = account.withheld_missing(now, counts);
             let rate = centre_rate * self.power.total() - withheld;
-            let wait = account.wait(now, rate, draw.count - tokens, WAIT_MAX);
+            let wait = account.wait(now, rate, draw.count - tokens, wait_max);
             wait.max(WAIT_MIN)
         } else {
             Duration::ZERO
--- a/crates/policy/src/quota/standing.rs
+++ b/crates/policy/src/quota/standing.rs
@@ -22,6 +22,11 @@
         self.holder.as_ref().filter(|_| self.bound_until > now)
     }
 
+    /// Whether the node has not voted since it started, and a vote of its former process may count.
+    pub fn is_new(&self, now: Instant) -> bool {
+        self.holder.is_none() && self.bound_until > now
+    }
+
     /// Whether no holder but the node itself can count the vote. A node whose first vote has not
     /// been cast is not detached: it never was attached.
     pub fn is_detached(&self, now: Instant) -> bool {
--- a/crates/policy/tests/quota/fleet.rs
+++ b/crates/policy/tests/quota/fleet.rs
@@ -102,6 +102,7 @@
         exchange: u64,
         count: u32,
         deposit: u32,
+        is_new: bool,
     },
     Grant {
         exchange: u64,
--- a/crates/policy/tests/quota/traffic.rs
+++ b/crates/policy/tests/quota/traffic.rs
@@ -87,6 +87,8 @@
             },
         );
         let (count, deposit) = (plan.count, plan.deposit_millitokens);
+        let is_local = number % self.plan.data_centres == to % self.plan.data_centres;
+        let is_new = is_local && self.nodes[number].standing(self.now).is_new(self.now);
         self.send(
             number,
             to,
@@ -94,6 +96,7 @@
                 exchange,
                 count,
                 deposit,
+                is_new,
             },
         );
     }
@@ -258,12 +261,14 @@
                 exchange,
                 count,
                 deposit,
+                is_new,
             } => {
                 let draw = QuotaDraw {
                     from: QuotaNode::name_of(from),
                     workspace: workspace(),
                     count,
                     deposit_millitokens: deposit,
+                    is_new,
                 };
                 let grant = self.nodes[to].grant(now, &draw);
                 self.send(to, from, Content::Grant { exchange, grant });
--- a/crates/policy/tests/quota_pool.rs
+++ b/crates/policy/tests/quota_pool.rs
@@ -73,6 +73,7 @@
             workspace: "acme".parse().unwrap(),
             count,
             deposit_millitokens: 0,
+            is_new: false,
         };
         let quota = WorkspaceQuota {
             rate: Rate::per_second(RATE),
