revert: offers to suspect upstreams as often as before

Fewer offers to suspect upstreams in calm broke offer_floor's check of groups of ten for assigned upstreams: of the few upstreams that count for the capacity floor while others have faults, too many would be without a request.

--- a/crates/policy/src/service/balancer/offers.rs
+++ b/crates/policy/src/service/balancer/offers.rs
@@ -23,19 +23,6 @@
 /// Interval between two offers to an upstream: the window less the time until the request
 /// arrives.
 const OFFER_INTERVAL: Duration = Duration::from_millis(1_800);
-/// Share of a data centre's upstreams that may be without an offer while only as many are suspect
-/// as gray-failure episodes explain. Two thirds of what the capacity floor allows: a group of few
-/// upstreams deviates from the mean.
-const CALM_UNOFFERED_SHARE: f64 = 0.2;
-/// Share of suspect upstreams beyond which other faults are likely, and all of them get offers at
-/// the usual interval.
-const CALM_SUSPECT_SHARE: f64 = 0.4;
-/// Upstreams of a data centre with which the mean says enough. Of ten that count for the floor, four
-/// without an offer are too many.
-const CALM_UPSTREAMS_MIN: f64 = 24.0;
-/// Longest interval between two offers to a suspect upstream. Suspicion without news ends within
-/// about this time, too.
-const CALM_OFFER_INTERVAL_MAX: Duration = Duration::from_secs(8);
 /// Interval between two offers by requests that a hedge serves if the offer fails.
 const HEDGED_OFFER_INTERVAL: Duration = Duration::from_millis(1_400);
 /// Minimum head start of the node that made the last offer.
@@ -191,7 +178,7 @@
             suspect_interval: if is_hedged {
                 HEDGED_OFFER_INTERVAL
             } else {
-                self.unhedged_offer_interval()
+                OFFER_INTERVAL
             },
             request_gap: Duration::from_secs_f64(gap_seconds),
             takeover_delay: TAKEOVER_DELAY_MIN.max(self.load_delay(LOAD_DELAY_MAX_PER_NODE)),
@@ -200,26 +187,6 @@
         }
     }
 
-    /// Interval between two offers to a suspect upstream by requests that are lost if the offer
-    /// fails. Most of them are, so there are only as many as the capacity floor needs.
-    fn unhedged_offer_interval(&self) -> Duration {
-        if self.placement == Placement::Hashed {
-            return OFFER_INTERVAL;
-        }
-        let local = self.upstreams.values().filter(|entry| {
-            entry.is_eligible() && entry.upstream.data_centre == self.local_data_centre
-        });
-        let (mut eligible, mut suspect) = (0.0, 0.0);
-        for entry in local {
-            eligible += 1.0;
-            suspect += f64::from(u8::from(entry.suspicion.is_some()));
-        }
-        if eligible < CALM_UPSTREAMS_MIN {
-            return OFFER_INTERVAL;
-        }
-        calm_offer_interval(suspect / eligible)
-    }
-
     /// How many upstreams to compare by the load of the data centre.
     pub(super) fn shared_load_width(&self) -> ChoiceWidth {
         if self.load_delay(LOAD_DELAY_PER_NODE) <= LOAD_AGE_MAX {
@@ -316,17 +283,6 @@
     }
 }
 
-/// The interval at which [`CALM_UNOFFERED_SHARE`] of the upstreams are without an offer, if so
-/// many of them are suspect.
-fn calm_offer_interval(suspect_share: f64) -> Duration {
-    if suspect_share > CALM_SUSPECT_SHARE {
-        return OFFER_INTERVAL;
-    }
-    let offered_share = 1.0 - CALM_UNOFFERED_SHARE / suspect_share.max(f64::MIN_POSITIVE);
-    let shortest = OFFER_INTERVAL.as_secs_f64() / CALM_OFFER_INTERVAL_MAX.as_secs_f64();
-    OFFER_INTERVAL.div_f64(offered_share.max(shortest))
-}
-
 /// Upstreams of one service in one data centre.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct OfferCount {
