feat(policy): preview where a request would go, without any effect

Cause: an operator could see the state of upstreams, but not which one a request would get, or why.

Change: the selection of an upstream is one function that takes the random generator and changes nothing else; the balancer applies what follows from it (the charge of an offer, the time of the next trial), and `ServiceBalancer::preview` calls it on a copy that was brought up to date. The tiers of candidates have names, so that the selection states the group. Routing steps of the dispatcher moved to `dispatch::target`, which `dispatch::preview` uses, too. The quota task tells when it last refused a request of a workspace, without drawing or spending a token.

Measured: balancer 36 passed. In two tests of 60 requests each, with and without shared signals, the preview left the balancer unchanged and named the upstream selected next. Tests of policy, upstream and node passed, but for offer_floor: assigned_upstreams_and_those_in_no_subset_get_requests_within_the_floor_window.

--- a/crates/node/src/replica/mod.rs
+++ b/crates/node/src/replica/mod.rs
@@ -15,6 +15,6 @@
 mod task;
 
 pub use fleet::{NodeUpdate, ReplicaFleet, ReplicaSettings};
-pub use quota::{QuotaCounts, QuotaHandle, QuotaObserver, QuotaSettings};
+pub use quota::{QuotaCounts, QuotaHandle, QuotaObserver, QuotaSettings, QuotaView};
 pub use source::{FleetSource, RoutesRead, SourceError, SourceFuture, UpstreamsRead};
 pub use task::{ReplicaHandle, ReplicaParts, ReplicaSnapshot};
--- a/crates/node/src/replica/quota/mod.rs
+++ b/crates/node/src/replica/quota/mod.rs
@@ -29,6 +29,13 @@
     pub refused: u64,
 }
 
+/// What this node knows of the use of a quota.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QuotaView {
+    /// Time since the last rejected request; `None` if there was none for some seconds.
+    pub last_refusal: Option<Duration>,
+}
+
 /// Called about once a second for each workspace with what was counted since.
 pub type QuotaObserver = Arc<dyn Fn(&ids::WorkspaceId, QuotaCounts) + Send + Sync>;
 
@@ -76,6 +83,15 @@
         reply.await.unwrap_or(Err(Duration::ZERO))
     }
 
+    /// Queries what this node knows of the use of a quota; `None` if it had no request of the
+    /// workspace lately.
+    pub async fn view(&self, workspace: ids::WorkspaceId) -> Option<QuotaView> {
+        let (reply, receiver) = oneshot::channel();
+        let command = QuotaCommand::View(workspace, reply);
+        self.commands.send(command).await.ok()?;
+        receiver.await.ok()?
+    }
+
     /// Gives back the token of a request that did not run. A token that is not taken back in time
     /// is lost.
     pub fn give_back(&self, workspace: ids::WorkspaceId, token: QuotaToken) {
--- a/crates/node/src/replica/quota/report.rs
+++ b/crates/node/src/replica/quota/report.rs
@@ -35,6 +35,12 @@
         *last = now;
     }
 
+    /// Time since the last refused request, while requests are refused.
+    pub(super) fn last_refusal(&self, now: Instant) -> Option<Duration> {
+        let (_, last) = self.refusals?;
+        Some(now.saturating_duration_since(last))
+    }
+
     /// Notes the end of refusals; returns whether they go on.
     pub(super) fn check_refusals(&mut self, now: Instant, workspace: &ids::WorkspaceId) -> bool {
         let Some((refused, last)) = self.refusals else {
--- a/crates/node/src/replica/quota/task.rs
+++ b/crates/node/src/replica/quota/task.rs
@@ -9,10 +9,10 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{self, Instant};
 
-use super::QuotaObserver;
 use super::draw::{self, SentDraw};
 use super::order::HolderOrder;
 use super::report::{self, WorkspaceCounts};
+use super::{QuotaObserver, QuotaView};
 use crate::link::PeerSet;
 use crate::members::MemberSet;
 use crate::replica::retry_pool::RetryPoolHandle;
@@ -45,6 +45,7 @@
 pub(super) enum QuotaCommand {
     Take(TakeRequest),
     GiveBack(ids::WorkspaceId, QuotaToken),
+    View(ids::WorkspaceId, oneshot::Sender<Option<QuotaView>>),
     /// A draw ended; without a grant if the holder could not be asked.
     Drawn(SentDraw, Option<QuotaGrant>),
     /// A holder is slow to reply to a draw, so another one is asked.
@@ -127,6 +128,13 @@
                     desk.stock.give_back(now, token);
                 }
             }
+            QuotaCommand::View(workspace, reply) => {
+                let view = self.desks.get(&workspace).map(|desk| QuotaView {
+                    last_refusal: desk.counts.last_refusal(now),
+                });
+                // An operator who is gone needs no reply.
+                let _ = reply.send(view);
+            }
             QuotaCommand::Drawn(sent, grant) => self.finish_draw(now, &sent, grant),
             QuotaCommand::Slow(sent) => {
                 if let Some(desk) = self.desks.get_mut(&sent.workspace) {
--- a/crates/policy/src/detection/evidence.rs
+++ b/crates/policy/src/detection/evidence.rs
@@ -65,7 +65,7 @@
 /// Buffers outcomes until a report is due.
 ///
 /// A failure makes the report due immediately; good outcomes alone wait for an interval.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct EvidenceBuffer {
     counts: BTreeMap<ids::UpstreamId, EvidenceCount>,
     has_failure: bool,
--- a/crates/policy/src/limit/counter.rs
+++ b/crates/policy/src/limit/counter.rs
@@ -5,7 +5,7 @@
 use model::{ids, sizes};
 
 /// Counts the requests in flight of each workspace that has any.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct WorkspaceCounter {
     in_flight: HashMap<ids::WorkspaceId, u32>,
 }
--- a/crates/policy/src/limit/flow.rs
+++ b/crates/policy/src/limit/flow.rs
@@ -67,7 +67,7 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct FlowUse {
     in_service: u32,
     /// Arrivals, including those that are rejected and return.
@@ -78,7 +78,7 @@
 }
 
 /// What each flow uses of the capacity at one node, and what it usually asks for.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct FlowTable {
     uses: HashMap<FlowKey, FlowUse>,
     started: Instant,
--- a/crates/policy/src/limit/service_rate.rs
+++ b/crates/policy/src/limit/service_rate.rs
@@ -12,7 +12,7 @@
 ///
 /// The rate is derived from it and from the number in service (Little's law). Counted ends per
 /// second would lag behind a burst, since a node sees only a few a second.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct ServiceRate {
     mean_seconds: Option<f64>,
 }
--- a/crates/policy/src/service/balancer/admission.rs
+++ b/crates/policy/src/service/balancer/admission.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use model::error;
+use rand::rngs::SmallRng;
 use tokio::time::Instant;
 
 use super::permits::LimitedUse;
@@ -13,11 +14,29 @@
 use crate::invariant;
 use crate::permit::LimitVersion;
 use crate::retry;
-use crate::service::choose::{self, ChoiceWidth};
+use crate::service::choose::{self, CandidateGroup, ChoiceWidth};
 use crate::service::entry::UpstreamStatus;
 use crate::service::measure::LoadMeasure;
 use crate::service::placement::Placement;
 
+/// Why an upstream is selected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SelectionReason {
+    /// It had no request for a while.
+    OfferDue,
+    /// It is avoided, and a trial of it is due.
+    TrialDue,
+    /// It has the least load of those compared in the first group that has room.
+    Load(CandidateGroup),
+}
+
+/// A selected upstream.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Selection {
+    pub(super) key: UpstreamKey,
+    pub(super) reason: SelectionReason,
+}
+
 impl ServiceBalancer {
     /// Decides whether an attempt may be sent now, and to which upstream.
     pub fn admit(&mut self, now: Instant, request: &AttemptRequest) -> Admission {
@@ -78,10 +97,34 @@
     ) -> Option<UpstreamKey> {
         if self.shares_signals() {
             self.mark_avoided(now);
-            let due = self.pick_due_offer(now, request, limited_use);
-            if due.is_some() {
-                return due;
+        }
+        let mut rng = self.rng.clone();
+        let selection = self.select(now, request, limited_use, &mut rng);
+        self.rng = rng;
+        let Selection { key, reason } = selection?;
+        match reason {
+            SelectionReason::OfferDue => self.charge_offer(key),
+            SelectionReason::TrialDue => {
+                self.upstreams[key].next_trial_at = now + self.trial_interval;
             }
+            SelectionReason::Load(_) => {}
+        }
+        Some(key)
+    }
+
+    /// Selects an upstream, and states why, without any effect but on `rng`.
+    pub(super) fn select(
+        &self,
+        now: Instant,
+        request: &AttemptRequest,
+        limited_use: LimitedUse,
+        rng: &mut SmallRng,
+    ) -> Option<Selection> {
+        if self.shares_signals()
+            && let Some(key) = self.pick_due_offer(now, request, limited_use, rng)
+        {
+            let reason = SelectionReason::OfferDue;
+            return Some(Selection { key, reason });
         }
         let upstreams = self.upstreams.iter();
         let untried = upstreams.filter(|(_, entry)| {
@@ -94,8 +137,8 @@
             .then(|| choose::pick_trial(untried.clone(), now))
             .flatten();
         if let Some(key) = trial {
-            self.upstreams[key].next_trial_at = now + self.trial_interval;
-            return Some(key);
+            let reason = SelectionReason::TrialDue;
+            return Some(Selection { key, reason });
         }
         // With an assigned subset, requests leave the data centre when it is full. A fixed share of
         // them would leave at any load: 3% in a model in which they then waited 4 ms less.
@@ -103,8 +146,8 @@
             Placement::Hashed => self.local_share,
             Placement::Assigned => 1.0,
         };
-        let skips_local = !rand::Rng::random_bool(&mut self.rng, local_share);
-        let explores = skips_local || choose::draw_exploration(request.repeatable, &mut self.rng);
+        let skips_local = !rand::Rng::random_bool(rng, local_share);
+        let explores = skips_local || choose::draw_exploration(request.repeatable, rng);
         let kept_share = self.kept_load_share(now);
         let width = if kept_share.is_some() {
             ChoiceWidth::All
@@ -115,7 +158,7 @@
         };
         // Only with the requests of the whole data centre does a lack of responses say much.
         let usual_latency = self.estimate.median().filter(|_| self.shares_signals());
-        choose::pick(
+        let (key, group) = choose::pick(
             &untried,
             &self.local_data_centre,
             explores,
@@ -126,8 +169,10 @@
                 usual_latency,
                 kept_share,
             },
-            &mut self.rng,
-        )
+            rng,
+        )?;
+        let reason = SelectionReason::Load(group);
+        Some(Selection { key, reason })
     }
 
     pub(super) fn wait_or_refuse(
--- a/crates/policy/src/service/balancer/instance_pauses.rs
+++ b/crates/policy/src/service/balancer/instance_pauses.rs
@@ -18,7 +18,7 @@
 }
 
 /// The latest pauses, for as long as they may be those of a start that is not known yet.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct InstancePauses {
     pauses: HashMap<Arc<str>, AskedPause>,
 }
--- a/crates/policy/src/service/balancer/mod.rs
+++ b/crates/policy/src/service/balancer/mod.rs
@@ -6,6 +6,7 @@
 pub(super) mod loads;
 pub(super) mod offers;
 pub(super) mod permits;
+mod preview;
 pub(super) mod remembered;
 mod shared_room;
 mod signals;
@@ -21,8 +22,10 @@
 use slotmap::SlotMap;
 use tokio::time::Instant;
 
+pub use admission::SelectionReason;
 pub use loads::{LoadReport, UpstreamLoad};
 pub use offers::OfferCount;
+pub use preview::{CandidateView, PreviewDecision, RequestPreview};
 
 use self::instance_pauses::InstancePauses;
 use self::remembered::RememberedUpstreams;
@@ -121,7 +124,7 @@
     Refuse(error::ErrorKind),
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct InFlightAttempt {
     upstream: UpstreamKey,
     started: Instant,
@@ -149,7 +152,7 @@
 }
 
 /// Load balancer of one service at one node.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct ServiceBalancer {
     service: Arc<config::Service>,
     local_data_centre: ids::DataCentreId,
--- a/crates/policy/src/service/balancer/offers.rs
+++ b/crates/policy/src/service/balancer/offers.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use rand::Rng as _;
+use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom as _;
 use tokio::time::Instant;
 
@@ -141,10 +142,11 @@
 impl ServiceBalancer {
     /// Picks an upstream whose offer is due, if this request may be one.
     pub(super) fn pick_due_offer(
-        &mut self,
+        &self,
         now: Instant,
         request: &AttemptRequest,
         limited_use: LimitedUse,
+        rng: &mut SmallRng,
     ) -> Option<UpstreamKey> {
         if request.purpose != AttemptPurpose::First {
             return None;
@@ -165,11 +167,14 @@
                 && is_due()
         });
         // A random one, since after a pause all are due at every node.
-        let (key, _) = due.choose(&mut self.rng)?;
+        due.choose(rng).map(|(key, _)| key)
+    }
+
+    /// Charges an offer, if it is one to a suspect.
+    pub(super) fn charge_offer(&mut self, key: UpstreamKey) {
         if self.upstreams[key].suspicion.is_some() {
             self.offer_credit -= 1.0;
         }
-        Some(key)
     }
 
     /// Counts a request of this node, a share of which may be offers to suspects.
--- a/crates/policy/src/service/balancer/remembered.rs
+++ b/crates/policy/src/service/balancer/remembered.rs
@@ -29,7 +29,7 @@
 }
 
 /// Statements of upstreams that are not configured.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct RememberedUpstreams {
     signals: HashMap<ids::UpstreamId, StatedSignals>,
     /// The same upstreams, the oldest first.
--- a/crates/policy/src/service/balancer/shared_room.rs
+++ b/crates/policy/src/service/balancer/shared_room.rs
@@ -60,7 +60,7 @@
 
     /// Whether the capacity of the data centre has room for one more request of this flow and
     /// priority.
-    fn has_shared_room(&self, now: Instant, request: &AttemptRequest) -> bool {
+    pub(super) fn has_shared_room(&self, now: Instant, request: &AttemptRequest) -> bool {
         let Some(class) = &request.class else {
             return true;
         };
--- a/crates/policy/src/service/choose.rs
+++ b/crates/policy/src/service/choose.rs
@@ -27,16 +27,56 @@
 /// this data centre. Those of its own data centre are not known.
 const REMOTE_FREE_SHARE: f64 = 0.5;
 
-/// Whether an upstream belongs to a group of candidates of a node in a data centre.
-type CandidateTier = fn(&UpstreamEntry, &ids::DataCentreId, Instant) -> bool;
+model::text_enum! {
+    /// Groups of candidates.
+    pub enum CandidateGroup {
+        /// Healthy upstreams of the node's data centre that the node prefers.
+        LocalSubset = "local-preferred",
+        /// Healthy upstreams of other data centres that the node prefers and that have slots free.
+        RemoteRelief = "remote-with-free-slots",
+        /// Healthy upstreams of the node's data centre.
+        Local = "local",
+        /// Healthy upstreams that the node prefers.
+        Subset = "preferred",
+        /// Healthy upstreams.
+        Healthy = "healthy",
+        /// Upstreams that the node avoids.
+        Avoided = "avoided",
+    }
+}
+
+impl CandidateGroup {
+    /// Whether an upstream belongs to the group, for a node in a data centre.
+    pub(super) fn contains(
+        self,
+        entry: &UpstreamEntry,
+        local_data_centre: &ids::DataCentreId,
+        now: Instant,
+    ) -> bool {
+        let is_local = || entry.upstream.data_centre == *local_data_centre;
+        let is_healthy = || entry.status() == UpstreamStatus::Healthy;
+        match self {
+            Self::LocalSubset => is_healthy() && entry.in_subset && is_local(),
+            Self::RemoteRelief => {
+                is_healthy()
+                    && entry.in_subset
+                    && !is_local()
+                    && entry.has_free_share(now, REMOTE_FREE_SHARE)
+            }
+            Self::Local => is_healthy() && is_local(),
+            Self::Subset => is_healthy() && entry.in_subset,
+            Self::Healthy => is_healthy(),
+            Self::Avoided => entry.status() == UpstreamStatus::Avoided,
+        }
+    }
+}
 
 /// Groups of candidates, in order of preference.
-const LOCAL_TIERS: [CandidateTier; 1] =
-    [|entry, local, _| is_healthy(entry) && entry.in_subset && is_local(entry, local)];
-const ANY_TIERS: [CandidateTier; 3] = [
-    |entry, _, _| is_healthy(entry) && entry.in_subset,
-    |entry, _, _| is_healthy(entry),
-    |entry, _, _| entry.status() == UpstreamStatus::Avoided,
+const LOCAL_TIERS: [CandidateGroup; 1] = [CandidateGroup::LocalSubset];
+const ANY_TIERS: [CandidateGroup; 3] = [
+    CandidateGroup::Subset,
+    CandidateGroup::Healthy,
+    CandidateGroup::Avoided,
 ];
 
 /// Groups of local candidates, and of those that relieve them, if the subset is assigned.
@@ -48,24 +88,32 @@
 ///
 /// The first group is skipped if it has no free slot. If only the upstreams with free slots were
 /// candidates, many nodes would select the few that the last totals show as free.
-const ASSIGNED_LOCAL_TIERS: [CandidateTier; 4] = [
-    |entry, local, _| is_healthy(entry) && entry.in_subset && is_local(entry, local),
-    |entry, local, now| {
-        is_healthy(entry)
-            && entry.in_subset
-            && !is_local(entry, local)
-            && entry.has_free_share(now, REMOTE_FREE_SHARE)
-    },
-    |entry, local, _| is_healthy(entry) && entry.in_subset && is_local(entry, local),
-    |entry, local, _| is_healthy(entry) && is_local(entry, local),
+const ASSIGNED_LOCAL_TIERS: [CandidateGroup; 4] = [
+    CandidateGroup::LocalSubset,
+    CandidateGroup::RemoteRelief,
+    CandidateGroup::LocalSubset,
+    CandidateGroup::Local,
 ];
 
+/// The groups of candidates in order of preference; `explores` leaves out those of local upstreams.
+pub(super) fn tiers(
+    placement: Placement,
+    explores: bool,
+) -> impl Iterator<Item = CandidateGroup> + Clone {
+    let local: &[CandidateGroup] = match placement {
+        _ if explores => &[],
+        Placement::Hashed => &LOCAL_TIERS,
+        Placement::Assigned => &ASSIGNED_LOCAL_TIERS,
+    };
+    local.iter().chain(&ANY_TIERS).copied()
+}
+
 /// Draws whether a request ignores the preference for the local data centre.
 pub(super) fn draw_exploration(repeatable: bool, rng: &mut impl Rng) -> bool {
     repeatable && rng.random_ratio(1, EXPLORE_ONE_IN)
 }
 
-/// Picks an upstream with room from the first group that has one; `explores` skips the
+/// Picks an upstream with room from the first group that has one, and states the group; `explores` skips the
 /// groups of local upstreams. `load` gives the load that is compared.
 pub(super) fn pick<'a, K: Copy>(
     upstreams: &(impl Iterator<Item = (K, &'a UpstreamEntry)> + Clone),
@@ -75,18 +123,13 @@
     width: ChoiceWidth,
     measure: &LoadMeasure,
     rng: &mut impl Rng,
-) -> Option<K> {
-    let local_tiers: &[CandidateTier] = match placement {
-        _ if explores => &[],
-        Placement::Hashed => &LOCAL_TIERS,
-        Placement::Assigned => &ASSIGNED_LOCAL_TIERS,
-    };
+) -> Option<(K, CandidateGroup)> {
     let is_relieved = placement == Placement::Assigned && !explores;
-    let mut tiers = local_tiers.iter().chain(&ANY_TIERS).enumerate();
+    let mut tiers = tiers(placement, explores).enumerate();
     tiers.find_map(|(place, tier)| {
         let candidates: Vec<_> = upstreams
             .clone()
-            .filter(|(_, entry)| tier(entry, local_data_centre, measure.now))
+            .filter(|(_, entry)| tier.contains(entry, local_data_centre, measure.now))
             .collect();
         let with_room: Vec<_> = candidates
             .into_iter()
@@ -104,11 +147,12 @@
         // Upstreams outside of the subset are candidates of all nodes.
         let is_shared =
             placement == Placement::Assigned && with_room.iter().any(|(_, entry)| !entry.in_subset);
-        match width {
+        let key = match width {
             ChoiceWidth::All if is_shared => less_loaded_of_two(&with_room, load, rng),
             ChoiceWidth::Two => less_loaded_of_two(&with_room, load, rng),
             ChoiceWidth::All => least_loaded(&with_room, load, rng),
-        }
+        };
+        key.map(|key| (key, tier))
     })
 }
 
@@ -152,11 +196,3 @@
         .min_by(|(_, a), (_, b)| a.total_cmp(b));
     least.map(|(key, _)| key)
 }
-
-fn is_healthy(entry: &UpstreamEntry) -> bool {
-    entry.status() == UpstreamStatus::Healthy
-}
-
-fn is_local(entry: &UpstreamEntry, local_data_centre: &ids::DataCentreId) -> bool {
-    entry.upstream.data_centre == *local_data_centre
-}
--- a/crates/policy/src/service/entry.rs
+++ b/crates/policy/src/service/entry.rs
@@ -98,7 +98,7 @@
 }
 
 /// An upstream with the state that this node keeps of it.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct UpstreamEntry {
     pub(super) upstream: Arc<config::Upstream>,
     pub(super) in_flight: u32,
--- a/crates/policy/src/service/mod.rs
+++ b/crates/policy/src/service/mod.rs
@@ -13,9 +13,10 @@
 
 pub use assignment::{AssignedUpstream, assign, width_step};
 pub use balancer::{
-    Admission, AttemptGrant, AttemptKey, AttemptPurpose, AttemptRequest, LoadReport, OfferCount,
-    ServiceBalancer, UpstreamLoad,
+    Admission, AttemptGrant, AttemptKey, AttemptPurpose, AttemptRequest, CandidateView, LoadReport,
+    OfferCount, PreviewDecision, RequestPreview, SelectionReason, ServiceBalancer, UpstreamLoad,
 };
+pub use choose::CandidateGroup;
 pub use entry::{UpstreamPause, UpstreamStatus, UpstreamView};
 pub use fair_admission::{FairAdmission, FairDecision, QueuedAttempt, WaitOutlook, WaitRefusal};
 pub use load_totals::LoadTotals;
--- a/crates/policy/tests/balancer.rs
+++ b/crates/policy/tests/balancer.rs
@@ -12,9 +12,10 @@
 use gooseberrydyke_policy::permit::{LimitState, LimitVersion, Permit, PermitDraw, PermitReply};
 use gooseberrydyke_policy::retry::{AttemptEnd, RetryCharge, RetryContext, RetryRefusal};
 use gooseberrydyke_policy::service::{
-    Admission, AttemptGrant, AttemptPurpose, AttemptRequest, ServiceBalancer, UpstreamStatus,
-    choose_subset,
+    Admission, AttemptGrant, AttemptPurpose, AttemptRequest, PreviewDecision, ServiceBalancer,
+    UpstreamStatus, choose_subset,
 };
+use gooseberrydyke_policy::suspicion::SignalKind;
 use model::clock::UnixMillis;
 use model::config::{DetectionProfile, RetryAllowance, Service, UpstreamState};
 use model::error::ErrorKind;
@@ -832,3 +833,68 @@
     balancer.record_pause(Instant::now(), &former, "4".parse().unwrap());
     assert!(!run_requests(&mut balancer, 6, true).contains(&next));
 }
+
+/// Previews requests and then admits them, while upstreams are avoided and others are busy;
+/// returns how many attempts went to avoided upstreams.
+async fn check_previews(
+    mut balancer: ServiceBalancer,
+    avoid: impl Fn(&mut ServiceBalancer),
+) -> usize {
+    let mut grants = Vec::new();
+    let mut trials = 0;
+    for number in 0..60 {
+        let request = request(number % 2 == 0);
+        if number == 10 {
+            avoid(&mut balancer);
+        }
+        let before = format!("{balancer:?}");
+        let preview = balancer.preview(Instant::now(), &request);
+        let after = format!("{balancer:?}");
+        assert_eq!(after, before, "the preview changed the balancer");
+        assert_eq!(preview.candidates.len(), 9);
+        match balancer.admit(Instant::now(), &request) {
+            Admission::Grant(grant) => {
+                let PreviewDecision::Send { upstream, .. } = preview.decision else {
+                    panic!("{:?} is not what was decided", preview.decision);
+                };
+                assert_eq!(upstream, grant.upstream.id);
+                trials += usize::from(grant.trial);
+                grants.push(grant);
+            }
+            Admission::Wait => assert_eq!(preview.decision, PreviewDecision::Wait),
+            other => panic!("an unexpected decision: {other:?}"),
+        }
+        if number % 4 == 0 && !grants.is_empty() {
+            let grant = grants.remove(0);
+            finish(&mut balancer, &grant, AttemptEnd::Answered);
+        }
+        time::advance(Duration::from_millis(150)).await;
+    }
+    trials
+}
+
+/// Guards against a preview that draws random numbers, takes credit, postpones a trial or counts a
+/// request, and against one that names another upstream than the balancer then selects.
+#[tokio::test(start_paused = true)]
+async fn a_preview_changes_nothing_and_names_the_upstream_that_is_selected_next() {
+    let trials = check_previews(balancer(9), |balancer| {
+        for _ in 0..10 {
+            balancer.record_outcome(Instant::now(), &name("up-0"), false);
+        }
+    });
+    assert!(trials.await > 0, "no trial was previewed");
+}
+
+/// The same with offers and with suspicion, which is brought up to date before a selection.
+#[tokio::test(start_paused = true)]
+async fn a_preview_changes_nothing_where_nodes_share_signals() {
+    let mut episodes = Service::clone(&service(9, 4, 4));
+    episodes.profile = DetectionProfile::Episodes;
+    let balancer = ServiceBalancer::new(Instant::now(), Arc::new(episodes), name("ikeja"), 5);
+    let trials = check_previews(balancer, |balancer| {
+        for _ in 0..3 {
+            balancer.apply_signal(Instant::now(), &name("up-0"), SignalKind::Overdue);
+        }
+    });
+    assert!(trials.await > 0, "no offer to a suspect was previewed");
+}
--- a/crates/upstream/src/dispatch/dispatcher.rs
+++ b/crates/upstream/src/dispatch/dispatcher.rs
@@ -24,7 +24,7 @@
 use super::claim::{self, ClaimCallbacks, ClaimGuard};
 use super::quota::{self, QuotaCallbacks};
 use super::trace::{self, CallTrace};
-use super::{access, admission, memory_error, race, resume};
+use super::{access, admission, memory_error, race, resume, target};
 use crate::attempt::{self, AttemptContext, AttemptFailure, BodyFault};
 use crate::crash::{CrashCallbacks, CrashWatch};
 use crate::memory::MemoryBudget;
@@ -161,7 +161,7 @@
     /// The current directory. Shortly after the start, waits for the first one.
     async fn first_directory(&self, now: Instant, head: &CallHead) -> Arc<ServiceDirectory> {
         let current = Arc::clone(&self.directory.borrow());
-        if is_configured(&current) {
+        if target::is_configured(&current) {
             return current;
         }
         let patience = head.timeout.map_or(CONFIG_WAIT_MAX, |timeout| {
@@ -169,7 +169,7 @@
         });
         let wait_until = (self.started + START_WAIT).min(now + patience);
         let mut directories = self.directory.clone();
-        let configured = directories.wait_for(|directory| is_configured(directory));
+        let configured = directories.wait_for(|directory| target::is_configured(directory));
         match time::timeout_at(wait_until, configured).await {
             Ok(Ok(directory)) => Arc::clone(&directory),
             _ => current,
@@ -182,16 +182,7 @@
         trace: &mut CallTrace,
         mut call: Call,
     ) -> Result<CallResponse, FleetError> {
-        if !is_configured(directory) {
-            return Err(FleetError::new(
-                ErrorKind::NotReady,
-                "no configuration is in force yet",
-            ));
-        }
-        let Some(matched) = directory.routes.find(&call.head) else {
-            let detail = format!("no route for {} {}", call.head.method, call.head.path());
-            return Err(FleetError::new(ErrorKind::NoRoute, detail));
-        };
+        let matched = target::match_route(directory, &call.head)?;
         trace.route = Some(matched.route.id.clone());
         let fleet = &directory.config;
         let access = match access::authenticate(fleet, &matched.route.id, &mut call.head) {
@@ -203,23 +194,14 @@
         };
         trace.workspace = match &access {
             Some(access) => access.workspace.clone(),
-            None => configured_workspace(fleet, &call.head),
-        };
-        let Some(service) = matched.service_for(rand::random()) else {
-            let detail = format!("route {} leads to no service", matched.route.id);
-            return Err(FleetError::new(ErrorKind::NoUpstream, detail));
+            None => target::configured_workspace(fleet, &call.head),
         };
+        let service = target::choose_service(matched, rand::random())?;
         trace.service = Some(service.id.clone());
-        let Some(handle) = directory.handles.get(&service.id) else {
-            let detail = format!(
-                "service {} is routed to but has no running task",
-                service.id
-            );
-            return Err(FleetError::new(ErrorKind::NoUpstream, detail));
-        };
+        let handle = target::find_handle(directory, service)?;
         let limited = match access {
             Some(_) => None,
-            None => find_workspace(fleet, &call.head)?,
+            None => target::find_workspace(fleet, &call.head)?,
         };
         let _permit = match limited {
             Some(workspace) => Some(handle.enter_workspace(workspace).await?),
@@ -596,44 +578,11 @@
         .map_err(|error| FleetError::new(ErrorKind::Invalid, error.to_string()))
 }
 
-fn is_configured(directory: &ServiceDirectory) -> bool {
-    directory.config.generation.get() > 0
-}
-
 fn stopping_error() -> FleetError {
     let detail = "this node is stopping; another one can serve the request";
     FleetError::new(ErrorKind::Stopping, detail).with_retry_after(Some(Duration::ZERO))
 }
 
-/// The workspace that a request names, if the configuration has it.
-fn configured_workspace(fleet: &config::FleetConfig, head: &CallHead) -> Option<ids::WorkspaceId> {
-    let workspace = head.workspace.as_ref()?;
-    let configured = fleet.workspaces.get(workspace)?;
-    Some(configured.id.clone())
-}
-
-fn find_workspace(
-    fleet: &config::FleetConfig,
-    head: &CallHead,
-) -> Result<Option<config::Workspace>, FleetError> {
-    let Some(id) = &head.workspace else {
-        return Ok(None);
-    };
-    if let Some(workspace) = fleet.workspaces.get(id) {
-        return Ok(Some(workspace.clone()));
-    }
-    if fleet.workspaces.is_empty() {
-        return Ok(Some(config::Workspace {
-            id: id.clone(),
-            limit: None,
-        }));
-    }
-    Err(FleetError::new(
-        ErrorKind::UnknownWorkspace,
-        format!("workspace {id} is not configured"),
-    ))
-}
-
 /// A stable hash of the request. Under the same idempotency key, an equal hash means
 /// a retry and another hash a key that is used for a different request.
 fn request_hash(head: &CallHead, body: &RequestBody) -> u64 {
--- a/crates/upstream/src/dispatch/mod.rs
+++ b/crates/upstream/src/dispatch/mod.rs
@@ -5,9 +5,11 @@
 mod body;
 mod claim;
 mod dispatcher;
+mod preview;
 mod quota;
 mod race;
 mod resume;
+mod target;
 mod trace;
 
 use std::time::Duration;
@@ -16,6 +18,7 @@
 
 pub use claim::{ClaimCallbacks, ClaimFuture};
 pub use dispatcher::{DispatchCallbacks, Dispatcher};
+pub use preview::{CallPreview, preview};
 pub use quota::{QuotaCallbacks, QuotaFuture};
 
 /// Bounds of the delay before a caller retries a request that was rejected for lack of memory.
--- a/crates/upstream/src/service/handle.rs
+++ b/crates/upstream/src/service/handle.rs
@@ -15,8 +15,8 @@
 use policy::permit::{LimitSignal, LimitState, PermitDraw, PermitRequest};
 use policy::retry::{AttemptEnd, RetryCharge, RetryContext, RetryRefusal};
 use policy::service::{
-    AttemptGrant, AttemptPurpose, AttemptRequest, UpstreamLoad, UpstreamView, WaitOutlook,
-    WaitRefusal,
+    AttemptGrant, AttemptPurpose, AttemptRequest, RequestPreview, UpstreamLoad, UpstreamView,
+    WaitOutlook, WaitRefusal,
 };
 use policy::suspicion::SuspicionSignal;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -135,6 +135,7 @@
     },
     RetryTokenDrawn(Option<OfficeGrant>),
     Views(oneshot::Sender<BTreeMap<ids::UpstreamId, UpstreamView>>),
+    Preview(AttemptRequest, oneshot::Sender<RequestPreview>),
 }
 
 /// A message about a request in flight. The channel for these is unbounded, but
@@ -391,6 +392,13 @@
         receiver.await.unwrap_or_default()
     }
 
+    /// Queries what the balancer would decide on a request now; `None` if the task has ended.
+    pub async fn preview(&self, request: AttemptRequest) -> Option<RequestPreview> {
+        let (reply, receiver) = oneshot::channel();
+        self.send(ServiceCommand::Preview(request, reply)).await;
+        receiver.await.ok()
+    }
+
     async fn send(&self, command: ServiceCommand) {
         let _ = self.commands.send(command).await;
     }
--- a/crates/upstream/src/service/task.rs
+++ b/crates/upstream/src/service/task.rs
@@ -387,6 +387,9 @@
             ServiceCommand::Views(reply) => {
                 let _ = reply.send(self.balancer.views(now));
             }
+            ServiceCommand::Preview(request, reply) => {
+                let _ = reply.send(self.balancer.preview(now, &request));
+            }
         }
     }
 
