feat(ctl): where a node would send a request now, and why

Change: `/where` at the operations endpoint of a node describes the preview as JSON: route, service, workspace, the state of its quota as far as the node knows, the decision, and all upstreams with status, group, load, limit and room. `gooseberrydyke-ctl where` prints it.

--- a/bins/ctl/src/client.rs
+++ b/bins/ctl/src/client.rs
@@ -62,6 +62,27 @@
     faults.iter().try_for_each(|fault| writeln!(f, "{fault}"))
 }
 
+fn new_agent() -> Agent {
+    let config = Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_global(Some(CALL_TIMEOUT))
+        .build();
+    config.into()
+}
+
+/// Gets a page of the operations endpoint of a node, which needs no token.
+pub(crate) fn get_page(address: &str, target: &str) -> Result<serde_json::Value, CommandError> {
+    let url = format!("http://{address}{target}");
+    let unavailable = |error: ureq::Error| CommandError::Unavailable(format!("{url}: {error}"));
+    let mut response = new_agent().get(&url).call().map_err(unavailable)?;
+    let body = response.body_mut().read_to_string().map_err(unavailable)?;
+    if !response.status().is_success() {
+        return Err(CommandError::Usage(format!("{url}: {}", body.trim_end())));
+    }
+    serde_json::from_str(&body)
+        .map_err(|error| CommandError::Unavailable(format!("{url}: {error}")))
+}
+
 /// A client of the administration API that authenticates with a bearer token.
 pub(crate) struct AdminClient {
     agent: Agent,
@@ -79,12 +100,8 @@
 
 impl AdminClient {
     pub(crate) fn new(address: &str, token: String) -> Self {
-        let config = Agent::config_builder()
-            .http_status_as_error(false)
-            .timeout_global(Some(CALL_TIMEOUT))
-            .build();
         Self {
-            agent: config.into(),
+            agent: new_agent(),
             base_url: format!("http://{address}"),
             token,
         }
--- a/bins/ctl/src/commands.rs
+++ b/bins/ctl/src/commands.rs
@@ -21,6 +21,7 @@
     Drain, Explain, GooseberrydykeCtl, GooseberrydykeCtlCmd, Put, Remove, SheetCmd, TokenCmd,
 };
 use crate::output::Output;
+use crate::preview;
 
 /// Number of audit entries that are listed by default.
 const DEFAULT_AUDIT_ENTRIES: usize = 20;
@@ -72,6 +73,7 @@
         GooseberrydykeCtlCmd::Remove(command) => output.change(&remove(&client()?, &command)?),
         GooseberrydykeCtlCmd::Token(command) => run_token(command.subcommand, &output, &client()?)?,
         GooseberrydykeCtlCmd::Explain(command) => explain(command, &output)?,
+        GooseberrydykeCtlCmd::Where(command) => preview::run(&command, &output)?,
         GooseberrydykeCtlCmd::NewCa(command) => new_ca(&command.folder)?,
     }
     Ok(())
--- a/bins/ctl/src/flags.rs
+++ b/bins/ctl/src/flags.rs
@@ -99,6 +99,17 @@
             /// Files with log lines in JSON; standard input by default
             repeated file: PathBuf
         }
+        /// Show where a node would send a request now, and why, without sending it
+        cmd where {
+            /// Address of the node's operations endpoint
+            required --node node: String
+            /// Workspace for which the request would be sent
+            optional --workspace workspace: String
+            /// Method of the request
+            required method: String
+            /// URL of the request, with its host
+            required url: String
+        }
         /// Create a certificate authority for the fleet, as ca.pem and ca-key.pem in a folder
         cmd new-ca {
             required folder: PathBuf
--- a/bins/ctl/src/main.rs
+++ b/bins/ctl/src/main.rs
@@ -5,6 +5,7 @@
 mod explain;
 mod flags;
 mod output;
+mod preview;
 
 use std::process::ExitCode;
 
--- a/bins/ctl/src/output.rs
+++ b/bins/ctl/src/output.rs
@@ -306,22 +306,22 @@
 }
 
 /// A text table whose columns are as wide as their longest cell.
-struct Table {
+pub(crate) struct Table {
     rows: Vec<Vec<String>>,
 }
 
 impl Table {
-    fn new(header: &[&str]) -> Self {
+    pub(crate) fn new(header: &[&str]) -> Self {
         Self {
             rows: vec![header.iter().map(|name| (*name).to_owned()).collect()],
         }
     }
 
-    fn add_row(&mut self, cells: &[String]) {
+    pub(crate) fn add_row(&mut self, cells: &[String]) {
         self.rows.push(cells.to_vec());
     }
 
-    fn print(&self) {
+    pub(crate) fn print(&self) {
         let columns = self.rows.first().map_or(0, Vec::len);
         let width = |column: usize| {
             self.rows
--- a/bins/ctl/tests/commands.rs
+++ b/bins/ctl/tests/commands.rs
@@ -247,3 +247,37 @@
     );
     assert!(folder.join("ca.pem").exists() && folder.join("ca-key.pem").exists());
 }
+
+/// Guards against values that are lost in the query, and against a rejection that is not told.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_tells_where_it_would_send_a_request() {
+    let fixture = CtlFixture::start("where").await;
+    let entry = fixture.testbed.entries.values().next().unwrap();
+    let node = entry.ops_address.to_string();
+    let deadline = Instant::now() + Duration::from_secs(10);
+    let ask = async |url: &str| {
+        let output = fixture.ctl(&["where", "--node", &node, "GET", url]).await;
+        assert_eq!(output.status.code(), Some(0), "{}", text(&output));
+        text(&output)
+    };
+    let mut told = ask("http://site.example/view/a%20b?c=d&e=f").await;
+    while told.contains("not-ready") && Instant::now() < deadline {
+        time::sleep(Duration::from_millis(50)).await;
+        told = ask("http://site.example/view/a%20b?c=d&e=f").await;
+    }
+    assert!(told.contains("service view\n"), "{told}");
+    assert_eq!(told.matches(" healthy ").count(), 6, "{told}");
+    assert_eq!(told.matches("\n*").count(), 1, "{told}");
+    assert!(told.contains("It would go to view-"), "{told}");
+    let rejected = ask("http://site.example/nowhere").await;
+    let expected = "It would be rejected with no-route: no route for GET /nowhere.\n";
+    assert!(rejected.ends_with(expected), "{rejected}");
+    let output = fixture
+        .ctl(&["where", "--node", &node, "GET", "/view/1"])
+        .await;
+    assert_eq!(output.status.code(), Some(2));
+    let output = fixture
+        .ctl(&["where", "--node", "127.0.0.1:1", "GET", "http://h/"])
+        .await;
+    assert_eq!(output.status.code(), Some(4));
+}
--- a/bins/entry/src/gateway.rs
+++ b/bins/entry/src/gateway.rs
@@ -164,6 +164,7 @@
         let endpoint = OpsEndpoint {
             directory,
             members: fleet.members.clone(),
+            quotas: fleet.quota.clone(),
             metrics,
             leaving: leaving_watch,
             readiness_path: settings.readiness_path,
--- a/bins/entry/src/lib.rs
+++ b/bins/entry/src/lib.rs
@@ -8,7 +8,7 @@
 //! Private modules: `directory` and `replica_directory` apply the configuration to the
 //! service tasks, `permits` connects them to the sharing of rate limits and `crashes` the
 //! dispatcher to that of crashes, `quotas` to that of quotas, `probes` probes the upstreams assigned to this node, and
-//! `ops` serves readiness, status and metrics.
+//! `ops` serves readiness, status and metrics, and `where_page` tells where a request would go.
 
 mod crashes;
 mod directory;
@@ -20,6 +20,7 @@
 mod replica_directory;
 pub mod server;
 pub mod settings;
+mod where_page;
 
 pub use gateway::{GatewayServer, GatewaySettings};
 pub use server::EntryServer;
--- a/bins/entry/src/ops.rs
+++ b/bins/entry/src/ops.rs
@@ -4,11 +4,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use http::{Response, StatusCode, header};
+use http::{Response, StatusCode, Uri, header};
 use http1::server::{self, ServeLimits};
 use model::call::{self, BodyStream};
 use model::sizes::RateLimit;
 use node::members::MemberSet;
+use node::replica::QuotaHandle;
 use policy::invariant::{self, Invariant};
 use policy::service::UpstreamStatus;
 use telemetry::logs;
@@ -17,11 +18,15 @@
 use tokio::sync::watch;
 use upstream::service::ServiceDirectory;
 
+use crate::where_page;
+
 /// The state that the endpoint reports.
 #[derive(Clone)]
 pub(crate) struct OpsEndpoint {
     pub(crate) directory: watch::Receiver<Arc<ServiceDirectory>>,
     pub(crate) members: MemberSet,
+    /// The quotas of workspaces; `None` if none are enforced.
+    pub(crate) quotas: Option<QuotaHandle>,
     pub(crate) metrics: Arc<NodeMetrics>,
     pub(crate) leaving: watch::Receiver<bool>,
     /// Path of the load balancer's readiness checks.
@@ -39,7 +44,7 @@
         let address = listener.local_addr()?;
         let handler: server::Handler<BodyStream> = Arc::new(move |request| {
             let endpoint = self.clone();
-            Box::pin(async move { endpoint.respond(request.uri().path()).await })
+            Box::pin(async move { endpoint.respond(request.uri()).await })
         });
         tokio::spawn(server::listen(
             listener,
@@ -50,17 +55,19 @@
         Ok(address)
     }
 
-    async fn respond(&self, path: &str) -> Response<BodyStream> {
+    async fn respond(&self, uri: &Uri) -> Response<BodyStream> {
+        let path = uri.path();
         if path == self.readiness_path.as_ref() {
             return self.readiness();
         }
         match path {
             "/status" => self.status().await,
             "/metrics" => self.metrics_page().await,
+            "/where" => self.where_page(uri.query().unwrap_or_default()).await,
             _ => text_response(
                 StatusCode::NOT_FOUND,
                 "text/plain",
-                "available paths: /status, /metrics and the readiness path\n",
+                "available paths: /status, /metrics, /where and the readiness path\n",
             ),
         }
     }
@@ -107,6 +114,19 @@
         text_response(StatusCode::OK, "application/json", &format!("{status}\n"))
     }
 
+    async fn where_page(&self, query: &str) -> Response<BodyStream> {
+        let head = match where_page::decode_query(query) {
+            Ok(head) => head,
+            Err(detail) => {
+                let detail = format!("{detail}\n");
+                return text_response(StatusCode::BAD_REQUEST, "text/plain", &detail);
+            }
+        };
+        let directory = Arc::clone(&self.directory.borrow());
+        let page = where_page::describe(&directory, self.quotas.as_ref(), &head).await;
+        text_response(StatusCode::OK, "application/json", &format!("{page}\n"))
+    }
+
     /// Updates the gauges and returns every metric.
     async fn metrics_page(&self) -> Response<BodyStream> {
         let directory = Arc::clone(&self.directory.borrow());
--- a/bins/entry/src/server.rs
+++ b/bins/entry/src/server.rs
@@ -125,6 +125,7 @@
         let endpoint = OpsEndpoint {
             directory: directory.clone(),
             members: fleet.members.clone(),
+            quotas: None,
             metrics: Arc::clone(&metrics),
             leaving: leaving_watch,
             readiness_path: READINESS_PATH.into(),
