--- a/crates/policy/src/quota/pool.rs
+++ b/crates/policy/src/quota/pool.rs
@@ -186,7 +186,11 @@
             0.0
         };
         // Other nodes, and then votes, may bring tokens soon.
-        let wait_max = if is_initial { INITIAL_WAIT_MAX } else { WAIT_MAX };
+        let wait_max = if is_initial {
+            INITIAL_WAIT_MAX
+        } else {
+            WAIT_MAX
+        };
         let wait = if tokens < draw.count {
             let withheld = account.withheld_missing(now, counts);
             let rate = centre_rate * self.power.total() - withheld;
