fix(upstream): a rejection before the body is read keeps the connection

A request that was rejected for lack of memory, or over its quota, was answered without reading its body. The connection then closed, and requests behind it were lost although they had not run. The body is now read beside the response and discarded, for a second at most, as for an unknown key.

The path for quotas is the same code and has no test of its own. Also a lint of the offer test.

--- a/crates/policy/tests/offer_floor/calm.rs
+++ b/crates/policy/tests/offer_floor/calm.rs
@@ -105,7 +105,7 @@
 fn time_to_request(fleet: &Fleet, sound: &SoundTime) -> Option<Duration> {
     let mut offers = fleet.offers.iter();
     let next = offers.find(|offer| offer.upstream == sound.upstream && offer.at >= sound.from)?;
-    Some(next.at - sound.from)
+    next.at.checked_sub(sound.from)
 }
 
 // An offer to a suspect upstream by a request that may run only once is lost in most cases. Too
--- a/crates/upstream/src/dispatch/dispatcher.rs
+++ b/crates/upstream/src/dispatch/dispatcher.rs
@@ -238,9 +238,17 @@
         let deadline = started + timeout;
         self.check_stop(&target.handle, deadline)?;
         if !self.memory.level().admits_requests() {
+            body::discard_rejected(call.body);
             return Err(memory_error());
         }
-        let token = quota::admit(self.callbacks.quotas.as_ref(), target.access.as_ref()).await?;
+        let admitted = quota::admit(self.callbacks.quotas.as_ref(), target.access.as_ref()).await;
+        let token = match admitted {
+            Ok(token) => token,
+            Err(error) => {
+                body::discard_rejected(call.body);
+                return Err(error);
+            }
+        };
         let result = self.serve_within_quota(target, call, deadline).await;
         if let Some(token) = token {
             token.settle(&result);
