--- a/crates/http1/tests/slow_readers.rs
+++ b/crates/http1/tests/slow_readers.rs
@@ -49,11 +49,11 @@
 }
 
 /// Starts a server of one large response; returns its address and what stops it.
-async fn start_server() -> (SocketAddr, watch::Sender<bool>) {
-    start_server_of(|| call::full_body(vec![b'a'; BODY_BYTES]), None).await
+fn start_server() -> (SocketAddr, watch::Sender<bool>) {
+    start_server_of(|| call::full_body(vec![b'a'; BODY_BYTES]), None)
 }
 
-async fn start_server_of(
+fn start_server_of(
     body: fn() -> BodyStream,
     unread_timeout: Option<Duration>,
 ) -> (SocketAddr, watch::Sender<bool>) {
@@ -89,7 +89,7 @@
 // that was sent.
 #[tokio::test]
 async fn a_response_that_is_read_slowly_is_sent_to_its_end() {
-    let (address, _stop) = start_server().await;
+    let (address, _stop) = start_server();
     let mut stream = request(address).await;
     let mut received = 0;
     let mut piece = vec![0; PIECE_BYTES];
@@ -103,7 +103,7 @@
 
 #[tokio::test]
 async fn a_response_that_is_not_read_is_given_up() {
-    let (address, _stop) = start_server().await;
+    let (address, _stop) = start_server();
     let mut stream = request(address).await;
     time::sleep(IDLE_TIMEOUT * 4).await;
     let mut received = Vec::new();
@@ -116,7 +116,7 @@
 #[tokio::test]
 async fn a_response_that_is_still_being_made_is_given_up_after_the_unread_timeout() {
     let unread_timeout = Some(IDLE_TIMEOUT / 2);
-    let (address, _stop) = start_server_of(|| PieceBody.boxed_unsync(), unread_timeout).await;
+    let (address, _stop) = start_server_of(|| PieceBody.boxed_unsync(), unread_timeout);
     let mut stream = request(address).await;
     time::sleep(IDLE_TIMEOUT * 6).await;
     let mut received = Vec::new();
@@ -129,7 +129,7 @@
 // read steadily makes progress in steps.
 #[tokio::test]
 async fn a_response_that_is_read_steadily_outlasts_the_unread_timeout() {
-    let (address, _stop) = start_server_of(|| PieceBody.boxed_unsync(), Some(UNREAD_TIMEOUT)).await;
+    let (address, _stop) = start_server_of(|| PieceBody.boxed_unsync(), Some(UNREAD_TIMEOUT));
     let mut stream = request(address).await;
     let mut piece = vec![0; STEADY_PIECE_BYTES];
     let start = Instant::now();
