fix(policy): a holder reserves only from votes that it counts now

Cause: what a holder may reserve was its staying part, which includes votes that it counted up to 10 s ago. A rate that is reserved lasts 12 s, and the next holder of such a vote has its staying part 13.85 s after the vote was last counted, so both could use it for some 8 s.

Change: `HolderPower::reservable` is the share of established votes that count now; no other holder can have their staying part before the reservation ends.

Test: only_votes_that_count_now_are_reserved, red before (21.4 per second reserved from votes for 7.5), green after.

--- a/crates/policy/src/quota/ledger.rs
+++ b/crates/policy/src/quota/ledger.rs
@@ -37,6 +37,9 @@
     pub moving: f64,
     /// Share of the votes of which the holder has the staying part.
     pub staying: f64,
+    /// Share of the votes whose staying part it may reserve: it counts them now, so no other
+    /// holder has that part before what is reserved has ended.
+    pub reservable: f64,
     /// Whether it counts every vote of the data centre.
     pub complete: bool,
 }
@@ -68,10 +71,12 @@
         self.voters
             .retain(|_, record| record.last.saturating_add(LEASE_TTL) > now);
         let established = self.voters.values().filter(|record| record.established);
-        let established = share(established.count(), tally.nodes(now, nodes));
+        let nodes = tally.nodes(now, nodes);
+        let reservable = established.clone().filter(|record| record.last == now);
         HolderPower {
             moving,
-            staying: established,
+            staying: share(established.count(), nodes),
+            reservable: share(reservable.count(), nodes),
             complete,
         }
     }
--- a/crates/policy/src/quota/pool.rs
+++ b/crates/policy/src/quota/pool.rs
@@ -166,7 +166,7 @@
         let tokens = account.take(draw.count);
         let centre_rate = budget.rate * self.centre_share;
         let reserved = if counts(&draw.from) {
-            let reservable = centre_rate * (1.0 - MOVING_PART) * self.power.staying;
+            let reservable = centre_rate * (1.0 - MOVING_PART) * self.power.reservable;
             account.reserve(now, &draw.from, tokens, reservable)
         } else {
             0.0
--- a/crates/policy/tests/quota_pool.rs
+++ b/crates/policy/tests/quota_pool.rs
@@ -118,3 +118,21 @@
         "{minted} minted per second beside {middle} in use"
     );
 }
+
+/// Guards against a rate that is reserved from votes that another holder has before the
+/// reservation ends.
+#[test]
+fn only_votes_that_count_now_are_reserved() {
+    let mut fixture = PoolFixture::new();
+    fixture.run(Duration::from_secs(5), 1);
+    let mut reserved = 0.0;
+    for _ in 0..20 {
+        fixture.run(TICK, 1);
+        reserved = fixture.draw(0, 20).reserved.get();
+    }
+    let own = STAYING * RATE / 4.0;
+    assert!(
+        reserved > 0.0 && reserved <= own + 1e-6,
+        "{reserved} of {own}"
+    );
+}
