fix(policy): a reserved rate is withheld since the vote last counted

Cause: between two updates of a holder (up to 450 ms) a vote may end. The rate reserved for its node was withheld only from the next update on, although the node may spend from 50 ms after the end of its vote. The power itself already counts the lower of both ends.

Change: a node is missing in an interval if its vote does not count at either end.

Test: a_rate_is_withheld_since_the_last_time_that_the_vote_counted, red before (15 tokens, 13.8 are due), green after.

--- a/crates/policy/src/quota/pool.rs
+++ b/crates/policy/src/quota/pool.rs
@@ -124,6 +124,8 @@
             self.base_clock = self.clock;
         }
         if has_fallen || !self.counted.iter().eq(tally.voters(now)) {
+            // A vote that does not count at both ends may have ended at any time in between.
+            self.counted.retain(|node| tally.counts(now, node));
             self.accrue_all(now);
             self.counted = tally.voters(now).cloned().collect();
         }
--- a/crates/policy/tests/quota_pool.rs
+++ b/crates/policy/tests/quota_pool.rs
@@ -136,3 +136,27 @@
         "{reserved} of {own}"
     );
 }
+
+/// Guards against a rate that is spent twice between the end of a vote and the next update.
+#[test]
+fn a_rate_is_withheld_since_the_last_time_that_the_vote_counted() {
+    let mut fixture = PoolFixture::new();
+    let last = NODES - 1;
+    let reserved = fixture.draw(last, 20).reserved.get();
+    // The last vote ends between the next two updates.
+    fixture.run(Duration::from_millis(1_600), last);
+    fixture.draw(0, 1_000);
+    let span = Duration::from_millis(400);
+    fixture.now = fixture.now.saturating_add(span);
+    for number in 0..last {
+        let heard = fixture.now;
+        fixture.tally.record(heard, node(number), heard, NODES);
+    }
+    let tokens = f64::from(fixture.draw(0, 1_000).tokens);
+    let votes = 0.25 * 0.75 + STAYING;
+    let most = (votes * RATE - reserved) * span.as_secs_f64() + 1.0;
+    assert!(
+        tokens <= most,
+        "{tokens} tokens, {most} beside {reserved} in use"
+    );
+}
