fix(policy): a late reply ends what a former relay reserved

Cause: a relay with every vote of its data centre mints the whole rate at once, because its replies end what the former relay reserved. The node read that from replies within 80 ms only. With a relay that takes longer, nodes went on to spend their reserved rates for up to 12 s beside it.

Change: a late reply ends them as well.

Test: a_late_reply_ends_what_a_former_holder_reserved, red without the change, green after.

--- a/crates/node/src/replica/quota/task.rs
+++ b/crates/node/src/replica/quota/task.rs
@@ -192,6 +192,7 @@
 
     /// Applies the reply to a draw that was slow. The holder can be asked again.
     fn finish_late_draw(&mut self, now: Instant, sent: &SentDraw, grant: Option<QuotaGrant>) {
+        let is_local = self.order.is_local(&sent.holder);
         let Some(desk) = self.desks.get_mut(&sent.workspace) else {
             return;
         };
@@ -199,7 +200,8 @@
         if let Some(grant) = grant {
             self.silent.clear(&sent.holder);
             desk.counts.counts.drawn += u64::from(grant.tokens);
-            desk.stock.record_late(now, sent.asked_at, &grant);
+            desk.stock
+                .record_late(now, sent.asked_at, &sent.holder, is_local, &grant);
             desk.serve_waiting(now);
         }
         if !desk.waiting.is_empty() && !desk.stock.is_drawing() {
--- a/crates/policy/src/quota/stock.rs
+++ b/crates/policy/src/quota/stock.rs
@@ -175,7 +175,7 @@
         grant: &QuotaGrant,
     ) {
         self.is_drawing = false;
-        self.record_late(now, asked_at, grant);
+        self.record_late(now, asked_at, holder, is_local, grant);
         self.closed_until.retain(|_, until| *until > now);
         if grant.wait_ms > 0 {
             self.closed_until.insert(holder.clone(), now + grant.wait());
@@ -183,24 +183,39 @@
         if !is_local {
             return;
         }
-        let is_former = |reserved: &ReservedRate| reserved.holder != *holder;
         if grant.reserved.get() > 0.0 {
             self.reserved = Some(ReservedRate {
                 holder: holder.clone(),
                 rate: grant.reserved.get(),
                 ends_at: asked_at + RESERVATION_TTL,
             });
-        } else if grant.complete || !self.reserved.as_ref().is_some_and(is_former) {
+        } else if !self.is_reserved_by_other(holder) {
             self.reserved = None;
         }
     }
 
-    /// Records the tokens of a reply to a draw that was given up.
-    pub fn record_late(&mut self, now: Instant, asked_at: Instant, grant: &QuotaGrant) {
+    /// Records the tokens of a reply to a draw that was given up, and the end of what a former
+    /// holder reserved.
+    pub fn record_late(
+        &mut self,
+        now: Instant,
+        asked_at: Instant,
+        holder: &ids::NodeId,
+        is_local: bool,
+        grant: &QuotaGrant,
+    ) {
         let ends_at = asked_at + TOKEN_TTL;
         if grant.tokens > 0 && ends_at > now {
             self.tokens.push_back((ends_at, grant.tokens));
         }
+        if is_local && grant.complete && self.is_reserved_by_other(holder) {
+            self.reserved = None;
+        }
+    }
+
+    fn is_reserved_by_other(&self, holder: &ids::NodeId) -> bool {
+        let reserved = self.reserved.as_ref();
+        reserved.is_some_and(|reserved| reserved.holder != *holder)
     }
 
     /// Records that a draw got no reply in time, or from a process that is no holder.
--- a/crates/policy/tests/quota/traffic.rs
+++ b/crates/policy/tests/quota/traffic.rs
@@ -140,11 +140,14 @@
         grant: Option<(Instant, QuotaGrant)>,
     ) {
         let now = self.now;
+        let is_local = self.nodes[holder].centre == self.nodes[number].centre;
         let node = &mut self.nodes[number];
         node.slow_draws = node.slow_draws.saturating_sub(1);
         if let Some((asked_at, grant)) = grant {
-            node.silent.clear(&QuotaNode::name_of(holder));
-            node.stock.record_late(now, asked_at, &grant);
+            let name = QuotaNode::name_of(holder);
+            node.silent.clear(&name);
+            node.stock
+                .record_late(now, asked_at, &name, is_local, &grant);
             self.serve_waiting(number);
         }
         self.draw_or_settle(number);
--- a/crates/policy/tests/quota_stock.rs
+++ b/crates/policy/tests/quota_stock.rs
@@ -177,6 +177,35 @@
     assert_eq!(plan().unwrap().deposit_millitokens, 0);
 }
 
+/// The next holder mints what the former one reserved once it counts every vote. Its replies say
+/// so, also those that come too late to be waited for.
+#[test]
+fn a_late_reply_ends_what_a_former_holder_reserved() {
+    let mut fixture = StockFixture::new();
+    let reserved = QuotaGrant {
+        reserved: Rate::per_second(2.0),
+        ..grant(0, Duration::from_mins(1))
+    };
+    fixture.draw(&reserved);
+    fixture.draw(&grant(0, Duration::from_mins(1)));
+    fixture.standing = VoteStanding {
+        holder: Some(node("next")),
+        ..bound(fixture.now + Duration::from_mins(1))
+    };
+    assert!(matches!(fixture.take(), StockReply::Refused(_)));
+    fixture.now += Duration::from_secs(1);
+    assert!(matches!(fixture.take(), StockReply::Token(_)));
+
+    let complete = QuotaGrant {
+        complete: true,
+        ..grant(0, Duration::from_mins(1))
+    };
+    let (now, next) = (fixture.now, node("next"));
+    fixture.stock.record_late(now, now, &next, true, &complete);
+    fixture.now += Duration::from_secs(1);
+    assert!(matches!(fixture.take(), StockReply::Refused(_)));
+}
+
 #[test]
 fn a_silent_holder_is_asked_again_after_a_second_or_its_late_reply() {
     let now = Instant::now();
