fix(members): a node that restarts under its name gets its roles back

Cause: leaving was final for a name, taken to be one run of a process. The gateway takes its name from its settings and keeps it over a planned restart. Nodes that had heard that it leaves excluded it from every shared job until they restarted themselves; nodes that started later did not, so both chose different relays, and votes were split for good.

Change: a message without the mark counts as late for 3 s after the statement (exchanges end within 1 s), and after that as one of the next process. Without a contact the mark ends after a minute. `Member` moved to a file of its own.

Test: a_node_that_comes_back_under_its_name_gets_its_jobs_back, red with both times at 24 h, green after. The test of a late message stays, with a message 2 s after the statement.

--- a/crates/node/src/limits/offices.rs
+++ b/crates/node/src/limits/offices.rs
@@ -68,7 +68,7 @@
             .retain(|shard, vote| vote.is_bound(now) || limited.contains(shard));
         self.heard.retain(|node| table.find(node).is_some());
         self.heard.hear(&own.node, self.clock.now());
-        let is_leaving = |node: &ids::NodeId| table.find(node).is_some_and(|member| member.leaving);
+        let is_leaving = |node: &ids::NodeId| table.is_leaving(now, node);
         let mut messages: BTreeMap<ids::NodeId, OwnerMessages> = BTreeMap::new();
         for shard in limited {
             let vote = self.votes.entry(shard);
--- a/crates/node/src/members/task.rs
+++ b/crates/node/src/members/task.rs
@@ -82,7 +82,9 @@
     pub async fn record_contact(&self, member: Member) {
         let table = self.table();
         let known = table.find(&member.node);
-        if known.is_none_or(|known| **known != member) || table.is_suspect(&member.node) {
+        // A leaving node that repeats its statement still runs.
+        let is_news = member.leaving || known.is_none_or(|known| **known != member);
+        if is_news || table.is_suspect(&member.node) {
             let _ = self.commands.send(MemberCommand::Contact(member)).await;
         }
     }
@@ -143,12 +145,12 @@
             }
             MemberCommand::Contact(member) => {
                 log::info!(target: "members", "Added or updated node {}.", member.node);
-                self.table.record_contact(member);
+                self.table.record_contact(Instant::now(), member);
             }
             MemberCommand::AddUnknown(members) => {
                 let before = self.table.len();
                 for member in members {
-                    self.table.add_reported(member);
+                    self.table.add_reported(Instant::now(), member);
                 }
                 log::info!(target: "members", "The fleet has {} nodes, up from {before}.", self.table.len());
             }
--- a/crates/node/src/replica/retry_pool.rs
+++ b/crates/node/src/replica/retry_pool.rs
@@ -301,7 +301,7 @@
         let own = table.own();
         self.heard.retain(|node| table.find(node).is_some());
         self.heard.hear(&own.node, self.clock.now());
-        let is_leaving = |node: &ids::NodeId| table.find(node).is_some_and(|member| member.leaving);
+        let is_leaving = |node: &ids::NodeId| table.is_leaving(now, node);
         let relay = table.snapshot_relay(now, &own.data_centre);
         let relay_node = relay.as_ref().map_or(&own.node, |relay| &relay.node);
         let heard = self.heard.last(relay_node);
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership/mod.rs
@@ -3,11 +3,15 @@
 //! Nodes may know different members at the same time. Whatever depends on the results
 //! here either tolerates disagreement or is protected by a conditional update.
 
+mod leaving;
+mod member;
+
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+pub use leaving::LeavingNodes;
+pub use member::Member;
 use model::{ids, sizes};
 use tokio::time::Instant;
 
@@ -31,23 +35,6 @@
 /// Number of data centres from which an upstream is probed.
 const PROBING_DATA_CENTRES: usize = 3;
 
-model::record! {
-    /// A node of the fleet, as it describes itself to others.
-    #[derive(Eq)]
-    pub struct Member {
-        /// The name of the node, unique in the fleet.
-        pub node: ids::NodeId,
-        /// The address on which it accepts connections from other nodes.
-        pub address: SocketAddr,
-        /// The data centre that it runs in.
-        pub data_centre: ids::DataCentreId,
-        /// Whether it is shutting down and takes no shared jobs.
-        pub leaving: bool,
-        /// Its capacity for shared jobs; 0 if unknown.
-        pub capacity: sizes::NodeCapacity,
-    }
-}
-
 /// When a node failed to respond.
 #[derive(Debug, Clone, Copy)]
 struct Suspicion {
@@ -61,6 +48,7 @@
     own: Member,
     members: BTreeMap<ids::NodeId, Arc<Member>>,
     suspects: HashMap<ids::NodeId, Suspicion>,
+    leaving: LeavingNodes,
 }
 
 impl MemberTable {
@@ -71,6 +59,7 @@
             own,
             members,
             suspects: HashMap::new(),
+            leaving: LeavingNodes::default(),
         }
     }
 
@@ -95,13 +84,20 @@
     }
 
     /// Adds or updates a node that contacted this one and clears its suspicion. Returns
-    /// whether anything changed. A node that leaves does not come back under the same name: a
-    /// message that says otherwise is late.
-    pub fn record_contact(&mut self, mut member: Member) -> bool {
+    /// whether anything changed. A message that says that a leaving node does not leave may be
+    /// late; after some time it is from the next process under the same name.
+    pub fn record_contact(&mut self, now: Instant, mut member: Member) -> bool {
         if member.node == self.own.node {
             return false;
         }
-        member.leaving |= self.find(&member.node).is_some_and(|known| known.leaving);
+        if member.leaving {
+            self.leaving.record(now, member.node.clone());
+        } else if self.find(&member.node).is_some_and(|known| known.leaving) {
+            member.leaving = self.leaving.outweighs_contact(now, &member.node);
+        }
+        if !member.leaving {
+            self.leaving.remove(&member.node);
+        }
         let was_suspect = self.suspects.remove(&member.node).is_some();
         if self
             .find(&member.node)
@@ -115,14 +111,23 @@
 
     /// Adds a node that was reported by another one; a known entry stays unchanged.
     /// Returns whether it was added.
-    pub fn add_reported(&mut self, member: Member) -> bool {
+    pub fn add_reported(&mut self, now: Instant, member: Member) -> bool {
         if self.members.contains_key(&member.node) {
             return false;
         }
+        if member.leaving {
+            self.leaving.record(now, member.node.clone());
+        }
         self.members.insert(member.node.clone(), Arc::new(member));
         true
     }
 
+    /// Whether a node stated that it leaves, and may not have ended yet.
+    pub fn is_leaving(&self, now: Instant, node: &ids::NodeId) -> bool {
+        let leaves = self.find(node).is_some_and(|member| member.leaving);
+        leaves && (*node == self.own.node || self.leaving.is_in_force(now, node))
+    }
+
     /// Whether a node failed to respond and has not contacted this node since.
     pub fn is_suspect(&self, node: &ids::NodeId) -> bool {
         self.suspects.contains_key(node)
@@ -199,7 +204,7 @@
         let available = self
             .members
             .values()
-            .filter(|member| !member.leaving && responsive(&member.node));
+            .filter(|member| !self.is_leaving(now, &member.node) && responsive(&member.node));
         available.cloned().collect()
     }
 
