fix(node): a relay that is back after a restart is one for all nodes at once

Cause: after a planned restart a relay is still marked as leaving at its peers until it compares with each of them, one of some 30 in a second. Heartbeats, which it sends to all, did not count.

Change: the heartbeat of a node that is marked as leaving counts as a contact. Suspicions stay, since a slow relay sends heartbeats, too.

Test: policy/tests/quota/restarts.rs restarts all 121 nodes one after the other, relays included: one leaves every 2 s and is back after 1.5 s.

--- a/crates/node/src/replica/task.rs
+++ b/crates/node/src/replica/task.rs
@@ -172,6 +172,11 @@
             }
             ReplicaRequest::Heartbeat { from, summary } => {
                 self.last_heartbeat.send_replace(Instant::now());
+                // All nodes are to vote for a relay that is back after a restart, and at once. A
+                // suspicion stays: a slow relay sends heartbeats, too.
+                if self.members.table().is_leaving(Instant::now(), &from.node) {
+                    self.members.record_contact(from.clone()).await;
+                }
                 self.send(ReplicaCommand::PeerSummary(summary, Arc::new(from)))
                     .await;
                 NodeReply::Done
--- a/crates/policy/tests/quota/fleet.rs
+++ b/crates/policy/tests/quota/fleet.rs
@@ -4,8 +4,6 @@
 use std::collections::{BTreeMap, BinaryHeap};
 use std::time::Duration;
 
-use gooseberrydyke_policy::office::HolderTime;
-use gooseberrydyke_policy::quota::QuotaGrant;
 use model::config::{QuotaBound, WorkspaceQuota};
 use model::ids::WorkspaceId;
 use model::sizes::{BurstSize, Rate, Share};
@@ -13,6 +11,7 @@
 use rand::{Rng as _, SeedableRng as _};
 use tokio::time::Instant;
 
+use crate::message::{Content, Event, Exchange, ExchangeKind};
 use crate::node::QuotaNode;
 
 /// Interval at which a node compares its state with another one and finds out who is out of reach.
@@ -45,86 +44,6 @@
     pub(crate) quota: WorkspaceQuota,
 }
 
-/// A message or a timer of one process.
-#[derive(Debug, Clone)]
-pub(crate) enum Event {
-    Request,
-    Vote {
-        node: usize,
-        run: u32,
-    },
-    Compare {
-        node: usize,
-        run: u32,
-    },
-    Learn {
-        node: usize,
-        run: u32,
-    },
-    Message {
-        from: (usize, u32),
-        to: usize,
-        content: Content,
-    },
-    /// Decides on requests that wait for too long.
-    Settle {
-        node: usize,
-        run: u32,
-    },
-    /// Checks whether the exchange with a number has ended.
-    GiveUp {
-        node: usize,
-        run: u32,
-        exchange: u64,
-    },
-    Forget {
-        node: usize,
-        run: u32,
-        exchange: u64,
-    },
-}
-
-#[derive(Debug, Clone)]
-pub(crate) enum Content {
-    Vote {
-        exchange: u64,
-        heard: Option<HolderTime>,
-        voters: usize,
-    },
-    Release {
-        exchange: u64,
-    },
-    Time {
-        exchange: u64,
-        time: HolderTime,
-    },
-    Draw {
-        exchange: u64,
-        count: u32,
-        deposit: u32,
-    },
-    Grant {
-        exchange: u64,
-        grant: QuotaGrant,
-    },
-    Contact,
-}
-
-/// An exchange that waits for its reply.
-#[derive(Debug, Clone)]
-pub(crate) struct Exchange {
-    pub(crate) to: usize,
-    pub(crate) asked_at: Instant,
-    pub(crate) kind: ExchangeKind,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum ExchangeKind {
-    Vote,
-    Release,
-    Draw { is_given_up: bool },
-}
-
 /// What a run came to.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Usage {
@@ -223,6 +142,17 @@
         self.nodes[number].run += 1;
     }
 
+    /// Tells a node to stop; it announces that it leaves.
+    pub(crate) fn leave(&mut self, number: usize) {
+        self.nodes[number].is_leaving = true;
+        self.nodes[number].mark_leaving(self.now, number);
+        for peer in 0..self.nodes.len() {
+            if peer != number {
+                self.send(number, peer, Content::Leaving);
+            }
+        }
+    }
+
     pub(crate) fn restart(&mut self, number: usize) {
         let run = self.nodes[number].run;
         let centre = self.nodes[number].centre;
@@ -297,14 +227,7 @@
             Event::Request => self.arrive(),
             Event::Vote { node, run } if self.is_running(node, run) => self.vote(node),
             Event::Compare { node, run } if self.is_running(node, run) => {
-                let peer = self.rng.random_range(0..self.nodes.len());
-                if self.nodes[node].knows_all {
-                    if self.reaches(node, peer) {
-                        self.send(node, peer, Content::Contact);
-                    } else if peer < self.nodes[node].known {
-                        self.nodes[node].mark_suspect(self.now, peer);
-                    }
-                }
+                self.compare(node);
                 self.schedule(COMPARE_INTERVAL, Event::Compare { node, run });
             }
             Event::Learn { node, run } if self.is_running(node, run) => self.learn(node),
@@ -347,6 +270,27 @@
         }
     }
 
+    /// Contacts another node, and as a relay all nodes of the data centre.
+    fn compare(&mut self, number: usize) {
+        let peer = self.rng.random_range(0..self.nodes.len());
+        let node = &mut self.nodes[number];
+        if !node.knows_all {
+            return;
+        }
+        if node.is_leaving {
+            self.send(number, peer, Content::Leaving);
+            return;
+        }
+        for local in node.heartbeat_targets(self.now) {
+            self.send(number, local, Content::Heartbeat);
+        }
+        if self.reaches(number, peer) {
+            self.send(number, peer, Content::Contact);
+        } else if peer < self.nodes[number].known {
+            self.nodes[number].mark_suspect(self.now, peer);
+        }
+    }
+
     fn is_running(&self, node: usize, run: u32) -> bool {
         self.nodes[node].is_up && self.nodes[node].run == run
     }
--- a/crates/policy/tests/quota/main.rs
+++ b/crates/policy/tests/quota/main.rs
@@ -4,7 +4,9 @@
 //! of what was sent and allowed, beside what equal shares for all nodes would have let run.
 
 mod fleet;
+mod message;
 mod node;
+mod restarts;
 mod traffic;
 
 use std::collections::BTreeMap;
--- a/crates/policy/tests/quota/node.rs
+++ b/crates/policy/tests/quota/node.rs
@@ -1,8 +1,9 @@
 //! One node of the simulated fleet.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
+use gooseberrydyke_policy::membership::LeavingNodes;
 use gooseberrydyke_policy::office::{HolderTime, HolderTimes, OfficeVote, VoteStep, VoteTally};
 use gooseberrydyke_policy::quota::{
     FleetCounts, QuotaDraw, QuotaGrant, QuotaPool, QuotaStock, SilentHolders, VoteStanding,
@@ -20,6 +21,8 @@
     /// Counts the processes of the node.
     pub(crate) run: u32,
     pub(crate) is_up: bool,
+    /// Whether it was told to stop.
+    pub(crate) is_leaving: bool,
     pub(crate) knows_all: bool,
     /// How many nodes it knows, the first ones.
     pub(crate) known: usize,
@@ -30,6 +33,9 @@
     pub(crate) slow_draws: usize,
     centres: usize,
     suspects: BTreeMap<usize, Instant>,
+    /// The nodes that announced that they leave.
+    leaving: BTreeSet<usize>,
+    announcements: LeavingNodes,
     pub(crate) started: Instant,
     vote: OfficeVote,
     heard: HolderTimes,
@@ -51,6 +57,7 @@
             centre,
             run: 0,
             is_up: true,
+            is_leaving: false,
             knows_all: false,
             known: 0,
             quota,
@@ -60,6 +67,8 @@
             slow_draws: 0,
             centres,
             suspects: BTreeMap::new(),
+            leaving: BTreeSet::new(),
+            announcements: LeavingNodes::default(),
             started: now,
             vote: OfficeVote::new(now, false),
             heard: HolderTimes::default(),
@@ -95,6 +104,25 @@
         self.suspects.remove(&number);
     }
 
+    pub(crate) fn mark_leaving(&mut self, now: Instant, number: usize) {
+        self.leaving.insert(number);
+        self.announcements.record(now, Self::name_of(number));
+    }
+
+    /// Records that a node sent something as one that does not leave, as the member table does.
+    pub(crate) fn record_contact(&mut self, now: Instant, number: usize) {
+        let name = Self::name_of(number);
+        if self.leaving.contains(&number) && !self.announcements.outweighs_contact(now, &name) {
+            self.leaving.remove(&number);
+            self.announcements.remove(&name);
+        }
+    }
+
+    fn is_leaving(&self, now: Instant, number: usize) -> bool {
+        self.leaving.contains(&number)
+            && self.announcements.is_in_force(now, &Self::name_of(number))
+    }
+
     /// The nodes of a data centre that this node knows, in order; itself at least.
     fn members(&self, centre: usize) -> impl Iterator<Item = usize> {
         let own = Some(self.number).filter(|own| *own >= self.known && self.centre == centre);
@@ -105,10 +133,18 @@
     fn relay(&self, now: Instant, centre: usize) -> Option<usize> {
         self.members(centre).find(|number| {
             let suspected = self.suspects.get(number);
-            suspected.is_none_or(|at| now >= *at + SUSPECT_TIME)
+            let is_suspect = suspected.is_some_and(|at| now < *at + SUSPECT_TIME);
+            !is_suspect && !self.is_leaving(now, *number)
         })
     }
 
+    /// The nodes that get a heartbeat of this one as their relay.
+    pub(crate) fn heartbeat_targets(&self, now: Instant) -> Vec<usize> {
+        let is_relay = self.relay(now, self.centre) == Some(self.number);
+        let members = self.members(self.centre).filter(|_| is_relay);
+        members.filter(|number| *number != self.number).collect()
+    }
+
     /// The holders to ask, in order.
     pub(crate) fn holders(&self, now: Instant) -> Vec<NodeId> {
         let others = (0..self.centres).filter(|centre| *centre != self.centre);
@@ -131,7 +167,9 @@
         self.heard.hear(&own, self.time(now));
         let name = Self::name_of(relay);
         let heard = self.heard.last(&name);
-        let step = self.vote.step(now, &name, heard, |_| false);
+        let holder = self.vote.holder().map(Self::number_of);
+        let is_leaving = holder.is_some_and(|holder| self.is_leaving(now, holder));
+        let step = self.vote.step(now, &name, heard, |_| is_leaving);
         self.update_pool(now);
         (step, heard, relay)
     }
@@ -194,6 +232,7 @@
             may_be_whole: false,
         };
         let may_hold = self.vote.holder().is_none_or(|holder| *holder == own);
+        let may_hold = may_hold && !self.is_leaving;
         let time = self.time(now);
         self.pool.update(time, &self.tally, &counts, may_hold);
     }
--- a/crates/policy/tests/quota/traffic.rs
+++ b/crates/policy/tests/quota/traffic.rs
@@ -7,7 +7,8 @@
 use rand::Rng as _;
 use tokio::time::Instant;
 
-use crate::fleet::{Content, Event, Exchange, ExchangeKind, QuotaFleet, workspace};
+use crate::fleet::{QuotaFleet, workspace};
+use crate::message::{Content, Event, Exchange, ExchangeKind};
 use crate::node::QuotaNode;
 
 /// How long a request waits for draws, as in the task of a node.
@@ -240,11 +241,12 @@
         let now = self.now;
         let (from, run) = from;
         let is_current = self.nodes[from].run == run;
-        if is_current {
+        if is_current && !matches!(content, Content::Heartbeat) {
             self.nodes[to].clear_suspect(from);
         }
         match *content {
-            Content::Contact => {}
+            Content::Contact | Content::Heartbeat => self.nodes[to].record_contact(now, from),
+            Content::Leaving => self.nodes[to].mark_leaving(now, from),
             Content::Vote {
                 exchange,
                 heard,
