--- a/crates/policy/tests/quota/traffic.rs
+++ b/crates/policy/tests/quota/traffic.rs
@@ -7,7 +7,8 @@
 use rand::Rng as _;
 use tokio::time::Instant;
 
-use crate::fleet::{Content, Event, Exchange, ExchangeKind, QuotaFleet, workspace};
+use crate::fleet::{QuotaFleet, workspace};
+use crate::message::{Content, Event, Exchange, ExchangeKind};
 use crate::node::QuotaNode;
 
 /// How long a request waits for draws, as in the task of a node.
@@ -143,11 +144,14 @@
         grant: Option<(Instant, QuotaGrant)>,
     ) {
         let now = self.now;
+        let is_local = self.nodes[holder].centre == self.nodes[number].centre;
         let node = &mut self.nodes[number];
         node.slow_draws = node.slow_draws.saturating_sub(1);
         if let Some((asked_at, grant)) = grant {
-            node.silent.clear(&QuotaNode::name_of(holder));
-            node.stock.record_late(now, asked_at, &grant);
+            let name = QuotaNode::name_of(holder);
+            node.silent.clear(&name);
+            node.stock
+                .record_late(now, asked_at, &name, is_local, &grant);
             self.serve_waiting(number);
         }
         self.draw_or_settle(number);
@@ -240,11 +244,12 @@
         let now = self.now;
         let (from, run) = from;
         let is_current = self.nodes[from].run == run;
-        if is_current {
+        if is_current && !matches!(content, Content::Heartbeat) {
             self.nodes[to].clear_suspect(from);
         }
         match *content {
-            Content::Contact => {}
+            Content::Contact | Content::Heartbeat => self.nodes[to].record_contact(now, from),
+            Content::Leaving => self.nodes[to].mark_leaving(now, from),
             Content::Vote {
                 exchange,
                 heard,
