--- a/crates/policy/tests/offer_floor/calm.rs
+++ b/crates/policy/tests/offer_floor/calm.rs
@@ -1,5 +1,5 @@
 //! Offers by requests that may run only once, while gray-failure episodes are all that is wrong:
-//! with assigned upstreams there are only as many as the capacity floor needs.
+//! assigned upstreams get them and lose fewer requests to them than upstreams selected by hash.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
