fix(policy): answered attempts count in full in the mean time in service

Attempts counted up to the time after which they are overdue, answered ones too. Only attempts that end without an answer are cut.

--- a/crates/policy/src/service/balancer/mod.rs
+++ b/crates/policy/src/service/balancer/mod.rs
@@ -303,8 +303,11 @@
         if let Some(flow) = &attempt.flow {
             self.flows.leave(flow);
             // One that hangs until its timeout says nothing of when the others end.
-            self.service_rate
-                .observe(elapsed.min(attempt.overdue_after));
+            let counted = match end {
+                AttemptEnd::Answered => elapsed,
+                _ => elapsed.min(attempt.overdue_after),
+            };
+            self.service_rate.observe(counted);
         }
         let latency = attempt.latency.unwrap_or(elapsed);
         let overdue = latency > attempt.overdue_after;
