--- a/crates/policy/src/service/assignment.rs
+++ b/crates/policy/src/service/assignment.rs
@@ -1,7 +1,7 @@
 //! Even assignment of upstreams to the nodes of a data centre.
 //!
 //! Every node computes the same assignment from the same names, so no message passes. It is drawn
-//! for each [step](WIDTH_STEPS) of the width in turn: the upstreams of a narrower subset are also
+//! for each step of the width in turn: the upstreams of a narrower subset are also
 //! in each wider one, so that a node keeps its connections when its width changes, and every step
 //! by itself is even over the upstreams.
 
@@ -21,7 +21,7 @@
     pub slots: u32,
 }
 
-/// The least width in [`WIDTH_STEPS`] that is not below `width`; beyond the last step, all.
+/// The least width in `WIDTH_STEPS` that is not below `width`; beyond the last step, all.
 pub fn width_step(width: usize) -> usize {
     let mut steps = WIDTH_STEPS.into_iter();
     steps.find(|step| *step >= width).unwrap_or(usize::MAX)
@@ -30,7 +30,7 @@
 /// The upstreams of each node, as indices into `upstreams`, those of the narrowest subset first.
 ///
 /// A node's list has `width` upstreams, or all if there are fewer. The first entries up to each
-/// of the [`WIDTH_STEPS`] are even over the upstreams, weighted by their slots.
+/// of the `WIDTH_STEPS` are even over the upstreams, weighted by their slots.
 pub fn assign(
     nodes: &[ids::NodeId],
     upstreams: &[AssignedUpstream<'_>],
