review: machines without a reader stay on the old configuration (CONFIG)

Cause: the heartbeats of a reader that is cut off from the store and the wait of the others add up to more than config_apply_ms.

--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -8,6 +8,7 @@
 mod net;
 mod parts;
 mod split;
+mod stale;
 
 use std::path::PathBuf;
 use std::process::exit;
@@ -27,6 +28,7 @@
         "encoded" => encoded::run,
         "limit" => limit::run,
         "gone" => gone::run,
+        "stale" => stale::run,
         _ => {
             eprintln!("no case {case}");
             exit(2);
--- a/review/harness-2/parts.rs
+++ b/review/harness-2/parts.rs
@@ -61,6 +61,32 @@
 pub struct Store {
     pub address: SocketAddr,
     state: Arc<(Mutex<StoreState>, Condvar)>,
+    /// The process that is cut off.
+    cut: Arc<Mutex<Option<u32>>>,
+}
+
+/// Whether a process has the end of a connection at this local port.
+fn owns_port(process: u32, port: u16) -> bool {
+    let local = format!(":{port:04X}");
+    let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    let rows = table
+        .lines()
+        .map(|line| line.split_whitespace().collect::<Vec<_>>());
+    let sockets: Vec<String> = rows
+        .filter(|row| row.get(1).is_some_and(|address| address.ends_with(&local)))
+        .filter_map(|row| Some(format!("socket:[{}]", row.get(9)?)))
+        .collect();
+    let Ok(entries) = fs::read_dir(format!("/proc/{process}/fd")) else {
+        return false;
+    };
+    let mut links = entries
+        .flatten()
+        .filter_map(|entry| fs::read_link(entry.path()).ok());
+    links.any(|link| {
+        sockets
+            .iter()
+            .any(|socket| link.as_os_str() == socket.as_str())
+    })
 }
 
 const PAGE_ITEMS: usize = 50;
@@ -77,6 +103,7 @@
                 }),
                 Condvar::new(),
             )),
+            cut: Arc::default(),
         };
         let server = store.clone();
         thread::spawn(move || {
@@ -106,12 +133,29 @@
         changed.notify_all();
     }
 
+    /// Cuts a process off, silently: it gets no more answers. `None` ends the cut.
+    pub fn cut(&self, process: Option<u32>) {
+        *self.cut.lock().unwrap() = process;
+    }
+
+    fn is_cut(&self, wire: &Wire) -> bool {
+        let cut = *self.cut.lock().unwrap();
+        let peer = wire.stream.peer_addr();
+        cut.is_some_and(|process| peer.is_ok_and(|peer| owns_port(process, peer.port())))
+    }
+
     fn serve(&self, mut wire: Wire) {
         while let Ok(Some(head)) = wire.read_head() {
             if wire.read_body(&head).is_err() {
                 return;
             }
             let (status, body) = self.respond(&head);
+            if self.is_cut(&wire) {
+                while self.cut.lock().unwrap().is_some() {
+                    thread::sleep(Duration::from_millis(20));
+                }
+                return;
+            }
             let size = body.len();
             let text = format!(
                 "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {size}\r\n\r\n{body}"
@@ -445,6 +489,11 @@
 }
 
 impl Machine {
+    /// The id of the process.
+    pub fn process(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
         let _ = Command::new("kill").args([signal, &id]).status();
@@ -475,6 +524,15 @@
     }
 }
 
+impl Platform {
+    /// Whether a machine has said in its log that it reads the store for its zone.
+    pub fn reads_store(&self, machine: &Machine) -> bool {
+        let log = self.folder.join(format!("{}.log", machine.name));
+        let text = fs::read_to_string(log).unwrap_or_default();
+        text.contains("\"relay\":true")
+    }
+}
+
 impl Drop for Platform {
     fn drop(&mut self) {
         let _ = fs::remove_dir_all(&self.folder);
