review: the cases once more against the issue

Cause: two machines were added in one zone, where the site's spare allows one, and a case that takes too long was ended by its group. The machines stand in two zones now, and the program ends its processes by their ids.

--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -12,8 +12,13 @@
 use std::path::PathBuf;
 use std::process::exit;
 
+use std::time::Duration;
+
 use parts::Record;
 
+/// Longest time that a case takes.
+const TIME_MAX: Duration = Duration::from_secs(110);
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, folder] = arguments.as_slice() else {
@@ -32,6 +37,7 @@
             exit(2);
         }
     };
+    parts::end_after(TIME_MAX);
     // A panic ends the processes that were started, and the case counts as one that could not run.
     let broken = std::panic::catch_unwind(|| run(&record, trouble));
     record.say(match broken {
--- a/review/harness-2/parts.rs
+++ b/review/harness-2/parts.rs
@@ -381,6 +381,23 @@
     }
 }
 
+/// The ids of the processes that run.
+static PROCESSES: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends every process that was started, by its id, and this one, after `time`.
+pub fn end_after(time: Duration) {
+    thread::spawn(move || {
+        thread::sleep(time);
+        for id in PROCESSES.lock().unwrap().iter() {
+            let _ = Command::new("kill")
+                .args(["-KILL", &id.to_string()])
+                .status();
+        }
+        eprintln!("the case took too long");
+        std::process::exit(2);
+    });
+}
+
 /// The machines of a run, each on its own loopback address.
 pub struct Platform {
     pub folder: PathBuf,
@@ -467,6 +484,7 @@
             .stderr(log)
             .spawn()
             .unwrap_or_else(|error| panic!("cannot start the gateway: {error}"));
+        PROCESSES.lock().unwrap().push(child.id());
         Machine {
             name,
             front: self.address(number, front).parse().unwrap(),
@@ -491,6 +509,8 @@
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let id = self.child.id();
+        PROCESSES.lock().unwrap().retain(|known| *known != id);
     }
 
     /// Whether the machine says that it is ready.
--- a/review/harness-2/split.rs
+++ b/review/harness-2/split.rs
@@ -23,7 +23,9 @@
     }
     record.say("Two machines are added. Their seeds are the first machine and themselves.");
     platform.seeds = vec![1, 3, 4];
-    let added = [3, 4].map(|number| platform.start(number, "mcallen", false));
+    // The site allows one more machine in each zone.
+    let added = [(3, "harlingen"), (4, "weslaco")];
+    let added = added.map(|(number, zone)| platform.start(number, zone, false));
     added.iter().for_each(Machine::wait_ready);
     thread::sleep(Duration::from_secs_f64(FREEZE - 0.5));
     if trouble {
